--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Every target sets up its own virtual environment in .venv; nothing touches
+# the system's Python.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SEED ?= 1
+SECONDS ?= 20
+
+.PHONY: all demo test lint format bench soak clean
+
+all: test
+
+$(STAMP): pyproject.toml requirements/lock.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint requirements/lock.txt \
+	    --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python examples/demo.py --seed $(SEED)
+
+test: $(STAMP)
+	$(BIN)/python tools/run_scenarios.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: $(STAMP)
+	$(BIN)/python benchmarks/run.py
+
+soak: $(STAMP)
+	$(BIN)/python tools/soak.py --seed $(SEED) --seconds $(SECONDS)
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/azurevane/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of azurevane; nothing here is a public interface."""
--- /dev/null
+++ b/src/azurevane/_internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/src/azurevane/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, one module per command."""
--- /dev/null
+++ b/src/azurevane/_internal/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring of the long-running programs."""
--- /dev/null
+++ b/src/azurevane/_internal/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and their catalogue."""
--- /dev/null
+++ b/src/azurevane/_internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""OpenTelemetry instruments."""
--- /dev/null
+++ b/src/azurevane/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen values that every other package exchanges."""
--- /dev/null
+++ b/src/azurevane/_internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for operators, and its client."""
--- /dev/null
+++ b/src/azurevane/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the entry hosts, framed over TCP."""
--- /dev/null
+++ b/src/azurevane/_internal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: values in, a decision with its reasons out."""
--- /dev/null
+++ b/src/azurevane/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings: schema, loading and checking."""
--- /dev/null
+++ b/src/azurevane/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and upstreams, with faults."""
--- /dev/null
+++ b/src/azurevane/_internal/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client for upstream runners."""
--- /dev/null
+++ b/src/azurevane/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small modules with one job each."""
--- /dev/null
+++ b/src/azurevane/_internal/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's workers."""
