Serve the thin whole path from caller to upstream and manifest to fleet

Cause: the parts need one running path to grow on. Change: entry and control daemons, stand-ins of platform and runners, the operators' port with compare-and-set changes, one command, numbered events, checked settings, streamed bodies in bounded memory. Conclusion: the path is whole but thin: limits, shares, freshness, retries, claims and leases are still to come.

--- /dev/null
+++ b/src/azurevane/_internal/callers/authentication.py
@@ -0,0 +1,65 @@
+"""Find the team of a caller and check that it may use a queue."""
+
+import dataclasses
+
+from returns import result
+from twisted.web import http_headers
+
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Denied:
+    """Why a caller may not use a queue."""
+
+    status: int
+    problem: str
+    detail: str
+
+
+def presented_api_key(headers: http_headers.Headers) -> str | None:
+    """Return the key of an ``Authorization: Bearer`` header, if any."""
+    values = headers.getRawHeaders("Authorization", [])
+    if len(values) != 1:
+        return None
+    scheme, _, api_key = values[0].partition(" ")
+    if scheme.lower() != "bearer" or not api_key.strip():
+        return None
+    return api_key.strip()
+
+
+def authenticate(
+    state: fleet.FleetState,
+    queue: manifest_models.Queue,
+    headers: http_headers.Headers,
+) -> result.Result[str, Denied]:
+    """Return the name of the team that a request belongs to.
+
+    On a queue open to all, a request without a key belongs to no team
+    and the name is empty.
+    """
+    api_key = presented_api_key(headers)
+    if api_key is None and not queue.teams:
+        return result.Success("")
+    # Only digests are looked up, so the time taken says nothing about how
+    # much of a key was right.
+    digest = fleet.digest_api_key(api_key or "")
+    team = state.team_by_digest.get(digest)
+    if team is None:
+        return result.Failure(
+            Denied(
+                401,
+                "unauthorized",
+                "No valid key came with the request",
+            )
+        )
+    if queue.teams and team not in queue.teams:
+        return result.Failure(
+            Denied(
+                403,
+                "forbidden",
+                f"Team {team} may not use queue {queue.name}",
+            )
+        )
+    return result.Success(team)
--- /dev/null
+++ b/src/azurevane/_internal/daemons/program.py
@@ -0,0 +1,65 @@
+"""What every daemon does on start: arguments, settings, logging."""
+
+import argparse
+import logging
+import pathlib
+import sys
+from typing import Any, Protocol
+
+import azurevane
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import definitions
+from azurevane._internal.events import formatting
+from azurevane._internal.settings import loader
+
+logger = logging.getLogger(__name__)
+
+
+class Daemon(Protocol):
+    """A program that listens until the reactor stops."""
+
+    def start(self) -> None:
+        """Listen and start the periodic work."""
+
+
+class DaemonFactory(Protocol):
+    """Builds a daemon from its reactor and settings."""
+
+    def __call__(self, reactor: Any, settings: loader.Settings) -> Daemon:
+        """Return the daemon."""
+
+
+def run(name: str, description: str | None, factory: DaemonFactory) -> None:
+    """Run a daemon until it is told to stop."""
+    parser = argparse.ArgumentParser(prog=name, description=description)
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=True,
+        help="INI file; azurevane settings check explains every key",
+    )
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"%(prog)s {azurevane.__version__}",
+    )
+    options = parser.parse_args()
+    try:
+        settings = loader.load_settings(options.settings)
+    except exceptions.SettingsError as error:
+        sys.exit(str(error))
+    formatting.configure_logging(
+        settings.text("log", "level"), settings.text("log", "format")
+    )
+    from twisted.internet import reactor
+
+    daemon = factory(reactor, settings)
+    daemon.start()
+    catalogue.emit(
+        logger,
+        definitions.ProgramStarted(
+            name, settings.text("host", "address"), azurevane.__version__
+        ),
+    )
+    reactor.run()
--- /dev/null
+++ b/src/azurevane/_internal/models/manifest.py
@@ -0,0 +1,140 @@
+"""The manifest: what operators declare for one site."""
+
+import dataclasses
+import functools
+
+
+@dataclasses.dataclass(frozen=True)
+class Team:
+    """A tenant.
+
+    Attributes:
+        share: weight when a pool is full; greater than zero.
+        limit: most requests and tasks it may run at once, fleet-wide.
+    """
+
+    name: str
+    share: float
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """The most hosts that may be away at once, whatever the cause."""
+
+    pool: int = 1
+    rack: int = 1
+    zone: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Pool:
+    """Hosts and runners that serve the same queues."""
+
+    name: str
+    spare: bool = False
+    budget: Budget = dataclasses.field(default_factory=Budget)
+
+
+@dataclasses.dataclass(frozen=True)
+class Queue:
+    """A service that callers address.
+
+    Attributes:
+        pool: name of the pool that serves it.
+        teams: names of the teams that may use it; empty if open to all.
+        deadline_ms: deadline of a request that states none.
+        max_run_s: longest run time of a request, enforced.
+        max_wait_s: wait after which a request is the next of its team.
+    """
+
+    name: str
+    pool: str
+    teams: tuple[str, ...] = ()
+    max_body_bytes: int = 16 * 1024 * 1024
+    deadline_ms: int = 10_000
+    max_run_s: float = 30.0
+    max_wait_s: float = 300.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Runner:
+    """One upstream process with a number of slots."""
+
+    name: str
+    pool: str
+    zone: str
+    address: str
+    port: int
+    slots: int = 8
+    connections: int = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Host:
+    """A machine that runs tasks as a worker."""
+
+    name: str
+    pool: str
+    zone: str
+    rack: str
+    cores: float
+    memory_gb: float
+    accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Weights:
+    """How much the site minds each cost; relative numbers."""
+
+    buffer: float = 1.0
+    rollout: float = 1.0
+    moves: float = 1.0
+    shares: float = 1.0
+    zone_work: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Manifest:
+    """Everything operators declare for one site, except keys."""
+
+    site: str
+    region: str
+    zones: tuple[str, ...]
+    teams: tuple[Team, ...]
+    pools: tuple[Pool, ...]
+    queues: tuple[Queue, ...]
+    runners: tuple[Runner, ...] = ()
+    hosts: tuple[Host, ...] = ()
+    entry_seats: int = 6
+    weights: Weights = dataclasses.field(default_factory=Weights)
+
+    @functools.cached_property
+    def team_by_name(self) -> dict[str, Team]:
+        """Teams by name."""
+        return {team.name: team for team in self.teams}
+
+    @functools.cached_property
+    def pool_by_name(self) -> dict[str, Pool]:
+        """Pools by name."""
+        return {pool.name: pool for pool in self.pools}
+
+    @functools.cached_property
+    def queue_by_name(self) -> dict[str, Queue]:
+        """Queues by name."""
+        return {queue.name: queue for queue in self.queues}
+
+    @functools.cached_property
+    def runner_by_name(self) -> dict[str, Runner]:
+        """Runners by name."""
+        return {runner.name: runner for runner in self.runners}
+
+    @functools.cached_property
+    def host_by_name(self) -> dict[str, Host]:
+        """Hosts by name."""
+        return {host.name: host for host in self.hosts}
+
+    @functools.cached_property
+    def spare_pools(self) -> tuple[str, ...]:
+        """Names of the pools whose idle slots serve other queues."""
+        return tuple(pool.name for pool in self.pools if pool.spare)
--- /dev/null
+++ b/src/azurevane/_internal/models/messages.py
@@ -0,0 +1,56 @@
+"""Messages between entry hosts.
+
+Each class here has a struct of the same name in ``peers/messages.capnp``.
+"""
+
+import dataclasses
+from typing import Any, TypeVar
+
+_MessageT = TypeVar("_MessageT", bound=type)
+
+message_type_by_name: dict[str, type] = {}
+
+
+def message(cls: _MessageT) -> _MessageT:
+    """Register a message class under its name."""
+    message_type_by_name[cls.__name__] = cls
+    return cls
+
+
+class Message:
+    """Base of every message between entry hosts."""
+
+    __slots__ = ()
+    __dataclass_fields__: dict[str, Any]
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello(Message):
+    """First message on a connection; names the sender."""
+
+    host: str
+    incarnation: str
+    zone: str
+    protocol: int = 1
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe(Message):
+    """Asks a peer to confirm the version that the sender has in force."""
+
+    seq: int
+    version: int
+    prepared: tuple[str, ...] = ()
+
+
+@message
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAck(Message):
+    """Answers a probe with the version and the prepared changes here."""
+
+    seq: int
+    version: int
+    prepared: tuple[str, ...] = ()
+    store_seen: bool = False
--- /dev/null
+++ b/src/azurevane/_internal/operators/api.py
@@ -0,0 +1,81 @@
+"""HTTP interface for operators."""
+
+import hashlib
+import hmac
+from typing import Any, Protocol
+
+import msgspec
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from azurevane import exceptions
+from azurevane._internal.models import fleet
+
+
+class ChangeMaker(Protocol):
+    """Makes changes to the fleet state; implemented by the daemon."""
+
+    @property
+    def state(self) -> fleet.FleetState:
+        """The fleet state in force."""
+
+    async def make_change(
+        self, kind: str, base_version: int | None, content: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Make a change and return an HTTP status and a body."""
+
+
+class OperatorsResource(resource.Resource):
+    """Answers ``/v1`` calls that carry the operators' credential."""
+
+    isLeaf = True
+
+    def __init__(self, token_digest: str, maker: ChangeMaker) -> None:
+        super().__init__()
+        self._token_digest = token_digest
+        self._maker = maker
+
+    def render(self, request: server.Request) -> Any:
+        """Answer one call."""
+        if not self._authorized(request):
+            return _write(request, 401, {"error": "credential required"})
+        route = (request.method, request.path)
+        if route == (b"GET", b"/v1/state"):
+            return _write(request, 200, msgspec.to_builtins(self._maker.state))
+        if route == (b"POST", b"/v1/changes"):
+            defer.ensureDeferred(self._change(request))
+            return server.NOT_DONE_YET
+        return _write(request, 404, {"error": "no such call"})
+
+    def _authorized(self, request: server.Request) -> bool:
+        header = request.getHeader("Authorization") or ""
+        token = header.removeprefix("Bearer ").strip()
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        return hmac.compare_digest(digest, self._token_digest)
+
+    async def _change(self, request: server.Request) -> None:
+        try:
+            body = msgspec.json.decode(request.content.read())
+            status, answer = await self._maker.make_change(
+                body["kind"], body.get("base_version"), body["content"]
+            )
+        except exceptions.ManifestError as error:
+            status, answer = 422, {"problems": list(error.problems)}
+        except exceptions.StoreUnavailable as error:
+            status, answer = 503, {"error": str(error)}
+        except (msgspec.DecodeError, KeyError, TypeError) as error:
+            status, answer = 400, {"error": f"Malformed change: {error}"}
+        if request.channel is None:
+            return
+        request.write(_write(request, status, answer))
+        request.finish()
+
+
+def _write(
+    request: server.Request, status: int, body: dict[str, Any]
+) -> bytes:
+    request.setResponseCode(status, http.RESPONSES.get(status, b""))
+    request.setHeader(b"Content-Type", b"application/json")
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/src/azurevane/_internal/peers/codec.py
@@ -0,0 +1,102 @@
+"""Translate messages between data classes and Cap'n Proto."""
+
+import dataclasses
+import functools
+import pathlib
+from typing import Any
+
+import capnp
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.models import messages
+
+MAX_MESSAGE_BYTES = 1024 * 1024
+
+
+@functools.cache
+def _schema() -> Any:
+    capnp.remove_import_hook()
+    path = pathlib.Path(__file__).with_name("messages.capnp")
+    return capnp.load(str(path))
+
+
+def _camel(name: str) -> str:
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+@functools.cache
+def _field_names(cls: type) -> dict[str, str]:
+    return {
+        field.name: _camel(field.name) for field in dataclasses.fields(cls)
+    }
+
+
+def _union_name(cls: type) -> str:
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+@functools.cache
+def _type_by_union_name() -> dict[str, type]:
+    return {
+        _union_name(cls): cls for cls in messages.message_type_by_name.values()
+    }
+
+
+def _to_plain(value: Any) -> Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        names = _field_names(type(value))
+        return {names[name]: _to_plain(getattr(value, name)) for name in names}
+    if isinstance(value, tuple):
+        return [_to_plain(item) for item in value]
+    return value
+
+
+def _snake(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {
+            "".join(f"_{c.lower()}" if c.isupper() else c for c in key): (
+                _snake(item)
+            )
+            for key, item in value.items()
+        }
+    if isinstance(value, list):
+        return [_snake(item) for item in value]
+    return value
+
+
+def encode_message(message: messages.Message) -> bytes:
+    """Return a message as the bytes of one ``Envelope``."""
+    plain = _to_plain(message)
+    envelope = _schema().Envelope.new_message(
+        **{_union_name(type(message)): plain}
+    )
+    return bytes(envelope.to_bytes())
+
+
+def decode_message(data: bytes) -> messages.Message | None:
+    """Return the message in an ``Envelope``, or None if it is unknown.
+
+    A newer peer may send members that this version doesn't know.
+
+    Raises:
+        MessageError: the bytes are too many or not a valid envelope.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise exceptions.MessageError(
+            f"Peer message has {len(data)} bytes, more than the"
+            f" {MAX_MESSAGE_BYTES} allowed; the message is dropped"
+        )
+    try:
+        with _schema().Envelope.from_bytes(data) as envelope:
+            name = str(envelope.which())
+            cls = _type_by_union_name().get(name)
+            if cls is None:
+                return None
+            plain = _snake(getattr(envelope, name).to_dict())
+        return msgspec.convert(plain, type=cls)
+    except (ValueError, capnp.KjException) as error:
+        raise exceptions.MessageError(
+            f"Peer message isn't a valid envelope: {error}"
+        ) from error
--- /dev/null
+++ b/src/azurevane/_internal/platform/transport.py
@@ -0,0 +1,89 @@
+"""HTTP calls with JSON bodies to the platform."""
+
+import io
+from typing import Any
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+
+from azurevane import exceptions
+
+
+class JsonTransport:
+    """Sends JSON over HTTP and reads JSON back, within a deadline."""
+
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        base_url: str,
+        timeout_s: float,
+        *,
+        agent: iweb.IAgent | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        pool = client.HTTPConnectionPool(reactor)
+        # Without this a request on a connection that the platform just
+        # closed would be sent twice; the caller decides about retries.
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._agent = agent or client.Agent(
+            reactor, connectTimeout=timeout_s, pool=pool
+        )
+
+    async def call(
+        self, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any]:
+        """Send one call and return its status and decoded body.
+
+        Raises:
+            StoreUnavailable: no whole answer arrived in time; the call
+                may have taken effect.
+        """
+        call = defer.ensureDeferred(self._call(method, path, body))
+        call.addTimeout(self._timeout_s, self._reactor)
+        try:
+            return await call
+        except (
+            error.ConnectError,
+            error.ConnectionClosed,
+            defer.TimeoutError,
+            defer.CancelledError,
+            client.ResponseFailed,
+            client.PartialDownloadError,
+            msgspec.DecodeError,
+        ) as failure:
+            raise exceptions.StoreUnavailable(
+                f"{method} {path} at the platform: {failure!r}"
+            ) from failure
+
+    async def _call(
+        self, method: str, path: str, body: Any
+    ) -> tuple[int, Any]:
+        producer = None
+        if body is not None:
+            producer = client.FileBodyProducer(
+                io.BytesIO(msgspec.json.encode(body))
+            )
+        response = await self._agent.request(
+            method.encode(),
+            f"{self._base_url}{path}".encode(),
+            http_headers.Headers({"Content-Type": ["application/json"]}),
+            producer,
+        )
+        data = await client.readBody(response)
+        if response.code >= 500:
+            raise exceptions.StoreUnavailable(
+                f"{method} {path} at the platform: HTTP {response.code}"
+            )
+        return response.code, msgspec.json.decode(data) if data else None
+
+    def close(self) -> defer.Deferred[None]:
+        """Close idle connections."""
+        return self._pool.closeCachedConnections()
--- /dev/null
+++ b/src/azurevane/_internal/settings/loader.py
@@ -0,0 +1,115 @@
+"""Load and check INI settings."""
+
+import configparser
+import difflib
+import pathlib
+
+from azurevane import exceptions
+from azurevane._internal.settings import schema
+
+
+class Settings:
+    """Checked settings of one program."""
+
+    def __init__(
+        self, value_by_key: dict[tuple[str, str], schema.Value]
+    ) -> None:
+        self._value_by_key = value_by_key
+
+    def text(self, section: str, name: str) -> str:
+        """Return a text setting."""
+        return str(self._value_by_key[section, name])
+
+    def integer(self, section: str, name: str) -> int:
+        """Return a whole-number setting."""
+        return int(self._value_by_key[section, name])
+
+    def number(self, section: str, name: str) -> float:
+        """Return a numeric setting in the unit of its option."""
+        return float(self._value_by_key[section, name])
+
+    def flag(self, section: str, name: str) -> bool:
+        """Return a yes/no setting."""
+        return bool(self._value_by_key[section, name])
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: names every problem found in the file.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with path.open(encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, configparser.Error, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(
+            f"Can't read settings file {path}: {error}"
+        ) from error
+    problems: list[str] = []
+    value_by_key = _read_known(parser, problems)
+    _report_unknown(parser, problems)
+    if problems:
+        raise exceptions.SettingsError(
+            "\n".join(f"{path}: {problem}" for problem in problems)
+        )
+    return Settings(value_by_key)
+
+
+def _read_known(
+    parser: configparser.ConfigParser, problems: list[str]
+) -> dict[tuple[str, str], schema.Value]:
+    value_by_key: dict[tuple[str, str], schema.Value] = {}
+    for key, option in schema.option_by_key.items():
+        place = f"[{option.section}] {option.name}"
+        raw = parser.get(option.section, option.name, fallback=None)
+        if raw is None:
+            if option.default is None:
+                problems.append(f"{place}: is required; {option.help}")
+            else:
+                value_by_key[key] = option.default
+            continue
+        try:
+            value_by_key[key] = parse_value(option, raw)
+        except ValueError as error:
+            problems.append(f"{place}: {error}")
+    return value_by_key
+
+
+def parse_value(option: schema.Option, raw: str) -> schema.Value:
+    """Convert and check the text of one setting.
+
+    Raises:
+        ValueError: the text isn't an allowed value of the option.
+    """
+    if option.kind is str:
+        return raw
+    if option.kind is bool:
+        states = configparser.ConfigParser.BOOLEAN_STATES
+        if raw.lower() not in states:
+            raise ValueError(f"{raw!r} is neither yes nor no")
+        return states[raw.lower()]
+    try:
+        value: int | float = option.kind(raw)
+    except ValueError:
+        raise ValueError(f"{raw!r} isn't a {option.kind.__name__}") from None
+    low = option.low if option.low is not None else float("-inf")
+    high = option.high if option.high is not None else float("inf")
+    if not low <= value <= high:
+        raise ValueError(f"{raw} {option.unit} isn't in {low} to {high}")
+    return value
+
+
+def _report_unknown(
+    parser: configparser.ConfigParser, problems: list[str]
+) -> None:
+    known = [f"[{s}] {n}" for s, n in schema.option_by_key]
+    for section in parser.sections():
+        for name in parser.options(section):
+            if (section, name) in schema.option_by_key:
+                continue
+            place = f"[{section}] {name}"
+            near = difflib.get_close_matches(place, known, n=1)
+            hint = f"; did you mean {near[0]}?" if near else ""
+            problems.append(f"{place}: unknown setting{hint}")
--- /dev/null
+++ b/src/azurevane/_internal/standins/platform.py
@@ -0,0 +1,126 @@
+"""Stand-in for the platform: table, objects, host list and workers."""
+
+import argparse
+import collections
+from typing import Any
+
+from twisted.internet import interfaces
+from twisted.web import server
+
+from azurevane._internal.standins import httpserver
+from azurevane._internal.standins import table
+from azurevane._internal.standins import workers
+
+
+class PlatformResource(httpserver.JsonResource):
+    """The platform's calls over one HTTP port."""
+
+    def __init__(self, reactor: interfaces.IReactorTime) -> None:
+        super().__init__(reactor)
+        self.table = table.MemoryTable()
+        self.object_by_name: dict[str, Any] = {}
+        self.hosts: list[dict[str, Any]] = []
+        self.worker_by_name: dict[str, workers.MemoryWorker] = {}
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def answer(
+        self, method: str, path: str, args: dict[str, str], body: Any
+    ) -> tuple[int, Any]:
+        """Answer one call to the platform."""
+        self.calls[f"{method} {path}"] += 1
+        parts = path.strip("/").split("/")
+        if parts[0] == "table":
+            return self._answer_table(parts[1], args, body)
+        if parts[0] == "objects":
+            return self._answer_object(method, parts[1], body)
+        if parts[0] == "workers":
+            return self._answer_worker(parts[1:], body)
+        if path == "/hosts":
+            if method == "PUT":
+                self.hosts = body
+            return 200, self.hosts
+        if path == "/counts":
+            return 200, {
+                "writes": self.table.writes,
+                "reads": self.table.reads,
+            }
+        raise LookupError(path)
+
+    def _answer_table(
+        self, call: str, args: dict[str, str], body: Any
+    ) -> tuple[int, Any]:
+        if call == "row":
+            version, value = self.table.read(args["name"])
+            return 200, {"version": version, "value": value}
+        if call == "rows":
+            return 200, [
+                {"name": name, "version": version, "value": value}
+                for name, version, value in self.table.read_prefix(
+                    args["prefix"]
+                )
+            ]
+        if call == "transact":
+            applied, versions = self.table.transact(
+                body["checks"], body["puts"]
+            )
+            return (200 if applied else 409), {"versions": versions}
+        raise LookupError(call)
+
+    def _answer_object(
+        self, method: str, name: str, body: Any
+    ) -> tuple[int, Any]:
+        if method == "PUT":
+            self.object_by_name[name] = body
+        return 200, self.object_by_name[name]
+
+    def _answer_worker(self, parts: list[str], body: Any) -> tuple[int, Any]:
+        if not parts:
+            return 200, [
+                worker.report() for worker in self.worker_by_name.values()
+            ]
+        name, call = parts
+        worker = self.worker_by_name.get(name)
+        if call == "add":
+            self.worker_by_name[name] = workers.MemoryWorker(
+                name, self._reactor
+            )
+            return 200, {}
+        if worker is None:
+            raise LookupError(name)
+        if call == "fail":
+            worker.fail_all = body["fail_all"]
+            return 200, {}
+        if call == "renew":
+            worker.renew(body["tasks"], body["lease_s"])
+            return 200, {}
+        if call == "stop":
+            admitted = worker.stop(body["task"], body["epoch"])
+        elif call == "start":
+            admitted = worker.start(
+                body["task"], body["epoch"], body["lease_s"], body["run_s"]
+            )
+        else:
+            raise LookupError(call)
+        return (200 if admitted else 409), {}
+
+
+def main() -> None:
+    """Run the platform stand-in until it is stopped."""
+    from twisted.internet import reactor
+
+    parser = argparse.ArgumentParser(
+        description="Stand-in for the platform's services."
+    )
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=9000)
+    options = parser.parse_args()
+    reactor.listenTCP(
+        options.port,
+        server.Site(PlatformResource(reactor)),
+        interface=options.address,
+    )
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azurevane/exceptions.py
@@ -0,0 +1,35 @@
+"""Exceptions of azurevane, in one hierarchy."""
+
+
+class AzurevaneError(Exception):
+    """Base of every exception that azurevane raises on purpose.
+
+    The text says what was wrong, where, and what to do next.
+    """
+
+
+class SettingsError(AzurevaneError):
+    """Raised when a settings file has unknown keys or invalid values."""
+
+
+class ManifestError(AzurevaneError):
+    """Raised when a manifest is invalid; carries every problem found.
+
+    Attributes:
+        problems: one text per problem, each with its place in the file.
+    """
+
+    def __init__(self, problems: tuple[str, ...]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+class StoreUnavailable(AzurevaneError):
+    """Raised when the table service gave no usable answer in time.
+
+    The operation may have taken effect; look for its token.
+    """
+
+
+class MessageError(AzurevaneError):
+    """Raised when a peer's message is malformed or too large."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several test packages share."""
--- /dev/null
+++ b/tests/support/manifests.py
@@ -0,0 +1,29 @@
+"""Small manifests for scenarios."""
+
+
+def small_manifest(site, queue, team):
+    """One queue and pool over the runners that a site has started."""
+    zones = ["az-a", "az-b", "az-c", "az-d"]
+    runners = [
+        {
+            "name": name,
+            "pool": "pool-1",
+            "zone": zones[index % len(zones)],
+            "address": "127.0.0.1",
+            "port": port,
+        }
+        for index, (name, port) in enumerate(
+            (name, port)
+            for name, port in site.port_by_name.items()
+            if name.startswith("quote-")
+        )
+    ]
+    return {
+        "site": "test-site",
+        "region": "test-region",
+        "zones": zones,
+        "teams": [{"name": team, "share": 1.0, "limit": 12}],
+        "pools": [{"name": "pool-1"}],
+        "queues": [{"name": queue, "pool": "pool-1", "teams": [team]}],
+        "runners": runners,
+    }
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,188 @@
+"""Start the project's programs on loopback for a scenario."""
+
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+PROGRAMS = pathlib.Path(sys.executable).parent
+OPERATORS_TOKEN = "operators-secret"
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def http_call(method, url, body=None, headers=None, timeout=15):
+    """Return status, headers and body of one call."""
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read()
+
+
+def wait_until(check, timeout=10.0):
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        try:
+            if check():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise AssertionError("condition not reached in time")
+
+
+class Site:
+    """Processes of one small site; stops exactly those that it started."""
+
+    def __init__(self, directory):
+        self.directory = pathlib.Path(directory)
+        self.process_by_name = {}
+        self.port_by_name = {}
+
+    def start(self, name, program, *arguments):
+        log = (self.directory / f"{name}.log").open("ab")
+        self.process_by_name[name] = subprocess.Popen(
+            [str(PROGRAMS / program), *map(str, arguments)],
+            stdout=log,
+            stderr=log,
+        )
+
+    def signal(self, name, number):
+        self.process_by_name[name].send_signal(number)
+
+    def stop(self):
+        for process in self.process_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.process_by_name.values():
+            process.wait(timeout=10)
+
+    def start_platform(self):
+        (port,) = free_ports(1)
+        self.port_by_name["platform"] = port
+        self.start("platform", "azurevane-platform-standin", "--port", port)
+        wait_until(lambda: self.platform("GET", "/hosts")[0] == 200)
+
+    def platform(self, method, path, body=None):
+        port = self.port_by_name["platform"]
+        status, _, answer = http_call(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            None if body is None else json.dumps(body).encode(),
+        )
+        return status, json.loads(answer) if answer else None
+
+    def start_runners(self, names):
+        # Consecutive ports: look for a free range.
+        first = free_ports(1)[0]
+        for index, name in enumerate(names):
+            self.port_by_name[name] = first + index
+        self.start(
+            "runners",
+            "azurevane-upstream-standin",
+            "--first-port",
+            first,
+            "--names",
+            ",".join(names),
+        )
+        last = self.port_by_name[names[-1]]
+        wait_until(
+            lambda: (
+                http_call("GET", f"http://127.0.0.1:{last}/record")[0] == 200
+            )
+        )
+
+    def runner(self, name, method, path, body=None):
+        port = self.port_by_name[name]
+        _, _, answer = http_call(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            None if body is None else json.dumps(body).encode(),
+        )
+        return json.loads(answer)
+
+    def plan_entries(self, zone_by_name):
+        """Choose the ports of every entry host before any starts."""
+        for name in zone_by_name:
+            callers, operators, peers = free_ports(3)
+            self.port_by_name[name] = callers
+            self.port_by_name[f"{name}-operators"] = operators
+            self.port_by_name[f"{name}-peers"] = peers
+        self.zone_by_entry = dict(zone_by_name)
+
+    def write_settings(self, name, **extra):
+        digest = hashlib.sha256(OPERATORS_TOKEN.encode()).hexdigest()
+        members = ",".join(
+            f"{other}=127.0.0.1:{self.port_by_name[f'{other}-peers']}"
+            for other in self.zone_by_entry
+            if other != name
+        )
+        lines = [
+            "[host]",
+            f"name = {name}",
+            f"zone = {self.zone_by_entry[name]}",
+            "[callers]",
+            f"port = {self.port_by_name[name]}",
+            "[operators]",
+            f"port = {self.port_by_name[f'{name}-operators']}",
+            f"token_digest = {digest}",
+            "[peers]",
+            f"port = {self.port_by_name[f'{name}-peers']}",
+            f"members = {members}",
+            "[platform]",
+            f"url = http://127.0.0.1:{self.port_by_name['platform']}",
+        ]
+        for section, options in extra.items():
+            lines.append(f"[{section}]")
+            lines.extend(f"{key} = {value}" for key, value in options.items())
+        path = self.directory / f"{name}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def start_entry(self, name, **extra):
+        path = self.write_settings(name, **extra)
+        self.start(name, "azurevane-entry", "--settings", path)
+        wait_until(lambda: self.call(name, "GET", "/healthz")[0] == 200)
+
+    def start_control(self, entry_name):
+        path = self.directory / f"{entry_name}.ini"
+        self.start(
+            f"{entry_name}-control", "azurevane-control", "--settings", path
+        )
+
+    def call(self, name, method, path, body=None, headers=None, timeout=15):
+        url = f"http://127.0.0.1:{self.port_by_name[name]}{path}"
+        return http_call(method, url, body, headers, timeout)
+
+    def change(self, name, kind, content, base_version=None):
+        """Make a change at an entry host; return status and body."""
+        port = self.port_by_name[f"{name}-operators"]
+        body = {
+            "kind": kind,
+            "base_version": base_version,
+            "content": content,
+        }
+        status, _, answer = http_call(
+            "POST",
+            f"http://127.0.0.1:{port}/v1/changes",
+            json.dumps(body).encode(),
+            {"Authorization": f"Bearer {OPERATORS_TOKEN}"},
+        )
+        return status, json.loads(answer)
