Define every message between entry hosts and check the codec

Cause: the parts are built side by side and need one fixed schema; Cap'n Proto numbers must not be chosen twice. Measured: 5 codec scenarios pass; all 19 message types survive a round trip; random, cut and oversized input raises MessageError. Conclusion: later fields are only appended.

--- a/src/azurevane/_internal/daemons/control.py
+++ b/src/azurevane/_internal/daemons/control.py
@@ -11,7 +11,8 @@
 from azurevane import exceptions
 from azurevane._internal.daemons import program
 from azurevane._internal.events import catalogue
-from azurevane._internal.events import definitions
+from azurevane._internal.events import platform_events
+from azurevane._internal.events import task_events
 from azurevane._internal.models import task as task_models
 from azurevane._internal.platform import state_store
 from azurevane._internal.platform import table
@@ -58,7 +59,7 @@
                 await self._advance(stored, reports, row)
         except exceptions.StoreUnavailable as error:
             catalogue.emit(
-                logger, definitions.StoreFailed("place", str(error))
+                logger, platform_events.StoreFailed("place", str(error))
             )
 
     async def _advance(
@@ -75,7 +76,7 @@
                     await self._write(row, task, phase="finished")
                     catalogue.emit(
                         logger,
-                        definitions.TaskEnded(
+                        task_events.TaskEnded(
                             task.task_id, report.worker, outcome
                         ),
                     )
@@ -97,7 +98,7 @@
         )
         catalogue.emit(
             logger,
-            definitions.TaskPlaced(
+            task_events.TaskPlaced(
                 task.task_id,
                 task.team,
                 report.worker,
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -12,7 +12,8 @@
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.daemons import program
 from azurevane._internal.events import catalogue
-from azurevane._internal.events import definitions
+from azurevane._internal.events import platform_events
+from azurevane._internal.events import state_events
 from azurevane._internal.models import fleet
 from azurevane._internal.operators import api
 from azurevane._internal.operators import changes
@@ -88,7 +89,7 @@
             stored = await self._store.read()
         except exceptions.StoreUnavailable as error:
             catalogue.emit(
-                logger, definitions.StoreFailed("read-state", str(error))
+                logger, platform_events.StoreFailed("read-state", str(error))
             )
             return
         self._offer(stored.state, "store")
@@ -99,7 +100,7 @@
             return
         catalogue.emit(
             logger,
-            definitions.StateInForce(state.version, previous, source),
+            state_events.StateInForce(state.version, previous, source),
         )
         self._service.apply(
             self._dispatcher.configure(self._reactor.seconds(), state)
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -9,7 +9,7 @@
 from azurevane._internal.callers import authentication
 from azurevane._internal.callers import exchange as exchange_module
 from azurevane._internal.events import catalogue
-from azurevane._internal.events import definitions
+from azurevane._internal.events import request_events
 from azurevane._internal.models import effects
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import verdict as verdict_models
@@ -136,7 +136,7 @@
     ) -> None:
         catalogue.emit(
             logger,
-            definitions.RequestRefused(
+            request_events.RequestRefused(
                 refusal.submission_id,
                 refusal.status,
                 refusal.problem,
@@ -154,7 +154,7 @@
         assert manifest is not None
         catalogue.emit(
             logger,
-            definitions.RequestRouted(
+            request_events.RequestRouted(
                 submission_id,
                 submission.queue,
                 submission.team,
@@ -189,7 +189,7 @@
         )
         catalogue.emit(
             logger,
-            definitions.RequestEnded(
+            request_events.RequestEnded(
                 submission_id,
                 dispatch.runner,
                 round(now - started_at, 4),
--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -9,8 +9,8 @@
 import azurevane
 from azurevane import exceptions
 from azurevane._internal.events import catalogue
-from azurevane._internal.events import definitions
 from azurevane._internal.events import formatting
+from azurevane._internal.events import program_events
 from azurevane._internal.settings import loader
 
 logger = logging.getLogger(__name__)
@@ -58,7 +58,7 @@
     daemon.start()
     catalogue.emit(
         logger,
-        definitions.ProgramStarted(
+        program_events.ProgramStarted(
             name, settings.text("host", "address"), azurevane.__version__
         ),
     )
--- /dev/null
+++ b/src/azurevane/_internal/models/permit_messages.py
@@ -0,0 +1,66 @@
+"""Messages about permits of divided limits."""
+
+import dataclasses
+
+from azurevane._internal.models import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Slot seconds that one host has used for a team in a pool."""
+
+    pool: str
+    team: str
+    slot_seconds: float
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask(messages.Message):
+    """Asks for permits of a team, or for slots of a pool's runners."""
+
+    ask_id: int
+    kind: str
+    name: str
+    count: int
+    rank: float
+    waited_ms: int
+    usage: tuple[Usage, ...] = ()
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loan(messages.Message):
+    """Lends permits; the lender has given them up already."""
+
+    loan_id: int
+    ask_id: int
+    limit_key: str
+    count: int
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renew(messages.Message):
+    """Asks to extend loans, counted from when this was sent."""
+
+    seq: int
+    loan_ids: tuple[int, ...] = ()
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenewAck(messages.Message):
+    """Names the loans that were extended."""
+
+    seq: int
+    loan_ids: tuple[int, ...] = ()
+
+
+@messages.message
+@dataclasses.dataclass(frozen=True, slots=True)
+class Return(messages.Message):
+    """Gives back permits of a loan."""
+
+    loan_id: int
+    count: int
--- a/src/azurevane/_internal/peers/codec.py
+++ b/src/azurevane/_internal/peers/codec.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from azurevane import exceptions
+from azurevane._internal.models import claim_messages  # noqa: F401
 from azurevane._internal.models import messages
+from azurevane._internal.models import permit_messages  # noqa: F401
+from azurevane._internal.models import state_messages  # noqa: F401
 
 MAX_MESSAGE_BYTES = 1024 * 1024
 
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -8,6 +8,22 @@
     hello @1 :Hello;
     probe @2 :Probe;
     probeAck @3 :ProbeAck;
+    prepare @4 :Prepare;
+    prepareAck @5 :PrepareAck;
+    commit @6 :Commit;
+    abort @7 :Abort;
+    stateRequest @8 :StateRequest;
+    stateReply @9 :StateReply;
+    ask @10 :Ask;
+    loan @11 :Loan;
+    renew @12 :Renew;
+    renewAck @13 :RenewAck;
+    return @14 :Return;
+    claim @15 :Claim;
+    claimAck @16 :ClaimAck;
+    claimDone @17 :ClaimDone;
+    answerRequest @18 :AnswerRequest;
+    answerReply @19 :AnswerReply;
   }
 }
 
@@ -30,3 +46,108 @@
   prepared @2 :List(Text);
   storeSeen @3 :Bool;
 }
+
+struct Prepare {
+  version @0 :UInt64;
+  token @1 :Text;
+  restrictions @2 :Data;  # JSON
+}
+
+struct PrepareAck {
+  token @0 :Text;
+  ok @1 :Bool;
+}
+
+struct Commit {
+  state @0 :Data;  # JSON
+}
+
+struct Abort {
+  token @0 :Text;
+}
+
+struct StateRequest {
+  version @0 :UInt64;
+}
+
+struct StateReply {
+  state @0 :Data;  # JSON
+}
+
+struct Usage {
+  pool @0 :Text;
+  team @1 :Text;
+  slotSeconds @2 :Float64;
+}
+
+struct Ask {
+  askId @0 :UInt64;
+  kind @1 :Text;  # "team" or "pool"
+  name @2 :Text;
+  count @3 :UInt32;
+  rank @4 :Float64;
+  waitedMs @5 :UInt32;
+  usage @6 :List(Usage);
+}
+
+struct Loan {
+  loanId @0 :UInt64;
+  askId @1 :UInt64;
+  limitKey @2 :Text;
+  count @3 :UInt32;
+}
+
+struct Renew {
+  seq @0 :UInt64;
+  loanIds @1 :List(UInt64);
+}
+
+struct RenewAck {
+  seq @0 :UInt64;
+  loanIds @1 :List(UInt64);
+}
+
+struct Return {
+  loanId @0 :UInt64;
+  count @1 :UInt32;
+}
+
+struct Claim {
+  seq @0 :UInt64;
+  team @1 :Text;
+  requestId @2 :Text;
+  digest @3 :Text;
+}
+
+struct ClaimAck {
+  seq @0 :UInt64;
+  outcome @1 :Text;
+  host @2 :Text;
+  status @3 :UInt16;
+}
+
+struct ClaimDone {
+  team @0 :Text;
+  requestId @1 :Text;
+  verdict @2 :Text;
+  status @3 :UInt16;
+}
+
+struct AnswerRequest {
+  seq @0 :UInt64;
+  team @1 :Text;
+  requestId @2 :Text;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct AnswerReply {
+  seq @0 :UInt64;
+  found @1 :Bool;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  body @4 :Data;
+}
--- /dev/null
+++ b/tests/peers/codec.feature
@@ -0,0 +1,22 @@
+Feature: Messages between entry hosts
+
+  Scenario: Every message type survives encoding
+    Guards against a field whose name or type differs from the schema.
+    When each message type is encoded and decoded
+    Then each equals the original
+
+  Scenario Outline: Bad bytes from a peer are refused
+    Guards against a crash or an unbounded buffer on bad input.
+    When <bytes> are decoded
+    Then a message error is raised
+
+    Examples:
+      | bytes            |
+      | random bytes     |
+      | a cut message    |
+      | too many bytes   |
+
+  Scenario: An unknown member from a newer peer is ignored
+    Guards against a newer peer breaking an older one in an upgrade.
+    When an envelope with an unknown member is decoded
+    Then there is no message and no error
--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -41,7 +41,7 @@
                 f"--outfile={report}",
                 "--format=progress3",
                 "--outfile=/dev/stdout",
-                str(directory),
+                str(directory.relative_to(ROOT)),
             ],
             cwd=ROOT,
             env={**os.environ, "PYTHONHASHSEED": "0"},
@@ -60,7 +60,7 @@
             key = f"{location}:{element['name']}"
             status_by_name[key] = element.get("status", "undefined")
     if process.returncode and not status_by_name:
-        status_by_name[f"{directory}:(behave failed)"] = "failed"
+        status_by_name[f"{directory.name}:(behave failed)"] = "failed"
     return status_by_name, process.stdout
 
 
