Add the operators' command, manifest checks, reference pages and metrics

Cause: operators could only post JSON by hand, a bad manifest named one problem at a time, and nothing listed settings, events or metrics. Change: 21 commands with exit codes for scripts and JSON output, a check that names every problem with its place and the nearest allowed value, the published schema, a history by token, recent decisions for explain, instruments fed by events, pages generated from the code and compared in make lint, example manifests of both sites. Found on the way: a look-up stopped at the first address that answered with 5xx, so a lost answer stayed unknown although another host knew; it now asks the next address (scenario 'A lost answer is settled'). Conclusion: OTLP export is left out; Prometheus exposition only.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 SECONDS ?= 20
 
-.PHONY: all demo test lint format bench soak clean
+.PHONY: all demo test lint docs format bench soak clean
 
 all: test
 
@@ -27,6 +27,10 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
+	$(BIN)/python tools/generate_docs.py --check
+
+docs: $(STAMP)
+	$(BIN)/python tools/generate_docs.py
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- /dev/null
+++ b/examples/make_manifests.py
@@ -0,0 +1,111 @@
+"""Write the example manifests of the two deployments.
+
+Addresses are of loopback, so that the demo can use the files as they are.
+"""
+
+import json
+import pathlib
+
+HERE = pathlib.Path(__file__).resolve().parent
+
+
+def manifest(site, region, zones, teams, services, spare, size, first_port):
+    pools, queues, runners, hosts = [], [], [], []
+    per_service, cores, per_rack = size
+    port = first_port
+    for service in services:
+        pools.append({"name": service, "spare": service == spare})
+        queues.append(
+            {
+                "name": service,
+                "pool": service,
+                "teams": [team["name"] for team in teams],
+                "deadline_ms": 4000,
+                "max_run_s": 10.0,
+            }
+        )
+        for index in range(per_service):
+            zone = zones[index % len(zones)]
+            runners.append(
+                {
+                    "name": f"{service}-runner-{index}",
+                    "pool": service,
+                    "zone": zone,
+                    "address": "127.0.0.1",
+                    "port": port,
+                    "slots": 8,
+                    "connections": 60,
+                }
+            )
+            hosts.append(
+                {
+                    "name": f"{service}-worker-{index}",
+                    "pool": service,
+                    "zone": zone,
+                    "rack": f"{service}-rack-{index // per_rack}",
+                    "cores": cores,
+                    "memory_gb": 130,
+                }
+            )
+            port += 1
+    return {
+        "site": site,
+        "region": region,
+        "zones": zones,
+        "entry_seats": 6,
+        "teams": teams,
+        "pools": pools,
+        "queues": queues,
+        "runners": runners,
+        "hosts": hosts,
+    }
+
+
+def team(name, share, limit):
+    return {"name": name, "share": share, "limit": limit}
+
+
+def main():
+    dieworks = manifest(
+        "dieworks-lagos",
+        "ng-west",
+        ["ng-west-a", "ng-west-b", "ng-west-c", "ng-west-d"],
+        [
+            team("apapa-mills", 4, 120),
+            team("kano-grain", 3, 90),
+            team("ibadan-pasta", 1, 40),
+            team("jos-foods", 1, 40),
+            team("aba-flour", 1, 30),
+            team("field-fitters", 2, 60),
+        ],
+        ["quoting", "geometry", "rings", "inserts", "back-office"],
+        "back-office",
+        (8, 30, 4),
+        21000,
+    )
+    dieworks["weights"] = {"buffer": 3, "moves": 3}
+    sunfold = manifest(
+        "sunfold-labs",
+        "great-lakes",
+        ["great-lakes-a", "great-lakes-b", "great-lakes-c"],
+        [
+            team("schools-uganda", 4, 100),
+            team("schools-kenya", 4, 100),
+            team("coop-mwanza", 1, 40),
+            team("coop-kisumu", 1, 40),
+            team("field-partners", 2, 60),
+            team("curriculum", 1, 30),
+        ],
+        ["classroom", "partners", "field-kit", "builder", "back-office"],
+        "back-office",
+        (6, 60, 4),
+        22000,
+    )
+    sunfold["weights"] = {"shares": 3, "zone_work": 3}
+    for name, content in (("dieworks", dieworks), ("sunfold", sunfold)):
+        path = HERE / f"{name}.json"
+        path.write_text(json.dumps(content, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/azurevane/_internal/commands/base.py
@@ -0,0 +1,135 @@
+"""What the operators' commands share: output and calls."""
+
+from collections.abc import Sequence
+import json
+from typing import Any
+
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.inputs import option as option_module
+from cleo.ui import table
+
+from azurevane import exceptions
+from azurevane._internal.commands import status
+from azurevane._internal.operators import client
+
+_CODE_BY_HTTP_STATUS = {
+    200: status.ExitCode.OK,
+    404: status.ExitCode.NOT_FOUND,
+    409: status.ExitCode.CONFLICT,
+    422: status.ExitCode.INVALID,
+}
+_CODE_BY_ERROR: dict[type[Exception], status.ExitCode] = {
+    exceptions.SettingsError: status.ExitCode.USAGE,
+    exceptions.ManifestError: status.ExitCode.INVALID,
+    exceptions.StoreUnavailable: status.ExitCode.UNAVAILABLE,
+    exceptions.NotFound: status.ExitCode.NOT_FOUND,
+}
+
+
+def format_option() -> option_module.Option:
+    """Return the ``--format`` option of a command that shows data."""
+    return helpers.option(
+        "format",
+        None,
+        "table for people, json for programs.",
+        flag=False,
+        default="table",
+    )
+
+
+class OperatorsCommand(command.Command):
+    """A command that calls an entry host's operators' port."""
+
+    def handle(self) -> int:
+        """Run the command and return its exit code.
+
+        A known error becomes a message and a code; its traceback is
+        shown only with ``-vv``.
+        """
+        try:
+            return int(self.execute_command())
+        except exceptions.AzurevaneError as error:
+            if self.io.is_very_verbose():
+                raise
+            for line in str(error).splitlines():
+                self.line_error(f"Error: {line}")
+            return int(_CODE_BY_ERROR.get(type(error), status.ExitCode.FAILED))
+
+    def execute_command(self) -> status.ExitCode:
+        """Do the work of the command; overridden by each command."""
+        raise LookupError(self.name)
+
+    @property
+    def operators(self) -> client.OperatorsClient:
+        """Client with the address and credential of the environment."""
+        return client.OperatorsClient.from_environment()
+
+    def fetch_state(self) -> Any:
+        """Return the fleet state in force at an entry host.
+
+        Raises:
+            StoreUnavailable: no entry host answered.
+        """
+        code, body = self.operators.call("GET", "/v1/state")
+        if code != 200:
+            raise exceptions.StoreUnavailable(
+                f"The entry host answered HTTP {code}: {body}"
+            )
+        return body
+
+    def make_change(
+        self, kind: str, content: Any, base_version: int | None = None
+    ) -> status.ExitCode:
+        """Make a change and tell what became of it."""
+        result = self.operators.change(kind, content, base_version)
+        if result.status == 200:
+            self.line(f"Version {result.body['version']} accepted")
+            return status.ExitCode.OK
+        if result.status == 0:
+            self.line_error(
+                "Outcome unknown: no entry host answered. Look it up with:"
+                f" azurevane change show {result.token}"
+            )
+            return status.ExitCode.UNKNOWN_OUTCOME
+        self.report_problems(result.body)
+        return exit_code(result.status)
+
+    def report_problems(self, body: Any) -> None:
+        """Print why a call was refused, one problem a line."""
+        problems = body.get("problems") or [json.dumps(body)]
+        for problem in problems:
+            self.line_error(f"Error: {problem}")
+
+    def show(
+        self, data: Any, headers: Sequence[str], rows: Sequence[Sequence[Any]]
+    ) -> status.ExitCode:
+        """Print data as JSON, or the rows as a table."""
+        if self.option("format") == "json":
+            self.line(json.dumps(data, indent=2, sort_keys=True))
+            return status.ExitCode.OK
+        rendered = table.Table(self.io)
+        rendered.set_headers(list(headers))
+        rendered.set_rows([[str(cell) for cell in row] for row in rows])
+        rendered.render()
+        return status.ExitCode.OK
+
+
+def exit_code(http_status: int) -> status.ExitCode:
+    """Return the exit code for an HTTP status."""
+    return _CODE_BY_HTTP_STATUS.get(http_status, status.ExitCode.UNAVAILABLE)
+
+
+def find_named(items: Sequence[Any], name: str, kind: str) -> Any:
+    """Return the item with a name.
+
+    Raises:
+        NotFound: there is no such item; the text lists the names.
+    """
+    for item in items:
+        if item["name"] == name:
+            return item
+    names = ", ".join(item["name"] for item in items) or "none"
+    raise exceptions.NotFound(
+        f"There is no {kind} {name!r}; there are: {names}"
+    )
--- /dev/null
+++ b/src/azurevane/_internal/commands/host_show.py
@@ -0,0 +1,42 @@
+"""``azurevane host show``."""
+
+from cleo import helpers
+
+from azurevane._internal.commands import base
+from azurevane._internal.commands import registry
+from azurevane._internal.commands import status
+
+
+@registry.register
+class HostShow(base.OperatorsCommand):
+    """Show a host or runner: pool, zone, and whether it takes work."""
+
+    name = "host show"
+    description = "Show hosts and runners: pool, zone, whether they work."
+    arguments = [
+        helpers.argument("name", "Name in the manifest.", optional=True)
+    ]
+    options = [base.format_option()]
+
+    def execute_command(self) -> status.ExitCode:
+        """Print one host or runner, or all."""
+        state = self.fetch_state()
+        manifest = state["manifest"] or {"runners": [], "hosts": []}
+        items = [*manifest["runners"], *manifest["hosts"]]
+        if self.argument("name"):
+            items = [
+                base.find_named(items, self.argument("name"), "host or runner")
+            ]
+        rows = [
+            (item["name"], item["pool"], item["zone"], _standing(state, item))
+            for item in items
+        ]
+        return self.show(items, ("name", "pool", "zone", "state"), rows)
+
+
+def _standing(state: dict[str, list[str]], item: dict[str, str]) -> str:
+    if item["name"] in state["draining"]:
+        return "draining"
+    if item["zone"] in state["zones_out"]:
+        return "zone out"
+    return "in service"
--- a/src/azurevane/_internal/commands/manifest_apply.py
+++ b/src/azurevane/_internal/commands/manifest_apply.py
@@ -1,54 +1,42 @@
 """``azurevane manifest apply``."""
 
-import json
-import pathlib
-
 from cleo import helpers
-from cleo.commands import command
 
+from azurevane._internal.commands import base
+from azurevane._internal.commands import files
 from azurevane._internal.commands import registry
 from azurevane._internal.commands import status
-from azurevane._internal.operators import client
 
 
 @registry.register
-class ManifestApply(command.Command):
+class ManifestApply(base.OperatorsCommand):
     """Make a manifest the state that the fleet follows."""
 
     name = "manifest apply"
     description = "Make a manifest the state that the fleet follows."
+    help = (
+        "The base version is the one that the manifest was made from"
+        " (azurevane manifest show). If the fleet has moved on since, the"
+        " manifest isn't applied and the command exits with 4."
+    )
     arguments = [helpers.argument("file", "Manifest file (JSON).")]
     options = [
         helpers.option(
             "base-version",
             None,
-            "Version that the manifest was made from.",
+            "Version that the manifest was made from; 0 for the first.",
             flag=False,
         )
     ]
 
-    def handle(self) -> int:
+    def execute_command(self) -> status.ExitCode:
         """Apply the manifest and print the version that it became."""
-        operators = client.OperatorsClient.from_environment()
-        content = json.loads(
-            pathlib.Path(self.argument("file")).read_text(encoding="utf-8")
-        )
-        base = self.option("base-version")
-        code, body = operators.call(
-            "POST",
-            "/v1/changes",
-            {
-                "kind": "manifest",
-                "base_version": int(base) if base is not None else None,
-                "content": content,
-            },
-        )
-        if code == 200:
-            self.line(f"Version {body['version']} accepted")
-            return status.ExitCode.OK
-        self.line_error(json.dumps(body))
-        if code == 409:
-            return status.ExitCode.CONFLICT
-        if code == 422:
-            return status.ExitCode.INVALID
-        return status.ExitCode.UNAVAILABLE
+        content = files.load_json(self.argument("file"))
+        base_version = self.option("base-version")
+        if base_version is None or not base_version.isdecimal():
+            self.line_error(
+                "Error: --base-version must be the version that the manifest"
+                " was made from, such as 12; see azurevane manifest show"
+            )
+            return status.ExitCode.USAGE
+        return self.make_change("manifest", content, int(base_version))
--- a/src/azurevane/_internal/commands/status.py
+++ b/src/azurevane/_internal/commands/status.py
@@ -13,3 +13,4 @@
     CONFLICT = 4
     UNAVAILABLE = 5
     UNKNOWN_OUTCOME = 6
+    NOT_FOUND = 7
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -1,6 +1,7 @@
 """The entry daemon: serves callers and operators on an entry host."""
 
 import logging
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -106,15 +107,25 @@
             self._dispatcher.configure(self._reactor.seconds(), state)
         )
 
+    def status(self) -> dict[str, Any]:
+        """What this entry host knows of itself, for people."""
+        return {
+            "version": self.state.version,
+            "fresh": self._keeper.fresh(self._reactor.seconds()),
+            "running": self._dispatcher.running,
+        }
+
     async def make_change(
-        self, kind: str, base_version: int | None, content: Any
+        self, kind: str, base_version: int | None, content: Any, token: str
     ) -> tuple[int, dict[str, Any]]:
         """Make a change to the fleet state, for an operator."""
         stored = await self._store.read()
         current = stored.state.version
         if base_version is not None and base_version != current:
             return 409, {"error": "version", "current_version": current}
-        state = changes.build_state(stored.state, kind, content)
+        state = changes.build_state(
+            stored.state, kind, content, token=token, made_at=time.time()
+        )
         if not await self._store.replace(stored, state):
             return 409, {"error": "version", "current_version": None}
         self._offer(state, "operator")
--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -54,12 +54,16 @@
     )
     from twisted.internet import reactor
 
+    address = settings.text("host", "address")
+    metrics_port = settings.integer("metrics", "port")
+    if metrics_port:
+        from azurevane._internal.metrics import exposition
+
+        exposition.listen_metrics(reactor, address, metrics_port)
     daemon = factory(reactor, settings)
     daemon.start()
     catalogue.emit(
         logger,
-        program_events.ProgramStarted(
-            name, settings.text("host", "address"), azurevane.__version__
-        ),
+        program_events.ProgramStarted(name, address, azurevane.__version__),
     )
     reactor.run()
--- a/src/azurevane/_internal/events/catalogue.py
+++ b/src/azurevane/_internal/events/catalogue.py
@@ -1,5 +1,6 @@
 """Numbered log events, each a frozen data class."""
 
+from collections.abc import Callable
 import dataclasses
 import logging
 from typing import Any, TypeVar
@@ -26,6 +27,10 @@
 
 entry_by_type: dict[type, Entry] = {}
 
+# Called with every event, whatever the log level: the metrics and the
+# memory of recent decisions hang on here.
+listeners: list[Callable[[Entry, "Event"], None]] = []
+
 
 def event(number: int, level: int = logging.INFO) -> "_EventDecorator":
     """Register an event class under a number that is never reused."""
@@ -48,19 +53,25 @@
         return cls
 
 
+def event_fields(occurrence: Event) -> dict[str, Any]:
+    """Return the fields of an event by name."""
+    return {
+        name: getattr(occurrence, name)
+        for name in occurrence.__dataclass_fields__
+    }
+
+
 def emit(logger: logging.Logger, occurrence: Event) -> None:
     """Log an event with its number and fields."""
     entry = entry_by_type[type(occurrence)]
+    for listener in listeners:
+        listener(entry, occurrence)
     if not logger.isEnabledFor(entry.level):
         return
-    fields = {
-        name: getattr(occurrence, name)
-        for name in occurrence.__dataclass_fields__
-    }
     logger.log(
         entry.level,
         "AZV%04d %s",
         entry.number,
         entry.summary,
-        extra={"event": entry, "fields": fields},
+        extra={"event": entry, "fields": event_fields(occurrence)},
     )
--- a/src/azurevane/_internal/models/fleet.py
+++ b/src/azurevane/_internal/models/fleet.py
@@ -52,6 +52,21 @@
     seats: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangeRecord:
+    """An accepted change, as the history remembers it.
+
+    Attributes:
+        token: identifies the change; chosen by whoever made it.
+        made_at: seconds since the epoch.
+    """
+
+    version: int
+    token: str
+    kind: str
+    made_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class FleetState:
     """The versioned configuration that the whole site follows."""
@@ -63,6 +78,7 @@
     zones_out: tuple[str, ...] = ()
     draining: tuple[str, ...] = ()
     seats: tuple[Seat, ...] = ()
+    history: tuple[ChangeRecord, ...] = ()
 
     @functools.cached_property
     def team_by_digest(self) -> dict[str, str]:
--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -1,18 +1,21 @@
 """Changes that operators make to the fleet state."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
+import difflib
 from typing import Any
 
-import msgspec
-
 from azurevane import exceptions
 from azurevane._internal.models import fleet
-from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.operators import manifest_check
 from azurevane._internal.utils import tokens
 
 _Builder = Callable[[fleet.FleetState, Any], fleet.FleetState]
 
+# Changes that the state remembers, so that an operator whose answer was
+# lost can look up what became of the change.
+REMEMBERED_CHANGES = 50
+
 builder_by_kind: dict[str, _Builder] = {}
 
 
@@ -27,65 +30,142 @@
 
 
 def build_state(
-    state: fleet.FleetState, kind: str, content: Any
+    state: fleet.FleetState,
+    kind: str,
+    content: Any,
+    *,
+    token: str = "",
+    made_at: float = 0.0,
 ) -> fleet.FleetState:
     """Return the state that a change makes of the current one.
 
+    Args:
+        token: identifies the change; chosen by the operator's client, so
+            that it can look the change up. A new one if empty.
+        made_at: seconds since the epoch, for the history.
+
     Raises:
-        ManifestError: the content is invalid; names every problem.
+        ManifestError: the change is invalid; names every problem.
     """
-    changed = builder_by_kind[kind](state, content)
+    builder = builder_by_kind.get(kind)
+    if builder is None:
+        raise _invalid("kind", kind, builder_by_kind)
+    changed = builder(state, content)
+    token = token or tokens.new_token()
+    version = state.version + 1
+    record = fleet.ChangeRecord(version, token, kind, made_at)
     return dataclasses.replace(
-        changed, version=state.version + 1, token=tokens.new_token()
+        changed,
+        version=version,
+        token=token,
+        history=(*state.history, record)[-REMEMBERED_CHANGES:],
+    )
+
+
+def _invalid(
+    place: str, value: object, allowed: Iterable[str]
+) -> exceptions.ManifestError:
+    names = sorted(allowed)
+    close = difflib.get_close_matches(str(value), names, n=1)
+    hint = (
+        f"did you mean {close[0]!r}?"
+        if close
+        else f"allowed: {', '.join(names) or 'none'}"
     )
+    return exceptions.ManifestError(
+        (f"{place}: {value!r} isn't known; {hint}",)
+    )
+
+
+def _field(content: Any, name: str) -> str:
+    value = content.get(name) if isinstance(content, dict) else None
+    if not isinstance(value, str) or not value:
+        raise exceptions.ManifestError(
+            (f"content.{name}: a non-empty text is required",)
+        )
+    return value
+
+
+def _known(state: fleet.FleetState, content: Any, name: str, kind: str) -> str:
+    value = _field(content, name)
+    manifest = state.manifest
+    allowed: Iterable[str] = ()
+    if manifest is not None and kind == "zone":
+        allowed = manifest.zones
+    elif manifest is not None and kind == "team":
+        allowed = manifest.team_by_name
+    elif manifest is not None:
+        allowed = {*manifest.runner_by_name, *manifest.host_by_name}
+    if value not in allowed:
+        raise _invalid(f"content.{name}", value, allowed)
+    return value
 
 
 @change_kind("manifest")
 def _replace_manifest(
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
-    try:
-        manifest = msgspec.convert(content, type=manifest_models.Manifest)
-    except msgspec.ValidationError as error:
-        raise exceptions.ManifestError((str(error),)) from error
-    return dataclasses.replace(state, manifest=manifest)
+    manifest = manifest_check.parse_manifest(content)
+    names = {*manifest.runner_by_name, *manifest.host_by_name}
+    return dataclasses.replace(
+        state,
+        manifest=manifest,
+        api_keys=tuple(
+            key for key in state.api_keys if key.team in manifest.team_by_name
+        ),
+        zones_out=tuple(
+            zone for zone in state.zones_out if zone in manifest.zones
+        ),
+        draining=tuple(name for name in state.draining if name in names),
+    )
 
 
 @change_kind("key-grant")
 def _grant_api_key(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    key = msgspec.convert(content, type=fleet.ApiKey)
-    return dataclasses.replace(state, api_keys=(*state.api_keys, key))
+    team = _known(state, content, "team", "team")
+    digest = _field(content, "digest")
+    if len(digest) != 64 or set(digest) - set("0123456789abcdef"):
+        raise exceptions.ManifestError(
+            ("content.digest: must be a hex SHA-256 digest",)
+        )
+    kept = tuple(key for key in state.api_keys if key.digest != digest)
+    return dataclasses.replace(
+        state, api_keys=(*kept, fleet.ApiKey(digest, team))
+    )
 
 
 @change_kind("key-withdraw")
 def _withdraw_api_key(
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
-    kept = tuple(
-        key for key in state.api_keys if key.digest != content["digest"]
-    )
+    digest = _field(content, "digest")
+    if digest not in state.team_by_digest:
+        raise exceptions.ManifestError(
+            ("content.digest: no such key; it was never granted here",)
+        )
+    kept = tuple(key for key in state.api_keys if key.digest != digest)
     return dataclasses.replace(state, api_keys=kept)
 
 
 @change_kind("zone-out")
 def _take_zone_out(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    zones = {*state.zones_out, content["zone"]}
+    zones = {*state.zones_out, _known(state, content, "zone", "zone")}
     return dataclasses.replace(state, zones_out=tuple(sorted(zones)))
 
 
 @change_kind("zone-in")
 def _bring_zone_in(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    zones = set(state.zones_out) - {content["zone"]}
+    zones = set(state.zones_out) - {_known(state, content, "zone", "zone")}
     return dataclasses.replace(state, zones_out=tuple(sorted(zones)))
 
 
 @change_kind("drain")
 def _drain(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    names = {*state.draining, content["name"]}
+    names = {*state.draining, _known(state, content, "name", "host")}
     return dataclasses.replace(state, draining=tuple(sorted(names)))
 
 
 @change_kind("return")
 def _return(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    names = set(state.draining) - {content["name"]}
+    names = set(state.draining) - {_known(state, content, "name", "host")}
     return dataclasses.replace(state, draining=tuple(sorted(names)))
--- a/src/azurevane/_internal/operators/client.py
+++ b/src/azurevane/_internal/operators/client.py
@@ -4,26 +4,50 @@
 loading the daemons' stack.
 """
 
+from collections.abc import Sequence
+import dataclasses
 import json
 import os
+import secrets
+import time
 from typing import Any
 import urllib.error
 import urllib.request
 
 from azurevane import exceptions
 
+# A change that an entry host has begun is decided within the deadlines of
+# its prepare and its write; after this time a look-up is final.
+_SETTLE_TIMES_S = (0.5, 1.5, 3.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeResult:
+    """What became of a change.
+
+    Attributes:
+        status: HTTP status; 0 if the outcome is unknown.
+        token: identifies the change for a later look-up.
+    """
+
+    status: int
+    body: Any
+    token: str
+
 
 class OperatorsClient:
-    """Calls one entry host's operators' port."""
+    """Calls the operators' port of the first entry host that answers."""
 
-    def __init__(self, base_url: str, token: str) -> None:
-        self._base_url = base_url.rstrip("/")
+    def __init__(self, base_urls: Sequence[str], token: str) -> None:
+        self._base_urls = tuple(url.strip().rstrip("/") for url in base_urls)
         self._token = token
 
     @classmethod
     def from_environment(cls) -> "OperatorsClient":
         """Use ``AZUREVANE_URL`` and ``AZUREVANE_TOKEN``.
 
+        The first may hold several URLs, separated by commas.
+
         Raises:
             SettingsError: one of them isn't set.
         """
@@ -36,19 +60,68 @@
             raise exceptions.SettingsError(
                 f"Set {' and '.join(missing)} in the environment"
             )
-        return cls(os.environ["AZUREVANE_URL"], os.environ["AZUREVANE_TOKEN"])
+        return cls(
+            os.environ["AZUREVANE_URL"].split(","),
+            os.environ["AZUREVANE_TOKEN"],
+        )
+
+    def change(
+        self, kind: str, content: Any, base_version: int | None
+    ) -> ChangeResult:
+        """Make a change; a lost answer is settled by a look-up."""
+        token = secrets.token_urlsafe(16)
+        body = {
+            "kind": kind,
+            "token": token,
+            "base_version": base_version,
+            "content": content,
+        }
+        try:
+            status, answer = self._call_one(
+                self._base_urls[0], "POST", "/v1/changes", body
+            )
+        except exceptions.StoreUnavailable:
+            return self._settle(token)
+        if status == 503 and answer.get("outcome") == "unknown":
+            return self._settle(token)
+        return ChangeResult(status, answer, token)
+
+    def _settle(self, token: str) -> ChangeResult:
+        for wait_s in _SETTLE_TIMES_S:
+            time.sleep(wait_s)
+            try:
+                status, body = self.call("GET", f"/v1/changes/{token}")
+            except exceptions.StoreUnavailable:
+                continue
+            if status == 200:
+                return ChangeResult(status, body, token)
+        return ChangeResult(0, {}, token)
 
     def call(
         self, method: str, path: str, body: Any = None
     ) -> tuple[int, Any]:
-        """Return status and decoded body of one call.
+        """Return status and decoded body of a call that changes nothing.
 
         Raises:
-            StoreUnavailable: the entry host gave no whole answer; a
-                change may have been made.
+            StoreUnavailable: no entry host gave a whole answer.
         """
+        failures = []
+        for base_url in self._base_urls:
+            try:
+                status, answer = self._call_one(base_url, method, path, body)
+            except exceptions.StoreUnavailable as error:
+                failures.append(str(error))
+                continue
+            if status < 500:
+                return status, answer
+            failures.append(f"{base_url}: HTTP {status}: {answer}")
+        raise exceptions.StoreUnavailable("\n".join(failures))
+
+    def _call_one(
+        self, base_url: str, method: str, path: str, body: Any
+    ) -> tuple[int, Any]:
         request = urllib.request.Request(
-            self._base_url + path,
+            base_url + path,
             data=None if body is None else json.dumps(body).encode(),
             method=method,
             headers={"Authorization": f"Bearer {self._token}"},
@@ -57,8 +130,15 @@
             with urllib.request.urlopen(request, timeout=15) as answer:
                 return answer.status, json.load(answer)
         except urllib.error.HTTPError as error:
-            return error.code, json.load(error)
+            return error.code, _decode(error)
         except (OSError, ValueError) as error:
             raise exceptions.StoreUnavailable(
-                f"{method} {path} at {self._base_url}: {error}"
+                f"{method} {path} at {base_url}: {error}"
             ) from error
+
+
+def _decode(error: urllib.error.HTTPError) -> Any:
+    try:
+        return json.load(error)
+    except ValueError:
+        return {"error": f"HTTP {error.code}"}
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -124,3 +124,14 @@
     Option("log", "level", str, "info", "Least level logged: debug to error.")
 )
 define(Option("log", "format", str, "json", "Log format: json or text."))
+define(
+    Option(
+        "metrics",
+        "port",
+        int,
+        0,
+        "TCP port of /metrics for Prometheus; 0 turns metrics off.",
+        low=0,
+        high=65535,
+    )
+)
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -33,3 +33,7 @@
 
 class MessageError(AzurevaneError):
     """Raised when a peer's message is malformed or too large."""
+
+
+class NotFound(AzurevaneError):
+    """Raised when a name that an operator gave doesn't exist."""
