Share one run record among the runners of an upstream stand-in

Cause: limits hold over all runners, but each runner of the stand-in kept its own counts, and it ended a run when the connection closed, so work of a killed entry host could not be seen to overrun a limit. Change: one record per process with the highest running per team and per runner; a run goes on after its connection closes.

--- /dev/null
+++ b/src/azurevane/_internal/standins/run_record.py
@@ -0,0 +1,52 @@
+"""What the runners of one stand-in process have run."""
+
+import collections
+import dataclasses
+from typing import Any
+
+
+@dataclasses.dataclass
+class RunRecord:
+    """Counts of runs, shared by the runners of one process.
+
+    Attributes:
+        runs_by_request: how often each request id was started.
+        slot_seconds_by_team: time that ended runs of a team have taken.
+    """
+
+    runs_by_request: collections.Counter[str]
+    running_by_team: collections.Counter[str]
+    highest_by_team: collections.Counter[str]
+    running_by_runner: collections.Counter[str]
+    highest_by_runner: collections.Counter[str]
+    starts_by_runner: collections.Counter[str]
+    slot_seconds_by_team: collections.defaultdict[str, float]
+
+    @classmethod
+    def empty(cls) -> "RunRecord":
+        """Return a record without runs."""
+        counters = [collections.Counter() for _ in range(6)]
+        return cls(*counters, collections.defaultdict(float))
+
+    def started(self, request_id: str, runner: str, team: str) -> None:
+        """Note the start of a run."""
+        self.runs_by_request[request_id] += 1
+        self.starts_by_runner[runner] += 1
+        self.running_by_team[team] += 1
+        self.running_by_runner[runner] += 1
+        self.highest_by_team[team] = max(
+            self.highest_by_team[team], self.running_by_team[team]
+        )
+        self.highest_by_runner[runner] = max(
+            self.highest_by_runner[runner], self.running_by_runner[runner]
+        )
+
+    def ended(self, runner: str, team: str, seconds: float) -> None:
+        """Note the end of a run."""
+        self.running_by_team[team] -= 1
+        self.running_by_runner[runner] -= 1
+        self.slot_seconds_by_team[team] += seconds
+
+    def as_plain(self) -> dict[str, Any]:
+        """Return the record as JSON values."""
+        return dataclasses.asdict(self)
--- a/src/azurevane/_internal/standins/upstream.py
+++ b/src/azurevane/_internal/standins/upstream.py
@@ -1,7 +1,6 @@
 """Stand-in for upstream runners, with a record of what they ran."""
 
 import argparse
-import collections
 import hashlib
 from typing import Any
 
@@ -12,6 +11,9 @@
 from twisted.web import server
 
 from azurevane._internal.standins import faults as fault_models
+from azurevane._internal.standins import run_record
+
+_HANG_S = 3600.0
 
 
 class RunnerResource(resource.Resource):
@@ -20,20 +22,23 @@
     A request may say ``X-Run-Ms`` (run time) and ``X-Answer-Bytes``
     (size of the answer). The answer repeats ``X-Request-Id`` and the
     digest of the body, so that a caller can tell whose answer it is.
-    ``GET /record`` returns how often each request id ran.
+    A run goes on after its connection has closed, as it would at a real
+    service; only a hanging one ends with its connection.
+    ``GET /record`` returns what all runners of this process have run.
     """
 
     isLeaf = True
 
-    def __init__(self, reactor: interfaces.IReactorTime, name: str) -> None:
+    def __init__(
+        self,
+        reactor: interfaces.IReactorTime,
+        name: str,
+        record: run_record.RunRecord | None = None,
+    ) -> None:
         super().__init__()
         self.name = name
         self.faults = fault_models.Faults()
-        self.runs_by_request: collections.Counter[str] = collections.Counter()
-        self.running = 0
-        self.highest_running = 0
-        self.highest_by_team: collections.Counter[str] = collections.Counter()
-        self._running_by_team: collections.Counter[str] = collections.Counter()
+        self.record = record or run_record.RunRecord.empty()
         self._reactor = reactor
 
     def render(self, request: server.Request) -> Any:
@@ -45,15 +50,7 @@
             )
             return b"{}"
         if path == "/record":
-            return msgspec.json.encode(
-                {
-                    "runs": dict(self.runs_by_request),
-                    "highest_running": self.highest_running,
-                    "running": self.running,
-                    "running_by_team": dict(self._running_by_team),
-                    "highest_by_team": dict(self.highest_by_team),
-                }
-            )
+            return msgspec.json.encode(self.record.as_plain())
         if self.faults.draining:
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
             request.setHeader(b"Azurevane-Verdict", b"not-run")
@@ -63,39 +60,37 @@
     def _run(self, request: server.Request) -> Any:
         request_id = request.getHeader("X-Request-Id") or ""
         team = request.getHeader("X-Azurevane-Team") or ""
-        self.runs_by_request[request_id] += 1
+        self.record.started(request_id, self.name, team)
         if self.faults.fail_all:
+            self.record.ended(self.name, team, 0.0)
             request.setResponseCode(http.INTERNAL_SERVER_ERROR)
             return b""
-        self.running += 1
-        self.highest_running = max(self.highest_running, self.running)
-        self._running_by_team[team] += 1
-        self.highest_by_team[team] = max(
-            self.highest_by_team[team], self._running_by_team[team]
-        )
-        gone = request.notifyFinish()
-        run_s = float(request.getHeader("X-Run-Ms") or 0) / 1000
-        if self.faults.hang:
-            run_s = 3600.0
+        started_at = self._reactor.seconds()
         body = request.content.read()
-        call = self._reactor.callLater(
-            run_s + self.faults.delay_s,
-            self._finish,
-            request,
-            request_id,
-            body,
-        )
+        connected = [True]
+
+        def finish() -> None:
+            spent = self._reactor.seconds() - started_at
+            self.record.ended(self.name, team, spent)
+            if connected[0]:
+                self._answer(request, request_id, body)
 
-        def ended(_: object) -> None:
-            self.running -= 1
-            self._running_by_team[team] -= 1
-            if call.active():
-                call.cancel()
+        def closed(_: object) -> None:
+            connected[0] = False
+            if hanging is not None and hanging.active():
+                hanging.cancel()
+                finish()
 
-        gone.addBoth(ended)
+        run_s = float(request.getHeader("X-Run-Ms") or 0) / 1000
+        hanging = None
+        if self.faults.hang:
+            hanging = self._reactor.callLater(_HANG_S, finish)
+        else:
+            self._reactor.callLater(run_s + self.faults.delay_s, finish)
+        request.notifyFinish().addBoth(closed)
         return server.NOT_DONE_YET
 
-    def _finish(
+    def _answer(
         self, request: server.Request, request_id: str, body: bytes
     ) -> None:
         size = int(request.getHeader("X-Answer-Bytes") or 0)
@@ -128,10 +123,11 @@
     parser.add_argument("--first-port", type=int, default=9100)
     parser.add_argument("--names", default="runner-0")
     options = parser.parse_args()
+    record = run_record.RunRecord.empty()
     for index, name in enumerate(options.names.split(",")):
         reactor.listenTCP(
             options.first_port + index,
-            server.Site(RunnerResource(reactor, name)),
+            server.Site(RunnerResource(reactor, name, record)),
             interface=options.address,
         )
     reactor.run()
