--- a/src/azurevane/_internal/standins/run_record.py
+++ b/src/azurevane/_internal/standins/run_record.py
@@ -4,6 +4,12 @@
 import dataclasses
 from typing import Any
 
+import msgspec
+
+
+def _counter() -> Any:
+    return dataclasses.field(default_factory=collections.Counter)
+
 
 @dataclasses.dataclass
 class RunRecord:
@@ -14,19 +20,17 @@
         slot_seconds_by_team: time that ended runs of a team have taken.
     """
 
-    runs_by_request: collections.Counter[str]
-    running_by_team: collections.Counter[str]
-    highest_by_team: collections.Counter[str]
-    running_by_runner: collections.Counter[str]
-    highest_by_runner: collections.Counter[str]
-    starts_by_runner: collections.Counter[str]
-    slot_seconds_by_team: collections.defaultdict[str, float]
-
-    @classmethod
-    def empty(cls) -> "RunRecord":
-        """Return a record without runs."""
-        counters = [collections.Counter() for _ in range(6)]
-        return cls(*counters, collections.defaultdict(float))
+    runs_by_request: collections.Counter[str] = _counter()
+    running_by_team: collections.Counter[str] = _counter()
+    highest_by_team: collections.Counter[str] = _counter()
+    running_by_runner: collections.Counter[str] = _counter()
+    highest_by_runner: collections.Counter[str] = _counter()
+    starts_by_runner: collections.Counter[str] = _counter()
+    slot_seconds_by_team: collections.defaultdict[str, float] = (
+        dataclasses.field(
+            default_factory=lambda: collections.defaultdict(float)
+        )
+    )
 
     def started(self, request_id: str, runner: str, team: str) -> None:
         """Note the start of a run."""
@@ -49,4 +53,5 @@
 
     def as_plain(self) -> dict[str, Any]:
         """Return the record as JSON values."""
-        return dataclasses.asdict(self)
+        plain: dict[str, Any] = msgspec.to_builtins(self)
+        return plain
--- a/src/azurevane/_internal/standins/upstream.py
+++ b/src/azurevane/_internal/standins/upstream.py
@@ -38,7 +38,7 @@
         super().__init__()
         self.name = name
         self.faults = fault_models.Faults()
-        self.record = record or run_record.RunRecord.empty()
+        self.record = record or run_record.RunRecord()
         self._reactor = reactor
 
     def render(self, request: server.Request) -> Any:
@@ -123,7 +123,7 @@
     parser.add_argument("--first-port", type=int, default=9100)
     parser.add_argument("--names", default="runner-0")
     options = parser.parse_args()
-    record = run_record.RunRecord.empty()
+    record = run_record.RunRecord()
     for index, name in enumerate(options.names.split(",")):
         reactor.listenTCP(
             options.first_port + index,
