Add the demo of both sites with faults and its checks

Cause: the whole system needs one command that shows it under a broadcast and fails when a promise is broken.

--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,252 @@
+"""Run both example sites on loopback, with faults, and print the results.
+
+Per site: the platform stand-in, the runners, six entry hosts and their
+control daemons. A broadcast's traffic goes through all six entry hosts
+while a key is granted and withdrawn, a runner drained, a zone taken out
+and brought back, and an entry host killed. Exits non-zero when an
+invariant failed.
+"""
+
+import argparse
+import hashlib
+import json
+import pathlib
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "tests"))
+
+import demo_report  # noqa: E402
+
+from support import processes  # noqa: E402
+
+LOAD_SECONDS = 25
+BOUND_S = 3.0
+
+
+class DemoSite:
+    """One site of the demo and what is known of its run."""
+
+    def __init__(self, name, scratch, seed):
+        self.name = name
+        self.seed = seed
+        self.path = HERE / f"{name}.json"
+        self.manifest = json.loads(self.path.read_text())
+        self.site = processes.Site(scratch)
+        self.scratch = pathlib.Path(scratch)
+        self.key_by_team = {
+            team["name"]: secrets.token_urlsafe(24)
+            for team in self.manifest["teams"]
+        }
+        self.entries = [f"entry-{number}" for number in range(1, 7)]
+        self.marks = {}
+        self.violations = []
+
+    def start(self):
+        self.site.start_platform()
+        runners = self.manifest["runners"]
+        self.site.start(
+            "runners",
+            "azurevane-upstream-standin",
+            "--first-port",
+            runners[0]["port"],
+            "--names",
+            ",".join(runner["name"] for runner in runners),
+        )
+        for host in self.manifest["hosts"]:
+            self.site.platform("POST", f"/workers/{host['name']}/add", {})
+        zones = self.manifest["zones"]
+        self.site.plan_entries(
+            {
+                name: zones[index % len(zones)]
+                for index, name in enumerate(self.entries)
+            }
+        )
+        for name in self.entries:
+            self.site.start_entry(name)
+        for name in self.entries:
+            self.site.start_control(name)
+
+    def change(self, kind, content, entry="entry-1"):
+        """Make a change; return its version and the time of acceptance."""
+        deadline = time.monotonic() + 10
+        while True:
+            status, body = self.site.change(entry, kind, content)
+            if status == 200:
+                return body["version"], time.time()
+            if time.monotonic() > deadline:
+                raise AssertionError(f"{kind}: {status} {body}")
+            time.sleep(0.2)
+
+    def wait_in_force(self, version, entries, accepted_at):
+        def reached():
+            return all(
+                self.status(name)["version"] >= version for name in entries
+            )
+
+        processes.wait_until(reached, timeout=20)
+        return time.time() - accepted_at
+
+    def status(self, name):
+        port = self.site.port_by_name[f"{name}-operators"]
+        _, _, body = processes.http_call(
+            "GET",
+            f"http://127.0.0.1:{port}/v1/status",
+            headers={"Authorization": f"Bearer {processes.OPERATORS_TOKEN}"},
+        )
+        return json.loads(body)
+
+    def record(self):
+        port = self.manifest["runners"][0]["port"]
+        answer = processes.http_call("GET", f"http://127.0.0.1:{port}/record")
+        return json.loads(answer[2])
+
+    def configure(self):
+        version, at = self.change("manifest", self.manifest)
+        self.marks["manifest in force, s"] = self.wait_in_force(
+            version, self.entries, at
+        )
+        for team, key in self.key_by_team.items():
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            version, at = self.change(
+                "key-grant", {"team": team, "digest": digest}
+            )
+        self.wait_in_force(version, self.entries, at)
+        processes.wait_until(
+            lambda: all(
+                self.site.call(name, "GET", "/readyz")[0] == 200
+                for name in self.entries
+            ),
+            timeout=20,
+        )
+
+    def start_load(self):
+        keys = self.scratch / "keys.json"
+        keys.write_text(json.dumps(self.key_by_team))
+        ports = self.site.port_by_name
+        self.load = subprocess.Popen(
+            [
+                sys.executable,
+                str(HERE / "load.py"),
+                f"--manifest={self.path}",
+                f"--keys={keys}",
+                "--entries="
+                + ",".join(f"127.0.0.1:{ports[n]}" for n in self.entries),
+                f"--out={self.scratch / 'answers.jsonl'}",
+                f"--seed={self.seed}",
+                f"--seconds={LOAD_SECONDS}",
+            ],
+        )
+
+    def withdraw_extra_key(self):
+        """Grant and withdraw a key; time until every entry refuses it."""
+        key = secrets.token_urlsafe(24)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        team = self.manifest["teams"][0]["name"]
+        version, at = self.change(
+            "key-grant", {"team": team, "digest": digest}
+        )
+        self.wait_in_force(version, self.entries, at)
+        _, at = self.change("key-withdraw", {"digest": digest}, "entry-2")
+        queue = self.manifest["queues"][0]["name"]
+
+        def refused():
+            return all(
+                self.site.call(
+                    name,
+                    "GET",
+                    f"/q/{queue}/check",
+                    headers={"Authorization": f"Bearer {key}"},
+                )[0]
+                == 401
+                for name in self.entries
+            )
+
+        processes.wait_until(refused, timeout=20)
+        self.marks["withdrawn key refused, s"] = time.time() - at
+        self.check("withdrawn key refused, s", time.time() - at, BOUND_S)
+
+    def check(self, name, value, bound):
+        if value > bound:
+            self.violations.append(f"{name}: {value:.2f} > {bound}")
+
+    def starts(self, runners):
+        starts = self.record()["starts_by_runner"]
+        return sum(starts.get(runner, 0) for runner in runners)
+
+    def leave_and_return(self, label, out, back, runners, stay_s):
+        """Take runners out of service; none may start work after 3 s."""
+        _, at = self.change(*out)
+        time.sleep(max(0.0, at + BOUND_S - time.time()))
+        before = self.starts(runners)
+        time.sleep(stay_s)
+        late = self.starts(runners) - before
+        self.marks[f"starts {label} after 3 s"] = late
+        self.check(f"starts {label} after 3 s", late, 0)
+        self.change(*back)
+
+    def run(self):
+        self.start()
+        self.configure()
+        self.start_load()
+        time.sleep(1)
+        self.withdraw_extra_key()
+        drained = self.manifest["runners"][1]["name"]
+        self.leave_and_return(
+            "on a draining runner",
+            ("drain", {"name": drained}),
+            ("return", {"name": drained}),
+            [drained],
+            1.0,
+        )
+        zone = self.manifest["zones"][1]
+        in_zone = [
+            runner["name"]
+            for runner in self.manifest["runners"]
+            if runner["zone"] == zone
+        ]
+        work = demo_report.total_runs(self.record())
+        began = time.time()
+        self.leave_and_return(
+            "in a zone out",
+            ("zone-out", {"zone": zone}),
+            ("zone-in", {"zone": zone}),
+            in_zone,
+            3.0,
+        )
+        self.marks["runs while the zone was out"] = (
+            demo_report.total_runs(self.record()) - work
+        )
+        self.marks["seconds the zone was out"] = time.time() - began
+        self.site.signal("entry-6", signal.SIGKILL)
+        self.load.wait(timeout=60)
+        time.sleep(1.0)
+        return demo_report.evaluate(self)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--site", choices=("dieworks", "sunfold"))
+    options = parser.parse_args()
+    violations = 0
+    for name in [options.site] if options.site else ["dieworks", "sunfold"]:
+        with tempfile.TemporaryDirectory() as scratch:
+            demo = DemoSite(name, scratch, options.seed)
+            try:
+                violations += demo.run()
+            finally:
+                demo.site.stop()
+                if hasattr(demo, "load") and demo.load.poll() is None:
+                    demo.load.kill()
+    print(f"invariant violations: {violations}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
