Prepare, decide and follow fleet state changes over peer connections

Cause: the fleet state came from polling the store only, so an outage right after a change left hosts on withdrawn keys.

Commits carry differences, because a whole state of a large site exceeds the control budget. Tests pick ports below the kernel's ephemeral range, since a port was taken before its program listened.

--- /dev/null
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -0,0 +1,342 @@
+"""Keeps one entry process on the fleet state: probes, checks, seats."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import random
+from typing import Any, Protocol
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import platform_events
+from azurevane._internal.events import state_events
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.models import messages
+from azurevane._internal.operators import change_maker
+from azurevane._internal.operators import changes
+from azurevane._internal.platform import hosts
+from azurevane._internal.platform import state_store
+from azurevane._internal.policy import seats as seat_policy
+from azurevane._internal.tasks import state_keeper
+from azurevane._internal.utils import tokens
+
+logger = logging.getLogger(__name__)
+
+STORE_CHECK_INTERVAL_S = 1.0
+_SETTLE_INTERVAL_S = 1.0
+# Hosts that start together try for seats at different times, since of
+# two changes made at once one is lost.
+_SEAT_INTERVAL_S = (0.2, 1.0)
+
+_STATUS_BY_RESULT = {
+    change_maker.Result.ACCEPTED: 200,
+    change_maker.Result.CONFLICT: 409,
+    change_maker.Result.REFUSED: 503,
+    change_maker.Result.UNKNOWN: 202,
+}
+
+
+class Network(Protocol):
+    """Sends messages to peers; may lose them."""
+
+    def send(self, peer: str, message: messages.Message) -> None:
+        """Send a message to a peer by its entry host name."""
+
+
+class FleetFollower:
+    """Wires the state keeper and the change maker to a network and store.
+
+    Args:
+        reactor: its ``seconds`` must be monotonic.
+        changed: called with the effective state whenever it changes.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        keeper: state_keeper.StateKeeper,
+        store: state_store.StateStore,
+        host_list: hosts.HostList,
+        network: Network,
+        changed: Callable[[fleet.FleetState], None],
+        chance: random.Random | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._keeper = keeper
+        self._store = store
+        self._host_list = host_list
+        self._network = network
+        self._changed = changed
+        self._chance = chance or random.Random()
+        self._maker = change_maker.ChangeMaker(
+            reactor, keeper, store, self.apply
+        )
+        self._announced = keeper.effective
+        self._was_fresh = False
+
+    @property
+    def state(self) -> fleet.FleetState:
+        """The fleet state in force."""
+        return self._keeper.in_force
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        self._repeat(self._probe, state_keeper.PROBE_INTERVAL_S)
+        self._repeat(self._check_store, STORE_CHECK_INTERVAL_S)
+        self._repeat(self._settle, _SETTLE_INTERVAL_S)
+        self._schedule_seat_try()
+
+    def _repeat(self, call: Callable[[], Any], interval_s: float) -> None:
+        loop = task.LoopingCall(call)
+        loop.clock = self._reactor
+        loop.start(interval_s)
+
+    def received(
+        self, sender: messages.Hello, message: messages.Message
+    ) -> None:
+        """Take a message for the state keeper.
+
+        Raises:
+            MessageError: the message is malformed.
+        """
+        now = self._reactor.seconds()
+        self.apply(self._keeper.received(now, sender, message))
+
+    def apply(self, decided: list[effects.Effect]) -> None:
+        """Carry out the effects of the state keeper."""
+        # The state is announced first, so that an acknowledgement never
+        # leaves before the host obeys what it acknowledges.
+        if self._keeper.effective is not self._announced:
+            self._announced = self._keeper.effective
+            self._log_restrictions()
+            self._changed(self._announced)
+        for effect in decided:
+            if isinstance(effect, effects.Send):
+                self._network.send(effect.peer, effect.message)
+            elif isinstance(effect, effects.ChangePrepared):
+                self._maker.prepared(effect.token)
+            elif isinstance(effect, effects.StateInstalled):
+                self._log_installed(effect)
+
+    def _log_restrictions(self) -> None:
+        prepared = self._keeper.prepared
+        if prepared:
+            catalogue.emit(
+                logger,
+                state_events.RestrictionsObeyed(
+                    self._keeper.in_force.version, prepared
+                ),
+            )
+
+    def _log_installed(self, installed: effects.StateInstalled) -> None:
+        catalogue.emit(
+            logger,
+            state_events.StateInForce(
+                installed.version, installed.previous, installed.source
+            ),
+        )
+
+    def _probe(self) -> None:
+        now = self._reactor.seconds()
+        fresh = self._keeper.fresh(now)
+        if fresh is not self._was_fresh:
+            self._was_fresh = fresh
+            catalogue.emit(
+                logger,
+                state_events.FreshnessChanged(
+                    fresh, self._keeper.in_force.version
+                ),
+            )
+        self.apply(self._keeper.tick(now))
+
+    def _check_store(self) -> defer.Deferred[None]:
+        return self._guarded("check-state", self._read_if_changed())
+
+    async def _read_if_changed(self) -> None:
+        asked_at = self._reactor.seconds()
+        version = self._keeper.in_force.version
+        row_version = self._keeper.row_version
+        stored = await self._store.read_if_changed(row_version)
+        if stored is not None:
+            version, row_version = stored.state.version, stored.row_version
+            self.apply(
+                self._keeper.offer(
+                    self._reactor.seconds(),
+                    stored.state,
+                    row_version,
+                    "store",
+                )
+            )
+        self._keeper.store_confirmed(asked_at, version, row_version)
+
+    def _settle(self) -> defer.Deferred[None]:
+        # Hosts notice a dead maker together; most leave it to the first.
+        if self._chance.random() < 0.5:
+            return defer.succeed(None)
+        return self._guarded("settle", self._maker.settle())
+
+    def _guarded(self, operation: str, work: Any) -> defer.Deferred[None]:
+        running = defer.ensureDeferred(work)
+
+        def failed(reason: Any) -> None:
+            reason.trap(exceptions.StoreUnavailable)
+            if reason.check(exceptions.StoreNotCalled):
+                return
+            catalogue.emit(
+                logger,
+                platform_events.StoreFailed(
+                    operation, reason.getErrorMessage()
+                ),
+            )
+
+        running.addErrback(failed)
+        running.addErrback(
+            lambda reason: logger.error(
+                "%s failed: %s", operation, reason.getTraceback()
+            )
+        )
+        return running
+
+    # Seats.
+
+    def _schedule_seat_try(self) -> None:
+        self._reactor.callLater(
+            self._chance.uniform(*_SEAT_INTERVAL_S), self._try_for_seat
+        )
+
+    def _try_for_seat(self) -> None:
+        running = self._guarded("take-seat", self._take_seat())
+        running.addBoth(lambda _: self._schedule_seat_try())
+
+    async def _take_seat(self) -> None:
+        keeper, now = self._keeper, self._reactor.seconds()
+        if (
+            keeper.seat is not None
+            or not keeper.store_seen(now)
+            or keeper.prepared
+        ):
+            return
+        gone = await self._gone_holders()
+        if self._choose(keeper.in_force, gone) is None:
+            return
+        outcome = await self._maker.make(
+            None, lambda state: self._with_seat(state, gone)
+        )
+        seat = keeper.seat
+        if outcome.result is change_maker.Result.ACCEPTED and seat:
+            wait_s = keeper.base_usable_at - self._reactor.seconds()
+            catalogue.emit(
+                logger,
+                state_events.SeatTaken(
+                    seat.number, seat.epoch, round(max(wait_s, 0.0), 1)
+                ),
+            )
+
+    def _choose(
+        self, state: fleet.FleetState, gone: tuple[str, ...]
+    ) -> fleet.Seat | None:
+        return seat_policy.choose_seat(
+            state, self._keeper.host, self._keeper.incarnation, gone
+        )
+
+    async def _gone_holders(self) -> tuple[str, ...]:
+        if self._choose(self._keeper.in_force, ()) is not None:
+            return ()
+        now = self._reactor.seconds()
+        if not self._keeper.gone(now, ()):
+            return ()
+        listed = await self._host_list.read()
+        return self._keeper.gone(
+            self._reactor.seconds(), {host.name for host in listed}
+        )
+
+    def _with_seat(
+        self, state: fleet.FleetState, gone: tuple[str, ...]
+    ) -> fleet.FleetState:
+        seat = self._choose(state, gone)
+        if seat is None:
+            raise exceptions.StoreNotCalled("No seat is free any more")
+        held = {**state.seat_by_number, seat.number: seat}
+        return dataclasses.replace(
+            state,
+            version=state.version + 1,
+            token=tokens.new_token(),
+            seats=tuple(held[number] for number in sorted(held)),
+        )
+
+    # Operators.
+
+    async def make_change(
+        self, kind: str, base_version: int | None, content: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Make a change for an operator; return HTTP status and body.
+
+        Raises:
+            ManifestError: the change is invalid.
+            StoreUnavailable: the store can't be read; nothing was done.
+        """
+        # Each attempt has a token of its own: peers never obey a token
+        # again that was aborted.
+        outcome = await self._maker.make(
+            base_version,
+            lambda state: changes.build_state(
+                state, kind, content, tokens.new_token()
+            ),
+        )
+        body = self._describe(outcome)
+        if outcome.result is change_maker.Result.ACCEPTED:
+            has, known = await self._maker.report(outcome.version)
+            body |= {"in_force": has, "hosts": known}
+        if outcome.result is change_maker.Result.CONFLICT:
+            body["error"] = "version"
+            body["changed"] = (
+                None
+                if base_version is None
+                else self._keeper.what_changed_since(base_version)
+            )
+        return _STATUS_BY_RESULT[outcome.result], body
+
+    def _describe(self, outcome: change_maker.Outcome) -> dict[str, Any]:
+        body: dict[str, Any] = {
+            "result": outcome.result.value,
+            "token": outcome.token,
+        }
+        if outcome.result is change_maker.Result.ACCEPTED:
+            body["version"] = outcome.version
+        else:
+            body["current_version"] = self._keeper.in_force.version
+            body["reason"] = outcome.reason
+        return body
+
+    async def find_change(self, token: str) -> tuple[int, dict[str, Any]]:
+        """Return what became of an earlier change, for an operator.
+
+        Raises:
+            StoreUnavailable: the table can't be read.
+        """
+        outcome = await self._maker.find(token)
+        if outcome is None:
+            return 404, {"error": f"No change {token} is known here"}
+        return 200, self._describe(outcome)
+
+    def status(self) -> dict[str, Any]:
+        """Return what this host knows, for operators."""
+        keeper, now = self._keeper, self._reactor.seconds()
+        return {
+            "host": keeper.host,
+            "version": keeper.in_force.version,
+            "fresh": keeper.fresh(now),
+            "fresh_for_s": round(max(keeper.fresh_until - now, 0.0), 3),
+            "prepared": keeper.prepared,
+            "store": "confirmed" if keeper.store_seen(now) else "not-seen",
+            "version_by_peer": keeper.version_by_peer(),
+            "seat": keeper.seat.number if keeper.seat else None,
+            "seats": {
+                seat.number: {"holder": seat.holder, "epoch": seat.epoch}
+                for seat in keeper.in_force.seats
+            },
+        }
--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import sys
+import time
 from typing import Any, Protocol
 
 import azurevane
@@ -54,6 +55,9 @@
     )
     from twisted.internet import reactor
 
+    # Twisted's clock is the wall clock, which can be set back; freshness
+    # and loans must end on time whatever happens to it.
+    reactor.seconds = time.monotonic
     daemon = factory(reactor, settings)
     daemon.start()
     catalogue.emit(
--- a/src/azurevane/_internal/events/state_events.py
+++ b/src/azurevane/_internal/events/state_events.py
@@ -1,6 +1,7 @@
 """Events about configuration and membership: numbers 1000 to 1999."""
 
 import dataclasses
+import logging
 
 from azurevane._internal.events import catalogue
 
@@ -13,3 +14,60 @@
     version: int
     previous: int
     source: str
+
+
+@catalogue.event(1002, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeNotMade(catalogue.Event):
+    """Change wasn't made, or its outcome isn't known yet."""
+
+    version: int
+    token: str
+    result: str
+    reason: str
+
+
+@catalogue.event(1003)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestrictionsObeyed(catalogue.Event):
+    """Restrictions of changes that aren't decided are obeyed."""
+
+    version: int
+    prepared: tuple[str, ...]
+
+
+@catalogue.event(1004, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessChanged(catalogue.Event):
+    """Entry host became fresh, or stopped admitting new work."""
+
+    fresh: bool
+    version: int
+
+
+@catalogue.event(1005)
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeatTaken(catalogue.Event):
+    """Entry host holds a seat."""
+
+    seat: int
+    epoch: int
+    usable_in_s: float
+
+
+@catalogue.event(1006)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerConnected(catalogue.Event):
+    """Peer connected."""
+
+    peer: str
+    incarnation: str
+
+
+@catalogue.event(1007, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRefused(catalogue.Event):
+    """Peer's connection closed because of what it sent or didn't read."""
+
+    peer: str
+    detail: str
--- a/src/azurevane/_internal/models/effects.py
+++ b/src/azurevane/_internal/models/effects.py
@@ -15,4 +15,26 @@
     message: messages.Message
 
 
-Effect: TypeAlias = Send | request_models.Dispatch | request_models.Refusal
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangePrepared:
+    """A majority of seats obeys the restrictions of a change."""
+
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateInstalled:
+    """A fleet state has been put in force on this host."""
+
+    version: int
+    previous: int
+    source: str
+
+
+Effect: TypeAlias = (
+    Send
+    | ChangePrepared
+    | StateInstalled
+    | request_models.Dispatch
+    | request_models.Refusal
+)
--- a/src/azurevane/_internal/models/fleet.py
+++ b/src/azurevane/_internal/models/fleet.py
@@ -3,11 +3,17 @@
 import dataclasses
 import functools
 import hashlib
+import zlib
 
 import msgspec
 
+from azurevane import exceptions
 from azurevane._internal.models import manifest as manifest_models
 
+# Bounds what a peer can make this process allocate; a manifest of the
+# largest site (4,000 hosts) has about 0.5 MB of JSON.
+MAX_UNPACKED_BYTES = 32 * 1024 * 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class ApiKey:
@@ -43,6 +49,9 @@
         draining: names of runners and hosts that get no new work.
         limit_by_team: lowered upper limits.
         seats: numbers of seats that change hands.
+        teams_by_queue: the only teams that may still use a queue; none
+            if the queue is removed.
+        slots_by_runner: lowered slots.
     """
 
     api_key_digests: tuple[str, ...] = ()
@@ -50,11 +59,21 @@
     draining: tuple[str, ...] = ()
     limit_by_team: dict[str, int] = dataclasses.field(default_factory=dict)
     seats: tuple[int, ...] = ()
+    teams_by_queue: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    slots_by_runner: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
 class FleetState:
-    """The versioned configuration that the whole site follows."""
+    """The versioned configuration that the whole site follows.
+
+    Attributes:
+        token: identifies the attempt that made this version.
+        content_version: version of the last change by an operator;
+            later versions changed only seats or nothing.
+    """
 
     version: int = 0
     token: str = ""
@@ -63,6 +82,12 @@
     zones_out: tuple[str, ...] = ()
     draining: tuple[str, ...] = ()
     seats: tuple[Seat, ...] = ()
+    content_version: int = 0
+
+    @property
+    def entry_seats(self) -> int:
+        """Number of seats of the site; 0 before the first manifest."""
+        return self.manifest.entry_seats if self.manifest else 0
 
     @functools.cached_property
     def team_by_digest(self) -> dict[str, str]:
@@ -74,6 +99,13 @@
         """Seats by number."""
         return {seat.number: seat for seat in self.seats}
 
+    def seat_of(self, holder: str, incarnation: str) -> Seat | None:
+        """Return the seat that a process start of a host holds."""
+        for seat in self.seats:
+            if (seat.holder, seat.incarnation) == (holder, incarnation):
+                return seat
+        return None
+
 
 def digest_api_key(api_key: str) -> str:
     """Return the hex SHA-256 digest under which a key is stored."""
@@ -85,6 +117,29 @@
     return msgspec.json.encode(state)
 
 
+def pack(data: bytes) -> bytes:
+    """Compress the JSON of a message."""
+    return zlib.compress(data)
+
+
+def unpack(data: bytes) -> bytes:
+    """Decompress the JSON of a message.
+
+    Raises:
+        MessageError: the data is damaged or unreasonably large.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(data, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise exceptions.MessageError(f"Damaged data: {error}") from error
+    if not inflater.eof:
+        raise exceptions.MessageError(
+            f"Data is cut or has over {MAX_UNPACKED_BYTES} bytes"
+        )
+    return text
+
+
 def decode_state(data: bytes) -> FleetState:
     """Decode a fleet state from JSON.
 
--- a/src/azurevane/_internal/models/messages.py
+++ b/src/azurevane/_internal/models/messages.py
@@ -27,12 +27,20 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello(Message):
-    """First message on a connection; names the sender."""
+    """First message on a connection; names the sender.
+
+    Attributes:
+        incarnation: identifies one process start of the host.
+        address: IP address and port on which the sender takes
+            connections of its peers.
+    """
 
     host: str
     incarnation: str
     zone: str
     protocol: int = 1
+    address: str = ""
+    port: int = 0
 
 
 @message
@@ -48,9 +56,15 @@
 @message
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeAck(Message):
-    """Answers a probe with the version and the prepared changes here."""
+    """Answers a probe with the version and the prepared changes here.
+
+    Attributes:
+        store_seen: whether the store confirmed the version lately.
+        silent: seat holders that the sender hasn't heard from lately.
+    """
 
     seq: int
     version: int
     prepared: tuple[str, ...] = ()
     store_seen: bool = False
+    silent: tuple[str, ...] = ()
--- a/src/azurevane/_internal/models/state_messages.py
+++ b/src/azurevane/_internal/models/state_messages.py
@@ -8,11 +8,18 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepare(messages.Message):
-    """Asks a peer to obey a change's restrictions from now on."""
+    """Asks a peer to obey a change's restrictions from now on.
+
+    Attributes:
+        restrictions: compressed JSON.
+        maker: host that makes the change and counts acknowledgements;
+            peers pass the message on to hosts that have missed it.
+    """
 
     version: int
     token: str
     restrictions: bytes
+    maker: str = ""
 
 
 @messages.message
@@ -27,9 +34,19 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit(messages.Message):
-    """Carries an accepted fleet state, as JSON."""
+    """Carries an accepted fleet state, whole or as a difference.
+
+    Attributes:
+        state: compressed JSON; empty if there is a difference.
+        row_version: version of the table's row that holds the state.
+        base_version: version to which the difference applies.
+        difference: compressed JSON.
+    """
 
     state: bytes
+    row_version: int = 0
+    base_version: int = 0
+    difference: bytes = b""
 
 
 @messages.message
@@ -51,6 +68,13 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateReply(messages.Message):
-    """Carries the fleet state in force, as JSON."""
+    """Carries the fleet state in force.
+
+    Attributes:
+        state: compressed JSON; empty if there are differences.
+        differences: from the version asked for up to this one.
+    """
 
     state: bytes
+    row_version: int = 0
+    differences: tuple[Commit, ...] = ()
--- a/src/azurevane/_internal/operators/api.py
+++ b/src/azurevane/_internal/operators/api.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import logging
 from typing import Any, Protocol
 
 import msgspec
@@ -13,6 +14,8 @@
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 
+logger = logging.getLogger(__name__)
+
 
 class ChangeMaker(Protocol):
     """Makes changes to the fleet state; implemented by the daemon."""
@@ -26,6 +29,12 @@
     ) -> tuple[int, dict[str, Any]]:
         """Make a change and return an HTTP status and a body."""
 
+    async def find_change(self, token: str) -> tuple[int, dict[str, Any]]:
+        """Return what became of a change, as HTTP status and body."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what the host knows of the fleet."""
+
 
 class OperatorsResource(resource.Resource):
     """Answers ``/v1`` calls that carry the operators' credential."""
@@ -44,9 +53,16 @@
         route = (request.method, request.path)
         if route == (b"GET", b"/v1/state"):
             return _write(request, 200, msgspec.to_builtins(self._maker.state))
+        if route == (b"GET", b"/v1/status"):
+            return _write(request, 200, self._maker.status())
         if route == (b"POST", b"/v1/changes"):
-            defer.ensureDeferred(self._change(request))
-            return server.NOT_DONE_YET
+            return _answer_later(request, self._change(request))
+        prefix = b"/v1/changes/"
+        if request.method == b"GET" and request.path.startswith(prefix):
+            token = request.path.removeprefix(prefix).decode(
+                "ascii", "replace"
+            )
+            return _answer_later(request, self._maker.find_change(token))
         return _write(request, 404, {"error": "no such call"})
 
     def _authorized(self, request: server.Request) -> bool:
@@ -55,22 +71,43 @@
         digest = hashlib.sha256(token.encode()).hexdigest()
         return hmac.compare_digest(digest, self._token_digest)
 
-    async def _change(self, request: server.Request) -> None:
-        try:
-            body = msgspec.json.decode(request.content.read())
-            status, answer = await self._maker.make_change(
-                body["kind"], body.get("base_version"), body["content"]
-            )
-        except exceptions.ManifestError as error:
-            status, answer = 422, {"problems": list(error.problems)}
-        except exceptions.StoreUnavailable as error:
-            status, answer = 503, {"error": str(error)}
-        except (msgspec.DecodeError, KeyError, TypeError) as error:
-            status, answer = 400, {"error": f"Malformed change: {error}"}
-        if request.channel is None:
-            return
-        request.write(_write(request, status, answer))
-        request.finish()
+    async def _change(
+        self, request: server.Request
+    ) -> tuple[int, dict[str, Any]]:
+        body = msgspec.json.decode(request.content.read())
+        return await self._maker.make_change(
+            body["kind"], body.get("base_version"), body["content"]
+        )
+
+
+def _answer_later(request: server.Request, call: Any) -> Any:
+    running = defer.ensureDeferred(_answer(request, call))
+    running.addErrback(
+        lambda reason: logger.error(
+            "Operators' call failed: %s", reason.getTraceback()
+        )
+    )
+    return server.NOT_DONE_YET
+
+
+async def _answer(request: server.Request, call: Any) -> None:
+    try:
+        status, answer = await call
+    except exceptions.ManifestError as error:
+        status, answer = 422, {"problems": list(error.problems)}
+    except exceptions.StoreUnavailable as error:
+        status, answer = 503, {"result": "refused", "error": str(error)}
+    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+        status, answer = 400, {"error": f"Malformed change: {error!r}"}
+    except Exception as error:
+        # Something else went wrong after the change was begun, so its
+        # outcome is open; the operator must hear that and not a time-out.
+        status, answer = 500, {"result": "unknown", "error": repr(error)}
+        logger.exception("Change failed")
+    if request.channel is None:
+        return
+    request.write(_write(request, status, answer))
+    request.finish()
 
 
 def _write(
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -32,6 +32,8 @@
   incarnation @1 :Text;
   zone @2 :Text;
   protocol @3 :UInt16;
+  address @4 :Text;
+  port @5 :UInt16;
 }
 
 struct Probe {
@@ -45,12 +47,14 @@
   version @1 :UInt64;
   prepared @2 :List(Text);
   storeSeen @3 :Bool;
+  silent @4 :List(Text);
 }
 
 struct Prepare {
   version @0 :UInt64;
   token @1 :Text;
-  restrictions @2 :Data;  # JSON
+  restrictions @2 :Data;  # compressed JSON
+  maker @3 :Text;
 }
 
 struct PrepareAck {
@@ -59,7 +63,10 @@
 }
 
 struct Commit {
-  state @0 :Data;  # JSON
+  state @0 :Data;  # compressed JSON
+  rowVersion @1 :UInt64;
+  baseVersion @2 :UInt64;
+  difference @3 :Data;  # compressed JSON
 }
 
 struct Abort {
@@ -71,7 +78,9 @@
 }
 
 struct StateReply {
-  state @0 :Data;  # JSON
+  state @0 :Data;  # compressed JSON
+  rowVersion @1 :UInt64;
+  differences @2 :List(Commit);
 }
 
 struct Usage {
--- /dev/null
+++ b/src/azurevane/_internal/platform/hosts.py
@@ -0,0 +1,42 @@
+"""The platform's list of hosts, which lags and may be wrong."""
+
+import dataclasses
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.platform import transport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """An entry of the host list.
+
+    Attributes:
+        leaving: whether the platform is about to stop the host.
+    """
+
+    name: str
+    zone: str = ""
+    leaving: bool = False
+
+
+class HostList:
+    """Reads the host list."""
+
+    def __init__(self, calls: transport.JsonTransport) -> None:
+        self._calls = calls
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        """Return the hosts that the platform takes for live.
+
+        Raises:
+            StoreUnavailable: the platform gave no usable answer.
+        """
+        _, body = await self._calls.call("GET", "/hosts")
+        try:
+            return msgspec.convert(body, type=tuple[ListedHost, ...])
+        except msgspec.ValidationError as error:
+            raise exceptions.StoreUnavailable(
+                f"Host list can't be read: {error}"
+            ) from error
--- a/src/azurevane/_internal/platform/table.py
+++ b/src/azurevane/_internal/platform/table.py
@@ -1,10 +1,15 @@
 """Client of the platform's transactional table service."""
 
+from collections.abc import Callable
 import dataclasses
+import http
+import time
 from typing import Any
 import urllib.parse
 
+from azurevane import exceptions
 from azurevane._internal.platform import transport
+from azurevane._internal.utils import token_bucket
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,10 +50,21 @@
 
 
 class TableClient:
-    """Reads rows and applies transactions."""
+    """Reads rows and applies transactions.
 
-    def __init__(self, calls: transport.JsonTransport) -> None:
+    Args:
+        budget: bounds the writes of this process; None for no bound.
+    """
+
+    def __init__(
+        self,
+        calls: transport.JsonTransport,
+        budget: token_bucket.TokenBucket | None = None,
+        seconds: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._calls = calls
+        self._budget = budget
+        self._seconds = seconds
 
     async def read(self, name: str) -> Row:
         """Return a row; transactional, so never stale.
@@ -60,6 +76,23 @@
         _, body = await self._calls.call("GET", f"/table/row?{query}")
         return Row(name, body["version"], body["value"])
 
+    async def read_if_changed(self, name: str, version: int) -> Row | None:
+        """Return a row, or None if it still has the version.
+
+        The answer without a change is small, so this is the check to
+        repeat often.
+
+        Raises:
+            StoreUnavailable: the table service gave no usable answer.
+        """
+        query = urllib.parse.urlencode({"name": name})
+        status, body = await self._calls.call(
+            "GET", f"/table/row?{query}", None, version
+        )
+        if status == http.HTTPStatus.NOT_MODIFIED:
+            return None
+        return Row(name, body["version"], body["value"])
+
     async def read_prefix(self, prefix: str) -> tuple[Row, ...]:
         """Return the rows whose names start with a prefix, by name."""
         query = urllib.parse.urlencode({"prefix": prefix})
@@ -72,9 +105,15 @@
         """Apply a transaction, or nothing of it.
 
         Raises:
+            StoreNotCalled: the write budget is used up, or the circuit
+                breaker is open; nothing was sent.
             StoreUnavailable: no usable answer; the writes may have
                 taken effect.
         """
+        if self._budget and not self._budget.take(self._seconds()):
+            raise exceptions.StoreNotCalled(
+                f"Write budget of {self._budget.rate} a second is used up"
+            )
         status, body = await self._calls.call(
             "POST",
             "/table/transact",
--- a/src/azurevane/_internal/platform/transport.py
+++ b/src/azurevane/_internal/platform/transport.py
@@ -12,10 +12,14 @@
 from twisted.web import iweb
 
 from azurevane import exceptions
+from azurevane._internal.platform import breaker as breaker_module
 
 
 class JsonTransport:
-    """Sends JSON over HTTP and reads JSON back, within a deadline."""
+    """Sends JSON over HTTP and reads JSON back, within a deadline.
+
+    After failures in a row, a circuit breaker refuses calls at once.
+    """
 
     def __init__(
         self,
@@ -24,6 +28,7 @@
         timeout_s: float,
         *,
         agent: iweb.IAgent | None = None,
+        breaker: breaker_module.CircuitBreaker | None = None,
     ) -> None:
         self._reactor = reactor
         self._base_url = base_url.rstrip("/")
@@ -33,20 +38,49 @@
         # closed would be sent twice; the caller decides about retries.
         pool.retryAutomatically = False
         self._pool = pool
+        self.breaker = breaker or breaker_module.CircuitBreaker()
         self._agent = agent or client.Agent(
             reactor, connectTimeout=timeout_s, pool=pool
         )
 
     async def call(
-        self, method: str, path: str, body: Any = None
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        if_none_match: int | None = None,
     ) -> tuple[int, Any]:
         """Send one call and return its status and decoded body.
 
+        Args:
+            if_none_match: version that needs no answer but status 304.
+
         Raises:
+            StoreNotCalled: the circuit breaker is open.
             StoreUnavailable: no whole answer arrived in time; the call
                 may have taken effect.
         """
-        call = defer.ensureDeferred(self._call(method, path, body))
+        if not self.breaker.admit(self._reactor.seconds()):
+            raise exceptions.StoreNotCalled(
+                f"{method} {path} isn't sent: the platform failed"
+                f" {self.breaker.failures} times in a row"
+            )
+        try:
+            status, answer = await self._call_in_time(
+                method, path, body, if_none_match
+            )
+        except BaseException:
+            self.breaker.failed(self._reactor.seconds())
+            raise
+        self.breaker.succeeded()
+        return status, answer
+
+    async def _call_in_time(
+        self, method: str, path: str, body: Any, if_none_match: int | None
+    ) -> tuple[int, Any]:
+        call = defer.ensureDeferred(
+            self._call(method, path, body, if_none_match)
+        )
         call.addTimeout(self._timeout_s, self._reactor)
         try:
             return await call
@@ -64,8 +98,11 @@
             ) from failure
 
     async def _call(
-        self, method: str, path: str, body: Any
+        self, method: str, path: str, body: Any, if_none_match: int | None
     ) -> tuple[int, Any]:
+        headers = http_headers.Headers({"Content-Type": ["application/json"]})
+        if if_none_match is not None:
+            headers.addRawHeader("If-None-Match", f'"{if_none_match}"')
         producer = None
         if body is not None:
             producer = client.FileBodyProducer(
@@ -74,11 +111,11 @@
         response = await self._agent.request(
             method.encode(),
             f"{self._base_url}{path}".encode(),
-            http_headers.Headers({"Content-Type": ["application/json"]}),
+            headers,
             producer,
         )
         data = await client.readBody(response)
-        if response.code >= 500:
+        if response.code >= 500 or response.code == 429:
             raise exceptions.StoreUnavailable(
                 f"{method} {path} at the platform: HTTP {response.code}"
             )
--- /dev/null
+++ b/src/azurevane/_internal/policy/seats.py
@@ -0,0 +1,57 @@
+"""Which seat an entry host may take."""
+
+from collections.abc import Collection
+import hashlib
+
+from azurevane._internal.models import fleet
+
+# A new holder of a seat waits until its predecessor's freshness (2.0 s)
+# and loans (2.0 s) are over, and then for the longest run time.
+PREDECESSOR_RIGHTS_S = 4.0
+
+
+def base_wait_s(state: fleet.FleetState, seat: fleet.Seat) -> float:
+    """Return how long a new holder may not use the base of its seat."""
+    # Epoch 1 has no predecessor whose rights could be in use.
+    if seat.epoch == 1 or state.manifest is None:
+        return 0.0
+    return PREDECESSOR_RIGHTS_S + max(
+        (queue.max_run_s for queue in state.manifest.queues), default=0.0
+    )
+
+
+def choose_seat(
+    state: fleet.FleetState,
+    host: str,
+    incarnation: str,
+    gone: Collection[str],
+) -> fleet.Seat | None:
+    """Return the seat that a host should take, or None.
+
+    Args:
+        gone: holders that are dead as far as anyone knows. The list is
+            a hint only; the seat's new epoch and the new holder's wait
+            keep a wrong one harmless.
+    """
+    held = state.seat_by_number
+    if state.seat_of(host, incarnation) is not None:
+        return None
+    for seat in held.values():
+        if seat.holder == host:
+            return fleet.Seat(seat.number, host, incarnation, seat.epoch + 1)
+    free = [n for n in range(state.entry_seats) if n not in held]
+    if free:
+        return fleet.Seat(_pick(free, host), host, incarnation, 1)
+    left = [n for n, seat in held.items() if seat.holder in gone]
+    if left:
+        number = _pick(left, host)
+        return fleet.Seat(number, host, incarnation, held[number].epoch + 1)
+    return None
+
+
+def _pick(numbers: list[int], host: str) -> int:
+    """Spread hosts that start together over the seats."""
+    return min(
+        numbers,
+        key=lambda n: hashlib.sha256(f"{host}/{n}".encode()).digest(),
+    )
--- a/src/azurevane/_internal/standins/faults.py
+++ b/src/azurevane/_internal/standins/faults.py
@@ -9,7 +9,11 @@
 
     Attributes:
         down: refuse every call with 503.
-        delay_s: answer this much later.
+        delay_s: take effect, then answer this much later.
+        slow_s: take effect this much later, then answer.
+        reject_share: refuse this share of the calls with 503.
+        calls_per_s: refuse calls above this rate with 429.
+        only: show these faults only to calls whose path starts so.
         lose_answers: take effect, then drop the connection.
         fail_all: answer 500 at once.
         hang: accept and never answer.
@@ -19,6 +23,10 @@
 
     down: bool = False
     delay_s: float = 0.0
+    slow_s: float = 0.0
+    reject_share: float = 0.0
+    calls_per_s: float | None = None
+    only: str = ""
     lose_answers: bool = False
     fail_all: bool = False
     hang: bool = False
--- a/src/azurevane/_internal/standins/httpserver.py
+++ b/src/azurevane/_internal/standins/httpserver.py
@@ -1,6 +1,8 @@
 """JSON over HTTP for the stand-ins."""
 
+import dataclasses
 import io
+import random
 import socket
 from typing import Any
 
@@ -11,6 +13,7 @@
 from twisted.web import server
 
 from azurevane._internal.standins import faults as fault_models
+from azurevane._internal.utils import token_bucket
 
 
 class JsonResource(resource.Resource):
@@ -25,6 +28,8 @@
         super().__init__()
         self.faults = fault_models.Faults()
         self._reactor = reactor
+        self._random = random.Random(1)
+        self._bucket: token_bucket.TokenBucket | None = None
 
     def answer(
         self, method: str, path: str, args: dict[str, str], body: Any
@@ -42,28 +47,87 @@
         if path == "/faults":
             self.faults = msgspec.convert(body, type=fault_models.Faults)
             return b"{}"
-        if self.faults.down:
-            request.setResponseCode(http.SERVICE_UNAVAILABLE)
-            return b'{"error": "down"}'
         args = {
             key.decode(): values[0].decode()
             for key, values in request.args.items()
         }
+        call = _Call(request, method, path, args, body)
+        if not path.startswith(self.faults.only):
+            return self._answer(call, fault_models.Faults())
+        refused = self._refused_status()
+        if refused is not None:
+            request.setResponseCode(refused)
+            return b'{"error": "refused by a fault"}'
+        if not self.faults.slow_s:
+            return self._answer(call, self.faults)
+        # The call is taken before its sender can give it up, so it takes
+        # effect also when the sender has gone.
+        self._reactor.callLater(
+            self.faults.slow_s, self._answer_later, call, self.faults
+        )
+        return server.NOT_DONE_YET
+
+    def _refused_status(self) -> int | None:
+        if self.faults.down or self._random.random() < (
+            self.faults.reject_share
+        ):
+            return http.SERVICE_UNAVAILABLE
+        if self.faults.calls_per_s is None:
+            return None
+        bucket = self._bucket
+        if bucket is None or bucket.rate != self.faults.calls_per_s:
+            bucket = token_bucket.TokenBucket(
+                self.faults.calls_per_s, max(self.faults.calls_per_s, 1.0)
+            )
+            self._bucket = bucket
+        if bucket.take(self._reactor.seconds()):
+            return None
+        return int(http.TOO_MANY_REQUESTS)
+
+    def _answer_later(
+        self, call: "_Call", faults: fault_models.Faults
+    ) -> None:
+        answer = self._answer(call, faults)
+        if answer is not server.NOT_DONE_YET:
+            _finish(call.request, answer)
+
+    def _answer(self, call: "_Call", faults: fault_models.Faults) -> Any:
+        request = call.request
         try:
-            status, answer = self.answer(method, path, args, body)
+            status, answer = self.answer(
+                call.method, call.path, call.args, call.body
+            )
         except LookupError:
-            status, answer = 404, {"error": f"no {path}"}
-        if self.faults.lose_answers:
-            request.transport.abortConnection()
+            status, answer = 404, {"error": f"no {call.path}"}
+        if faults.lose_answers:
+            if request.channel is not None:
+                request.transport.abortConnection()
             return server.NOT_DONE_YET
-        request.setResponseCode(status)
-        request.setHeader(b"Content-Type", b"application/json")
         encoded = msgspec.json.encode(answer)
-        if not self.faults.delay_s:
+        if request.channel is not None:
+            request.setResponseCode(status)
+            request.setHeader(b"Content-Type", b"application/json")
+            tag = self.entity_tag(answer)
+            if tag and request.setETag(tag) is http.CACHED:
+                encoded = b""
+        if not faults.delay_s:
             return encoded
-        self._reactor.callLater(self.faults.delay_s, _finish, request, encoded)
+        self._reactor.callLater(faults.delay_s, _finish, request, encoded)
         return server.NOT_DONE_YET
 
+    def entity_tag(self, answer: Any) -> bytes | None:
+        """Return the ETag of an answer, if it has one."""
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Call:
+    request: server.Request
+    method: str
+    path: str
+    args: dict[str, str]
+    body: Any
+
 
 def _finish(request: server.Request, body: bytes) -> None:
     if request.channel is None:
--- a/src/azurevane/_internal/standins/platform.py
+++ b/src/azurevane/_internal/standins/platform.py
@@ -46,6 +46,12 @@
             }
         raise LookupError(path)
 
+    def entity_tag(self, answer: Any) -> bytes | None:
+        """Return the version of a row as its ETag."""
+        if isinstance(answer, dict) and answer.keys() == {"version", "value"}:
+            return f'"{answer["version"]}"'.encode()
+        return None
+
     def _answer_table(
         self, call: str, args: dict[str, str], body: Any
     ) -> tuple[int, Any]:
--- /dev/null
+++ b/src/azurevane/_internal/tasks/peer_probes.py
@@ -0,0 +1,174 @@
+"""What probes tell one entry host about its peers."""
+
+from collections.abc import Collection, Iterable
+import dataclasses
+
+from azurevane._internal.models import fleet
+from azurevane._internal.models import messages
+from azurevane._internal.policy import freshness
+
+SILENT_AFTER_S = 10.0
+
+# Questions older than the freshness period are of no use any more.
+_REMEMBERED_ROUNDS = 8
+_REQUEST_INTERVAL_S = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """What is known of another entry host.
+
+    Attributes:
+        confirmed_at: when the newest question was sent that the peer
+            confirmed in this incarnation.
+        silent: seat holders that the peer hasn't heard from lately.
+        requested_at: when a state was last requested from the peer.
+    """
+
+    heard_at: float
+    incarnation: str = ""
+    confirmed_at: float | None = None
+    version: int = 0
+    silent: tuple[str, ...] = ()
+    requested_at: float = float("-inf")
+
+
+class PeerProbes:
+    """Owns the probes sent to peers and what they answered."""
+
+    def __init__(
+        self, host: str, incarnation: str, peers: Iterable[str], now: float
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._peer_by_name = {name: Peer(now) for name in peers}
+        self._asked_at_by_seq: dict[int, float] = {}
+        self._seq = 0
+        self._store_asked_at = float("-inf")
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of all known peers."""
+        return tuple(self._peer_by_name)
+
+    def peer(self, name: str) -> Peer:
+        """Return a peer that has been heard."""
+        return self._peer_by_name[name]
+
+    def version_by_peer(self) -> dict[str, int]:
+        """Return the newest version that each peer has reported."""
+        return {
+            name: peer.version for name, peer in self._peer_by_name.items()
+        }
+
+    def count_version(self, now: float, version: int) -> tuple[int, int]:
+        """Return how many peers have a version, and how many lack it.
+
+        Those that lack it count only if they are in touch.
+        """
+        has = behind = 0
+        for peer in self._peer_by_name.values():
+            if peer.version >= version:
+                has += 1
+            elif now - peer.heard_at < freshness.FRESH_S:
+                behind += 1
+        return has, behind
+
+    def next_round(self, now: float) -> int:
+        """Return the number of a new round of questions."""
+        self._seq += 1
+        self._asked_at_by_seq[self._seq] = now
+        while len(self._asked_at_by_seq) > _REMEMBERED_ROUNDS:
+            del self._asked_at_by_seq[min(self._asked_at_by_seq)]
+        return self._seq
+
+    def heard(self, now: float, sender: messages.Hello) -> None:
+        """Note that a peer is alive in an incarnation."""
+        peer = self._peer_by_name.get(sender.host)
+        if peer is None or peer.incarnation != sender.incarnation:
+            peer = Peer(now, sender.incarnation)
+            self._peer_by_name[sender.host] = peer
+        peer.heard_at = now
+
+    def confirmed(self, name: str, seq: int) -> None:
+        """Note that a peer confirmed the version in a round."""
+        asked_at = self._asked_at_by_seq.get(seq)
+        if asked_at is None:
+            return
+        peer = self._peer_by_name[name]
+        if peer.confirmed_at is None or peer.confirmed_at < asked_at:
+            peer.confirmed_at = asked_at
+
+    def store_confirmed(self, asked_at: float) -> None:
+        """Note that the store confirmed the version to a question."""
+        self._store_asked_at = max(self._store_asked_at, asked_at)
+
+    def store_seen(self, now: float) -> bool:
+        """Whether the store alone keeps this host fresh."""
+        return now < self._store_asked_at + freshness.FRESH_S
+
+    def may_request(self, now: float, name: str) -> bool:
+        """Whether to request a state of a peer again; notes that it is."""
+        peer = self._peer_by_name[name]
+        if now - peer.requested_at < _REQUEST_INTERVAL_S:
+            return False
+        peer.requested_at = now
+        return True
+
+    def fresh_until(self, state: fleet.FleetState) -> float:
+        """Return when the known confirmations of a state end."""
+        asked = [
+            asked_at
+            for asked_at in map(self._asked_of_holder, state.seats)
+            if asked_at is not None
+        ]
+        return freshness.fresh_until(
+            freshness.Confirmations(self._store_asked_at, tuple(asked)),
+            state.entry_seats,
+        )
+
+    def _asked_of_holder(self, seat: fleet.Seat) -> float | None:
+        if seat.holder == self._host:
+            if seat.incarnation != self._incarnation:
+                return None
+            return self._asked_at_by_seq.get(self._seq)
+        peer = self._peer_by_name.get(seat.holder)
+        # A restarted holder has forgotten what it acknowledged, so it
+        # doesn't speak for the seat of its earlier incarnation.
+        if peer is None or peer.incarnation != seat.incarnation:
+            return None
+        return peer.confirmed_at
+
+    def silent(self, now: float, state: fleet.FleetState) -> tuple[str, ...]:
+        """Return the seat holders not heard from for 10 s."""
+        return tuple(
+            seat.holder
+            for seat in state.seats
+            if seat.holder in self._peer_by_name
+            and now - self._peer_by_name[seat.holder].heard_at
+            >= SILENT_AFTER_S
+        )
+
+    def gone(
+        self, now: float, state: fleet.FleetState, listed: Collection[str]
+    ) -> tuple[str, ...]:
+        """Return seat holders that neither peers nor the list show.
+
+        Args:
+            listed: names on the platform's list of live hosts.
+        """
+        in_touch = [
+            peer
+            for peer in self._peer_by_name.values()
+            if now - peer.heard_at < freshness.FRESH_S
+        ]
+        # After a pause of this process every peer looks silent; then
+        # there is none in touch, and nothing is concluded.
+        if len(in_touch) < freshness.majority(state.entry_seats) - 1:
+            return ()
+        return tuple(
+            name
+            for name in self.silent(now, state)
+            if name not in listed
+            and all(name in peer.silent for peer in in_touch)
+        )
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -31,5 +31,12 @@
     """
 
 
+class StoreNotCalled(StoreUnavailable):
+    """Raised when a call to the platform wasn't sent: it had no effect.
+
+    The circuit breaker is open, or the write budget is used up.
+    """
+
+
 class MessageError(AzurevaneError):
     """Raised when a peer's message is malformed or too large."""
--- a/tests/peers/steps/codec_steps.py
+++ b/tests/peers/steps/codec_steps.py
@@ -8,6 +8,7 @@
 from azurevane._internal.models import claim_messages
 from azurevane._internal.models import messages
 from azurevane._internal.models import permit_messages
+from azurevane._internal.models import state_messages
 from azurevane._internal.peers import codec
 
 _SAMPLE_BY_TYPE = {
@@ -20,6 +21,7 @@
     "tuple[int, ...]": (1, 2),
     "tuple[Usage, ...]": (permit_messages.Usage("pool", "team", 2.5),),
     "tuple[Header, ...]": (claim_messages.Header("name", "value"),),
+    "tuple[Commit, ...]": (state_messages.Commit(b"", 1, 2, b"\x00data"),),
 }
 
 
@@ -34,6 +36,7 @@
                 .replace("azurevane._internal.models.", "")
                 .replace("permit_messages.", "")
                 .replace("claim_messages.", "")
+                .replace("state_messages.", "")
             ]
             for field in dataclasses.fields(cls)
         }
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,11 +17,24 @@
 
 
 def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return consecutive free ports.
+
+    They lie below the range from which the kernel picks the ports of
+    outgoing connections, so none is taken before its program listens.
+    """
+    while True:
+        first = random.SystemRandom().randrange(12000, 32000 - count)
+        ports = list(range(first, first + count))
+        sockets = []
+        try:
+            for port in ports:
+                sockets.append(socket.create_server(("127.0.0.1", port)))
+            return ports
+        except OSError:
+            continue
+        finally:
+            for item in sockets:
+                item.close()
 
 
 def http_call(method, url, body=None, headers=None, timeout=15):
@@ -90,8 +104,7 @@
         return status, json.loads(answer) if answer else None
 
     def start_runners(self, names):
-        # Consecutive ports: look for a free range.
-        first = free_ports(1)[0]
+        first = free_ports(len(names))[0]
         for index, name in enumerate(names):
             self.port_by_name[name] = first + index
         self.start(
