--- a/src/azurevane/_internal/commands/base.py
+++ b/src/azurevane/_internal/commands/base.py
@@ -89,7 +89,7 @@
         if result.status == 0:
             self.line_error(
                 "Outcome unknown: no entry host answered. Look it up with:"
-                f" azurevane change show {result.token}"
+                f" azurevane change show {result.change_id}"
             )
             return status.ExitCode.UNKNOWN_OUTCOME
         self.report_problems(result.body)
@@ -97,7 +97,7 @@
 
     def report_problems(self, body: Any) -> None:
         """Print why a call was refused, one problem a line."""
-        problems = body.get("problems") or [json.dumps(body)]
+        problems = body.get("problems") or [_describe(body)]
         for problem in problems:
             self.line_error(f"Error: {problem}")
 
@@ -133,3 +133,13 @@
     raise exceptions.NotFound(
         f"There is no {kind} {name!r}; there are: {names}"
     )
+
+
+def _describe(body: dict[str, Any]) -> str:
+    if body.get("error") == "version":
+        return (
+            f"another change came first; the current version is"
+            f" {body['current_version']}; changed since:"
+            f" {body.get('changed') or 'unknown'}"
+        )
+    return json.dumps(body)
--- a/src/azurevane/_internal/commands/change_show.py
+++ b/src/azurevane/_internal/commands/change_show.py
@@ -13,18 +13,18 @@
 
     name = "change show"
     description = "Look up what became of a change whose answer was lost."
-    arguments = [helpers.argument("token", "Token of the change.")]
+    arguments = [helpers.argument("id", "Id of the change.")]
     options = [base.format_option()]
 
     def execute_command(self) -> status.ExitCode:
         """Print the change, if it was accepted."""
-        token = self.argument("token")
-        code, body = self.operators.call("GET", f"/v1/changes/{token}")
+        change_id = self.argument("id")
+        code, body = self.operators.call("GET", f"/v1/changes/{change_id}")
         if code != 200:
             self.report_problems(body)
             return base.exit_code(code)
         return self.show(
             body,
-            ("version", "kind", "token"),
-            [(body["version"], body["kind"], body["token"])],
+            ("version", "kind", "id"),
+            [(body["version"], body["kind"], body["change_id"])],
         )
--- a/src/azurevane/_internal/commands/manifest_history.py
+++ b/src/azurevane/_internal/commands/manifest_history.py
@@ -25,10 +25,8 @@
                 datetime.datetime.fromtimestamp(
                     item["made_at"], datetime.UTC
                 ).isoformat(timespec="seconds"),
-                item["token"],
+                item["change_id"],
             )
             for item in history
         ]
-        return self.show(
-            history, ("version", "kind", "made at", "token"), rows
-        )
+        return self.show(history, ("version", "kind", "made at", "id"), rows)
--- a/src/azurevane/_internal/operators/api.py
+++ b/src/azurevane/_internal/operators/api.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import logging
 from typing import Any, Protocol
 import urllib.parse
 
@@ -16,6 +17,8 @@
 from azurevane._internal.events import recent
 from azurevane._internal.models import fleet
 
+logger = logging.getLogger(__name__)
+
 
 class ChangeMaker(Protocol):
     """Makes changes to the fleet state; implemented by the daemon."""
@@ -24,18 +27,25 @@
     def state(self) -> fleet.FleetState:
         """The fleet state in force."""
 
-    def status(self) -> dict[str, Any]:
-        """What this entry host knows of itself, for people."""
-
     async def make_change(
-        self, kind: str, base_version: int | None, content: Any, token: str
+        self,
+        kind: str,
+        base_version: int | None,
+        content: Any,
+        change_id: str,
     ) -> tuple[int, dict[str, Any]]:
         """Make a change and return an HTTP status and a body.
 
         Args:
-            token: chosen by the client for a later look-up, or empty.
+            change_id: chosen by the client for a later look-up, or empty.
         """
 
+    async def find_change(self, change_id: str) -> tuple[int, dict[str, Any]]:
+        """Return what became of a change, as HTTP status and body."""
+
+    def status(self) -> dict[str, Any]:
+        """Return what the host knows of the fleet."""
+
 
 class OperatorsResource(resource.Resource):
     """Answers ``/v1`` calls that carry the operators' credential."""
@@ -58,15 +68,19 @@
             return _write(request, 200, msgspec.to_builtins(self._maker.state))
         if route == (b"GET", b"/v1/status"):
             return _write(request, 200, self._maker.status())
-        path = request.path.decode("ascii", "replace")
-        if request.method == b"GET" and path.startswith("/v1/changes/"):
-            return self._look_up(request, path.removeprefix("/v1/changes/"))
-        if request.method == b"GET" and path.startswith("/v1/explain/"):
-            name = urllib.parse.unquote(path.removeprefix("/v1/explain/"))
-            return _write(request, 200, self._recent.about(name))
         if route == (b"POST", b"/v1/changes"):
-            defer.ensureDeferred(self._change(request))
-            return server.NOT_DONE_YET
+            return _answer_later(request, self._change(request))
+        prefix = b"/v1/changes/"
+        if request.method == b"GET" and request.path.startswith(prefix):
+            change_id = request.path.removeprefix(prefix).decode(
+                "ascii", "replace"
+            )
+            return _answer_later(request, self._maker.find_change(change_id))
+        prefix = b"/v1/explain/"
+        if request.method == b"GET" and request.path.startswith(prefix):
+            name = request.path.removeprefix(prefix).decode("ascii", "replace")
+            about = self._recent.about(urllib.parse.unquote(name))
+            return _write(request, 200, about)
         return _write(request, 404, {"error": "no such call"})
 
     def _authorized(self, request: server.Request) -> bool:
@@ -75,35 +89,46 @@
         digest = hashlib.sha256(token.encode()).hexdigest()
         return hmac.compare_digest(digest, self._token_digest)
 
-    def _look_up(self, request: server.Request, token: str) -> bytes:
-        for record in self._maker.state.history:
-            if record.token == token:
-                return _write(request, 200, msgspec.to_builtins(record))
-        return _write(
-            request,
-            404,
-            {"problems": [f"No accepted change has the token {token!r}"]},
+    async def _change(
+        self, request: server.Request
+    ) -> tuple[int, dict[str, Any]]:
+        body = msgspec.json.decode(request.content.read())
+        return await self._maker.make_change(
+            body["kind"],
+            body.get("base_version"),
+            body["content"],
+            str(body.get("change_id", "")),
         )
 
-    async def _change(self, request: server.Request) -> None:
-        try:
-            body = msgspec.json.decode(request.content.read())
-            status, answer = await self._maker.make_change(
-                body["kind"],
-                body.get("base_version"),
-                body["content"],
-                str(body.get("token", "")),
-            )
-        except exceptions.ManifestError as error:
-            status, answer = 422, {"problems": list(error.problems)}
-        except exceptions.StoreUnavailable as error:
-            status, answer = 503, {"error": str(error)}
-        except (msgspec.DecodeError, KeyError, TypeError) as error:
-            status, answer = 400, {"error": f"Malformed change: {error}"}
-        if request.channel is None:
-            return
-        request.write(_write(request, status, answer))
-        request.finish()
+
+def _answer_later(request: server.Request, call: Any) -> Any:
+    running = defer.ensureDeferred(_answer(request, call))
+    running.addErrback(
+        lambda reason: logger.error(
+            "Operators' call failed: %s", reason.getTraceback()
+        )
+    )
+    return server.NOT_DONE_YET
+
+
+async def _answer(request: server.Request, call: Any) -> None:
+    try:
+        status, answer = await call
+    except exceptions.ManifestError as error:
+        status, answer = 422, {"problems": list(error.problems)}
+    except exceptions.StoreUnavailable as error:
+        status, answer = 503, {"result": "refused", "error": str(error)}
+    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+        status, answer = 400, {"error": f"Malformed change: {error!r}"}
+    except Exception as error:
+        # Something else went wrong after the change was begun, so its
+        # outcome is open; the operator must hear that and not a time-out.
+        status, answer = 500, {"result": "unknown", "error": repr(error)}
+        logger.exception("Change failed")
+    if request.channel is None:
+        return
+    request.write(_write(request, status, answer))
+    request.finish()
 
 
 def _write(request: server.Request, status: int, body: Any) -> bytes:
--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -8,7 +8,6 @@
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 from azurevane._internal.operators import manifest_check
-from azurevane._internal.utils import tokens
 
 _Builder = Callable[[fleet.FleetState, Any], fleet.FleetState]
 
@@ -29,39 +28,52 @@
     return register
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeOrigin:
+    """Who made a change and when.
+
+    Attributes:
+        token: identifies this attempt to make the change.
+        change_id: chosen by the operator's client, for a later look-up.
+        made_at: seconds since the epoch, for the history.
+    """
+
+    token: str
+    change_id: str = ""
+    made_at: float = 0.0
+
+
 def build_state(
-    state: fleet.FleetState,
-    kind: str,
-    content: Any,
-    *,
-    token: str = "",
-    made_at: float = 0.0,
+    state: fleet.FleetState, kind: str, content: Any, origin: ChangeOrigin
 ) -> fleet.FleetState:
     """Return the state that a change makes of the current one.
 
-    Args:
-        token: identifies the change; chosen by the operator's client, so
-            that it can look the change up. A new one if empty.
-        made_at: seconds since the epoch, for the history.
-
     Raises:
         ManifestError: the change is invalid; names every problem.
     """
-    builder = builder_by_kind.get(kind)
-    if builder is None:
-        raise _invalid("kind", kind, builder_by_kind)
-    changed = builder(state, content)
-    token = token or tokens.new_token()
+    changed = _build(state, kind, content)
     version = state.version + 1
-    record = fleet.ChangeRecord(version, token, kind, made_at)
+    record = fleet.ChangeRecord(
+        version, origin.change_id or origin.token, kind, origin.made_at
+    )
     return dataclasses.replace(
         changed,
         version=version,
-        token=token,
+        content_version=version,
+        token=origin.token,
         history=(*state.history, record)[-REMEMBERED_CHANGES:],
     )
 
 
+def _build(
+    state: fleet.FleetState, kind: str, content: Any
+) -> fleet.FleetState:
+    builder = builder_by_kind.get(kind)
+    if builder is None:
+        raise _invalid("kind", kind, builder_by_kind)
+    return builder(state, content)
+
+
 def _invalid(
     place: str, value: object, allowed: Iterable[str]
 ) -> exceptions.ManifestError:
@@ -106,6 +118,15 @@
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
     manifest = manifest_check.parse_manifest(content)
+    if state.seats and manifest.entry_seats != state.entry_seats:
+        # A majority of the new seats might miss every host that makes up
+        # a majority of the old ones.
+        raise exceptions.ManifestError(
+            (
+                f"$.entry_seats: can't change from {state.entry_seats} while"
+                " entry hosts hold seats",
+            )
+        )
     names = {*manifest.runner_by_name, *manifest.host_by_name}
     return dataclasses.replace(
         state,
@@ -120,6 +141,24 @@
     )
 
 
+@change_kind("batch")
+def _apply_several(state: fleet.FleetState, content: Any) -> fleet.FleetState:
+    """Make several changes one version, all or none of them."""
+    if not isinstance(content, list):
+        raise exceptions.ManifestError(("content: a list is required",))
+    problems: list[str] = []
+    for index, change in enumerate(content):
+        try:
+            state = _build(
+                state, _field(change, "kind"), change.get("content")
+            )
+        except exceptions.ManifestError as error:
+            problems += [f"change {index}: {item}" for item in error.problems]
+    if problems:
+        raise exceptions.ManifestError(tuple(problems))
+    return state
+
+
 @change_kind("key-grant")
 def _grant_api_key(state: fleet.FleetState, content: Any) -> fleet.FleetState:
     team = _known(state, content, "team", "team")
--- a/src/azurevane/_internal/operators/client.py
+++ b/src/azurevane/_internal/operators/client.py
@@ -27,12 +27,12 @@
 
     Attributes:
         status: HTTP status; 0 if the outcome is unknown.
-        token: identifies the change for a later look-up.
+        change_id: names the change in a later look-up.
     """
 
     status: int
     body: Any
-    token: str
+    change_id: str
 
 
 class OperatorsClient:
@@ -69,10 +69,10 @@
         self, kind: str, content: Any, base_version: int | None
     ) -> ChangeResult:
         """Make a change; a lost answer is settled by a look-up."""
-        token = secrets.token_urlsafe(16)
+        change_id = secrets.token_urlsafe(16)
         body = {
             "kind": kind,
-            "token": token,
+            "change_id": change_id,
             "base_version": base_version,
             "content": content,
         }
@@ -81,21 +81,21 @@
                 self._base_urls[0], "POST", "/v1/changes", body
             )
         except exceptions.StoreUnavailable:
-            return self._settle(token)
-        if status == 503 and answer.get("outcome") == "unknown":
-            return self._settle(token)
-        return ChangeResult(status, answer, token)
+            return self._settle(change_id)
+        if status >= 500 and answer.get("result") == "unknown":
+            return self._settle(change_id)
+        return ChangeResult(status, answer, change_id)
 
-    def _settle(self, token: str) -> ChangeResult:
+    def _settle(self, change_id: str) -> ChangeResult:
         for wait_s in _SETTLE_TIMES_S:
             time.sleep(wait_s)
             try:
-                status, body = self.call("GET", f"/v1/changes/{token}")
+                status, body = self.call("GET", f"/v1/changes/{change_id}")
             except exceptions.StoreUnavailable:
                 continue
             if status == 200:
-                return ChangeResult(status, body, token)
-        return ChangeResult(0, {}, token)
+                return ChangeResult(status, body, change_id)
+        return ChangeResult(0, {}, change_id)
 
     def call(
         self, method: str, path: str, body: Any = None
