--- /dev/null
+++ b/src/azurevane/_internal/callers/body.py
@@ -0,0 +1,169 @@
+"""The body of a caller's request, passed on as it arrives."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.web import iweb
+from zope.interface import implementer
+
+# A body up to this size is kept until the request has ended, so that it
+# can be sent again. It is also the size of one read of Twisted's sockets.
+KEEP_LIMIT_BYTES = 64 * 1024
+
+
+class BodyStopped(Exception):
+    """Raised into a request whose caller won't send the whole body."""
+
+
+class CallerBody:
+    """Holds the start of a body and feeds the rest to one attempt.
+
+    Attributes:
+        length: bytes; None if the body is chunked.
+        complete: whether the whole body has arrived.
+        paused: whether the caller's connection isn't being read.
+    """
+
+    def __init__(
+        self,
+        length: int | None,
+        transport: interfaces.ITCPTransport,
+        on_wanted: Callable[[], None],
+    ) -> None:
+        self.length = length
+        self.complete = length == 0
+        self.paused = False
+        self.received_bytes = 0
+        self._transport = transport
+        self._on_wanted = on_wanted
+        self._kept: list[bytes] | None = []
+        self._feed: BodyFeed | None = None
+        self._stopped = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it can be sent from its start."""
+        return self._kept is not None and not self._stopped
+
+    @property
+    def wanted(self) -> bool:
+        """Whether an attempt waits for bytes from the caller."""
+        return self._feed is not None and not self.complete and not self.paused
+
+    def new_feed(self) -> "BodyFeed | None":
+        """Return a producer for one attempt; None for an empty body."""
+        assert self.repeatable, "the start of the body is gone"
+        if self.length == 0:
+            return None
+        self._feed = BodyFeed(self)
+        return self._feed
+
+    def begin_feed(self, consumer: interfaces.IConsumer) -> bool:
+        """Write what is kept; return whether that is the whole body."""
+        assert self._kept is not None
+        for data in self._kept:
+            consumer.write(data)
+        if not self.complete:
+            self._on_wanted()
+            self.resume()
+        return self.complete
+
+    def received(self, data: bytes) -> None:
+        """Take a part of the body from the caller."""
+        if self._stopped:
+            return
+        self.received_bytes += len(data)
+        if self._kept is not None:
+            self._kept.append(data)
+        if self._feed is not None:
+            self._feed.pass_on(data)
+            if self._feed.started and self.received_bytes > KEEP_LIMIT_BYTES:
+                self._kept = None
+
+    def completed(self) -> None:
+        """Note that the caller has sent the whole body."""
+        self.complete = True
+        if self._feed is not None:
+            self._feed.end()
+
+    def stop(self) -> None:
+        """Send no more of it, because the caller's part has ended."""
+        self._stopped = True
+        self._kept = None
+        if self._feed is not None:
+            self._feed.fail()
+
+    def detach(self, feed: "BodyFeed") -> None:
+        """Stop feeding an attempt that needs no more of the body."""
+        if self._feed is feed:
+            self._feed = None
+            self.pause()
+
+    def pause(self) -> None:
+        """Stop reading from the caller."""
+        if not self.complete:
+            self.paused = True
+            self._transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read from the caller again."""
+        self.paused = False
+        if not self.complete:
+            self._transport.resumeProducing()
+
+
+@implementer(iweb.IBodyProducer)
+class BodyFeed:
+    """Writes a body to one attempt at a runner."""
+
+    def __init__(self, body: CallerBody) -> None:
+        self.length: Any = (
+            iweb.UNKNOWN_LENGTH if body.length is None else body.length
+        )
+        self._body = body
+        self._consumer: interfaces.IConsumer | None = None
+        self._done: defer.Deferred[None] = defer.Deferred()
+
+    def startProducing(  # noqa: N802 (name of the interface)
+        self, consumer: interfaces.IConsumer
+    ) -> defer.Deferred[None]:
+        """Write the body to a consumer until it is complete."""
+        self._consumer = consumer
+        if self._body.begin_feed(consumer):
+            self.end()
+        return self._done
+
+    @property
+    def started(self) -> bool:
+        """Whether the attempt takes the body."""
+        return self._consumer is not None
+
+    def pass_on(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if self._consumer is not None:
+            self._consumer.write(data)
+
+    def end(self) -> None:
+        """Note that the body is complete."""
+        if self._consumer is not None and not self._done.called:
+            self._done.callback(None)
+
+    def fail(self) -> None:
+        """Note that the body won't be complete."""
+        if self._consumer is not None and not self._done.called:
+            self._done.errback(BodyStopped())
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading from the caller."""
+        self._body.pause()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read from the caller again."""
+        self._body.resume()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Take no more, because the runner's connection is gone."""
+        self._consumer = None
+        self._body.detach(self)
--- a/src/azurevane/_internal/callers/exchange.py
+++ b/src/azurevane/_internal/callers/exchange.py
@@ -1,36 +1,33 @@
 """One request of a caller and its answer, streamed both ways."""
 
-import dataclasses
 from typing import Any, Protocol
 
-from twisted.internet import defer
-from twisted.internet import interfaces
+from returns import pipeline
 from twisted.web import http
 from twisted.web import http_headers
-from twisted.web import iweb
-from zope.interface import implementer
 
+from azurevane._internal.callers import body as body_module
+from azurevane._internal.callers import heads
 from azurevane._internal.callers import problems
 from azurevane._internal.models import request as request_models
 
 # After an early answer, this much of the rest of a body is read and
 # dropped before the connection is closed.
 DISCARD_LIMIT_BYTES = 256 * 1024
-DISCARD_LIMIT_S = 2.0
-
-
-@dataclasses.dataclass(frozen=True)
-class RequestHead:
-    """What is known of a request before its body is read.
-
-    Attributes:
-        length: bytes of the body; None if it is chunked.
-    """
-
-    method: str
-    path: str
-    headers: http_headers.Headers
-    length: int | None
+# A sender that is being read must send something in this time.
+BODY_STALL_S = 10.0
+
+_DROPPED_RESPONSE_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"transfer-encoding",
+        b"trailer",
+        b"upgrade",
+        b"azurevane-verdict",
+    )
+)
 
 
 class ExchangeHandler(Protocol):
@@ -42,64 +39,10 @@
     def caller_left(self, exchange: "CallerRequest") -> None:
         """Note that the caller closed the connection."""
 
-
-@implementer(iweb.IBodyProducer)
-class StreamedBody:
-    """Passes a caller's body on, holding at most one read of it."""
-
-    def __init__(
-        self, length: int | None, transport: interfaces.ITCPTransport
+    def input_failed(
+        self, exchange: "CallerRequest", refusal: request_models.Refusal
     ) -> None:
-        self.length = iweb.UNKNOWN_LENGTH if length is None else length
-        self._transport = transport
-        self._chunks: list[bytes] = []
-        self.complete = False
-        self._stopped = False
-        self._consumer: interfaces.IConsumer | None = None
-        self._done: defer.Deferred[None] = defer.Deferred()
-
-    def startProducing(  # noqa: N802 (name of the interface)
-        self, consumer: interfaces.IConsumer
-    ) -> defer.Deferred[None]:
-        """Write the body to a consumer until it is complete."""
-        self._consumer = consumer
-        for chunk in self._chunks:
-            consumer.write(chunk)
-        self._chunks.clear()
-        if self.complete:
-            self._done.callback(None)
-        else:
-            self._transport.resumeProducing()
-        return self._done
-
-    def pauseProducing(self) -> None:  # noqa: N802
-        """Stop reading from the caller."""
-        self._transport.pauseProducing()
-
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Read from the caller again."""
-        self._transport.resumeProducing()
-
-    def stopProducing(self) -> None:  # noqa: N802
-        """Drop what still arrives."""
-        self._stopped = True
-        self._chunks.clear()
-        self._transport.resumeProducing()
-
-    def received(self, data: bytes) -> None:
-        """Take a chunk from the caller."""
-        if self._stopped:
-            return
-        if self._consumer is None:
-            self._chunks.append(data)
-            return
-        self._consumer.write(data)
-
-    def completed(self) -> None:
-        """Note that the caller has sent the whole body."""
-        self.complete = True
-        if self._consumer is not None and not self._stopped:
-            self._done.callback(None)
+        """Refuse a request whose body turned out to be unacceptable."""
 
 
 class CallerRequest(http.Request):
@@ -107,65 +50,151 @@
 
     ``twisted.web`` would spool a larger body into a temporary file; the
     hosts have no disks, so the body is passed on as it arrives.
+
+    Attributes:
+        begun: whether its head was complete and valid.
+        streaming: whether the head of a runner's answer was passed on.
+        answered: whether the answer is complete, or nobody waits for it.
+        max_body_bytes: limit that is checked while the body arrives.
+        active: what the handler keeps about it.
     """
 
     handler: ExchangeHandler
-    submission_id: str | None = None
+    head: heads.RequestHead
+    body: body_module.CallerBody
+    begun = False
+    streaming = False
+    chunked: int
+    answered = False
+    max_body_bytes: int | None = None
+    active: Any = None
     _discarded_bytes = 0
-    _close_call: Any = None
+    _stall_call: Any = None
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Begin the exchange; the head is complete here."""
-        self.answered = False
-        self.head = RequestHead(
-            method=self.channel._command.decode("ascii", "replace"),
-            path=self.channel._path.decode("ascii", "replace"),
-            headers=self.requestHeaders,
-            length=length,
-        )
         self.method = self.channel._command
         self.uri = self.channel._path
         self.clientproto = self.channel._version
-        self.body = StreamedBody(length, self.channel.transport)
+        self.body = body_module.CallerBody(
+            length, self.channel.transport, self._body_wanted
+        )
+        parsed = heads.parse_head(
+            self.method.decode("ascii"),
+            self.uri.decode("latin-1"),
+            self.requestHeaders,
+            length,
+            self.clientproto,
+        )
+        if not pipeline.is_successful(parsed):
+            self.channel.refuse_input(http.BAD_REQUEST, "malformed")
+            return
+        self.head = parsed.unwrap()
+        self.begun = True
         self.notifyFinish().addErrback(lambda _: self._left())
         if length != 0:
-            self.channel.transport.pauseProducing()
+            self.body.pause()
             self.handler.begin(self)
 
+    @property
+    def body_paused(self) -> bool:
+        """Whether the caller's connection must not be read now."""
+        return self.begun and not self.answered and self.body.paused
+
+    def _body_wanted(self) -> None:
+        expected = self.requestHeaders.getRawHeaders(b"Expect", [b""])[0]
+        if (
+            expected.lower() == b"100-continue"
+            and self.clientproto == b"HTTP/1.1"
+            and not self.body.received_bytes
+            and not self.streaming
+        ):
+            self.channel._send100Continue()
+        if self._stall_call is None:
+            self._stall_call = self.channel.callLater(
+                BODY_STALL_S, self._check_stall, self.body.received_bytes
+            )
+
+    def _check_stall(self, received_before: int) -> None:
+        self._stall_call = None
+        if self.answered or self.body.complete:
+            return
+        received = self.body.received_bytes
+        if self.body.wanted and received == received_before:
+            self._fail(http.REQUEST_TIMEOUT, "body-too-slow")
+            return
+        self._stall_call = self.channel.callLater(
+            BODY_STALL_S, self._check_stall, received
+        )
+
+    def _fail(self, status: int, problem: str) -> None:
+        detail = "The body is too slow or too large"
+        self.input_failed(request_models.Refusal("", status, problem, detail))
+
+    def input_failed(self, refusal: request_models.Refusal) -> None:
+        """Give up a request whose body can't be taken whole."""
+        if not self.answered:
+            self.handler.input_failed(self, refusal)
+        self.body.stop()
+
     def _left(self) -> None:
+        self._cancel_stall_call()
         if not self.answered:
             self.answered = True
             self.handler.caller_left(self)
+        self.body.stop()
+
+    def _cancel_stall_call(self) -> None:
+        if self._stall_call is not None:
+            self._stall_call.cancel()
+            self._stall_call = None
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Pass a chunk of the body on, or drop it after an early answer."""
-        if not self.answered:
-            self.body.received(data)
+        """Pass a part of the body on, or drop it after an early answer."""
+        if not self.begun:
+            return
+        if self.answered:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > DISCARD_LIMIT_BYTES:
+                self.channel.loseConnection()
             return
-        self._discarded_bytes += len(data)
-        if self._discarded_bytes > DISCARD_LIMIT_BYTES:
-            self.channel.loseConnection()
+        limit = self.max_body_bytes
+        received = self.body.received_bytes + len(data)
+        if limit is not None and received > limit:
+            self._fail(http.REQUEST_ENTITY_TOO_LARGE, "body-too-large")
+            return
+        self.body.received(data)
 
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
         """Note that the whole request has arrived."""
+        self._cancel_stall_call()
+        if not self.begun:
+            return
         self.body.completed()
         if self.head.length == 0:
             # Begun only now: twisted.web can't finish a request before
             # it has noted that its (empty) body has arrived.
             self.handler.begin(self)
-        elif self.answered and not self.finished:
-            self._close_call.cancel()
+        elif self.answered and not self.finished and not self._disconnected:
             self.finish()
 
     def refuse(self, refusal: request_models.Refusal) -> None:
-        """Answer with a problem document and end the exchange."""
+        """Answer with a problem document and end the exchange.
+
+        If part of another answer was passed on, the connection is broken
+        instead.
+        """
         if self.answered:
             return
+        if self.streaming:
+            self.abort()
+            return
         body = problems.encode_problem(refusal)
         self.setResponseCode(refusal.status)
         self.setHeader(b"Content-Type", b"application/problem+json")
+        self.setHeader(b"Azurevane-Verdict", refusal.verdict.value.encode())
         retry_after = problems.retry_after_header(refusal)
         if retry_after is not None:
             self.setHeader(b"Retry-After", retry_after)
@@ -175,46 +204,68 @@
 
     def answer_bytes(self, body: bytes) -> None:
         """Write a whole body and end the exchange."""
-        self.answered = True
+        if self.answered:
+            return
         self.setHeader(b"Content-Length", str(len(body)).encode())
-        if self.body.complete or self.head.length == 0:
-            self.write(body)
+        self._announce_close()
+        self.write(body)
+        self.end_answer()
+
+    def start_answer(
+        self,
+        status: int,
+        phrase: bytes | None,
+        headers: http_headers.Headers,
+        length: int | None,
+    ) -> None:
+        """Pass on the head of an answer; the body follows by ``write``."""
+        assert not self.answered and not self.streaming, "one answer only"
+        self.streaming = True
+        self.setResponseCode(status, phrase)
+        nominated = {
+            token.strip().lower()
+            for value in headers.getRawHeaders(b"Connection", [])
+            for token in value.split(b",")
+        }
+        for name, values in headers.getAllRawHeaders():
+            lowered = name.lower()
+            if lowered not in _DROPPED_RESPONSE_HEADERS | nominated:
+                self.responseHeaders.setRawHeaders(name, values)
+        bodiless = self.method == b"HEAD" or status in http.NO_BODY_CODES
+        if length is not None and not bodiless:
+            self.setHeader(b"Content-Length", str(length).encode())
+        self._announce_close()
+
+    def _announce_close(self) -> None:
+        if not self.body.complete or self.channel.factory.closing:
+            self.channel.persistent = False
+        if not self.channel.persistent:
+            self.setHeader(b"Connection", b"close")
+
+    def end_answer(self) -> None:
+        """End an answer that was written whole."""
+        if self.answered:
+            return
+        self.answered = True
+        self._cancel_stall_call()
+        if self.body.complete:
             self.finish()
             return
         # The answer goes out whole at once. The rest of the body is read
-        # and dropped for a moment, since closing with unread data would
+        # and dropped for a moment, since closing with unread input would
         # reset the connection and could lose the answer.
-        self.channel.persistent = False
-        self.setHeader(b"Connection", b"close")
-        self.write(body)
-        self.channel.transport.resumeProducing()
-        self._close_call = self.channel.callLater(
-            DISCARD_LIMIT_S, self.channel.loseConnection
-        )
+        if not self.startedWriting:
+            self.write(b"")
+        if self.chunked:
+            self.channel.write(b"0\r\n\r\n")
+            self.chunked = 0
+        self.body.stop()
+        self.channel.linger()
 
     def abort(self) -> None:
         """Break the connection, so that no part is taken for whole."""
         self.answered = True
-        if self.channel is not None:
-            self.channel.forceAbortClient()
-
-
-class CallersFactory(http.HTTPFactory):
-    """Accepts callers' connections."""
-
-    def __init__(
-        self, reactor: interfaces.IReactorTime, handler: ExchangeHandler
-    ) -> None:
-        super().__init__(timeout=60, reactor=reactor)
-        self._request_class = type(
-            "CallerRequest", (CallerRequest,), {"handler": handler}
-        )
-
-    def buildProtocol(self, addr: object) -> object:  # noqa: N802
-        """Return the protocol of a new connection."""
-        protocol = super().buildProtocol(addr)
-        protocol.requestFactory = self._request_class
-        return protocol
-
-    def log(self, request: http.Request) -> None:
-        """Write no access log; each request is a numbered event."""
+        self._cancel_stall_call()
+        self.body.stop()
+        if not self._disconnected and self.channel is not None:
+            self.channel.transport.abortConnection()
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -8,7 +8,7 @@
 from twisted.web import server
 
 from azurevane import exceptions
-from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import channel
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.daemons import program
 from azurevane._internal.events import catalogue
@@ -62,7 +62,7 @@
         address = self._settings.text("host", "address")
         self._reactor.listenTCP(
             self._settings.integer("callers", "port"),
-            exchange_module.CallersFactory(self._reactor, self._service),
+            channel.CallersFactory(self._reactor, self._service),
             interface=address,
         )
         operators = api.OperatorsResource(
--- /dev/null
+++ b/src/azurevane/_internal/daemons/entry_admission.py
@@ -0,0 +1,140 @@
+"""Decides whether a request may be queued at all."""
+
+import hashlib
+
+from returns import pipeline
+from returns import result
+
+from azurevane._internal.callers import authentication
+from azurevane._internal.callers import body as body_module
+from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import heads
+from azurevane._internal.daemons import active_request
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import request as request_models
+
+_Admitted = result.Result[active_request.ActiveRequest, request_models.Refusal]
+
+
+def admit(
+    now: float,
+    state: fleet.FleetState,
+    submission_id: str,
+    exchange: exchange_module.CallerRequest,
+) -> _Admitted:
+    """Return the request ready to be queued, or why it is refused.
+
+    Nothing of a body has been read, so a refusal is cheap.
+
+    Args:
+        now: monotonic seconds.
+    """
+    head = exchange.head
+    queue_name, path = split_path(head.path)
+    queue = (
+        state.manifest.queue_by_name.get(queue_name)
+        if state.manifest is not None
+        else None
+    )
+    if queue is None:
+        return _refuse(
+            submission_id, 404, "unknown-queue", "There is no such queue"
+        )
+    team = authentication.authenticate(state, queue, head.headers)
+    if not pipeline.is_successful(team):
+        denied = team.failure()
+        return _refuse(
+            submission_id, denied.status, denied.problem, denied.detail
+        )
+    refused = _check_request(submission_id, head, queue, team.unwrap())
+    if refused is not None:
+        return result.Failure(refused)
+    exchange.max_body_bytes = queue.max_body_bytes
+    submission = _build_submission(
+        now, submission_id, head, queue, team.unwrap()
+    )
+    digest = ""
+    if head.request_id is not None and not submission.idempotent:
+        digest = request_digest(head)
+    return result.Success(
+        active_request.ActiveRequest(exchange, submission, queue, path, digest)
+    )
+
+
+def split_path(path: str) -> tuple[str, str]:
+    """Return the queue and the runner's path of ``/q/<queue>/<path>``."""
+    parts = path.split("/", 3)
+    if len(parts) < 3 or parts[1] != "q":
+        return "", "/"
+    name, mark, query = parts[2].partition("?")
+    if len(parts) == 3 or mark:
+        return name, "/" + path[len("/q/" + name) :].lstrip("/")
+    return name, "/" + parts[3]
+
+
+def request_digest(head: heads.RequestHead) -> str:
+    """Return what must be equal in a repeat of the same request."""
+    content = f"{head.method} {head.path} {head.length}"
+    return hashlib.blake2b(content.encode(), digest_size=12).hexdigest()
+
+
+def _refuse(
+    submission_id: str, status: int, problem: str, detail: str
+) -> _Admitted:
+    return result.Failure(
+        request_models.Refusal(submission_id, status, problem, detail)
+    )
+
+
+def _check_request(
+    submission_id: str,
+    head: heads.RequestHead,
+    queue: manifest_models.Queue,
+    team: str,
+) -> request_models.Refusal | None:
+    if head.length is not None and head.length > queue.max_body_bytes:
+        return request_models.Refusal(
+            submission_id,
+            413,
+            "body-too-large",
+            f"Queue {queue.name} takes {queue.max_body_bytes} bytes at most",
+        )
+    if head.request_id is not None and not team:
+        # Request ids belong to a team; callers without a key would share
+        # theirs, and one could fetch the answer of another.
+        return request_models.Refusal(
+            submission_id,
+            400,
+            "malformed",
+            "Idempotency-Key needs a key that names the team",
+        )
+    if head.deadline_ms == 0:
+        return request_models.Refusal(
+            submission_id, 504, "deadline-passed", "The deadline is now"
+        )
+    return None
+
+
+def _build_submission(
+    now: float,
+    submission_id: str,
+    head: heads.RequestHead,
+    queue: manifest_models.Queue,
+    team: str,
+) -> request_models.Submission:
+    deadline_ms = (
+        queue.deadline_ms if head.deadline_ms is None else head.deadline_ms
+    )
+    api_key = authentication.presented_api_key(head.headers)
+    kept_bytes = body_module.KEEP_LIMIT_BYTES
+    return request_models.Submission(
+        submission_id,
+        queue.name,
+        team,
+        now,
+        now + deadline_ms / 1000,
+        head.method in request_models.IDEMPOTENT_METHODS,
+        kept_bytes if head.length is None else min(head.length, kept_bytes),
+        api_key_digest=fleet.digest_api_key(api_key) if api_key else "",
+    )
--- /dev/null
+++ b/src/azurevane/_internal/daemons/entry_running.py
@@ -0,0 +1,144 @@
+"""Runs dispatched requests at runners and decides about retries."""
+
+import dataclasses
+import random
+from typing import Any
+
+from returns import pipeline
+
+from azurevane._internal.daemons import active_request
+from azurevane._internal.daemons import entry_answering
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import request as request_models
+from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.policy import retry
+from azurevane._internal.tasks import retry_budget
+from azurevane._internal.upstreams import answers
+from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.upstreams import verdicts
+
+# Failures whose answer, if any, says nothing to the caller.
+_NEVER_PASSED_ON = frozenset(("runner-refused", "unasked-answer"))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How one attempt ended.
+
+    Attributes:
+        status: of a whole answer.
+        failure: why there is no whole answer, or what its status means.
+        passed_on: whether the answer went to the caller.
+        retry_at: monotonic seconds; None if there is no retry.
+    """
+
+    status: int | None
+    failure: verdict_models.Failure | None
+    passed_on: bool = False
+    retry_at: float | None = None
+
+
+class RequestRunner:
+    """Makes attempts; holds the slot until the runner is done."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        runners: upstream_client.RunnerClient,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._runners = runners
+        self._rng = rng
+        self._budget = retry_budget.RetryBudget()
+
+    async def attempt(
+        self,
+        active: active_request.ActiveRequest,
+        dispatch: request_models.Dispatch,
+        manifest: manifest_models.Manifest,
+    ) -> AttemptResult:
+        """Send a request to its runner and pass the answer on.
+
+        Returns when the runner is done: the whole answer was read, the
+        runner has closed, nothing was sent, or the longest run time is
+        over. The caller may have been answered earlier.
+        """
+        if active.exchange.answered or not active.exchange.body.repeatable:
+            return AttemptResult(
+                None,
+                verdict_models.Failure(
+                    verdict_models.Verdict.NOT_RUN, "caller-left"
+                ),
+            )
+        active.attempts += 1
+        outgoing = upstream_client.OutgoingRequest(
+            active.exchange.head.method,
+            active.path,
+            active.exchange.head.headers,
+            active.exchange.body.new_feed(),
+            active.submission.team,
+            active.submission.idempotent,
+            active.submission.deadline,
+        )
+        sent = await self._runners.send(
+            outgoing,
+            manifest.runner_by_name[dispatch.runner],
+            manifest.entry_seats,
+            dispatch.not_after,
+        )
+        if not pipeline.is_successful(sent):
+            return self._failed(active, sent.failure())
+        return await self._take_answer(active, sent.unwrap())
+
+    async def _take_answer(
+        self,
+        active: active_request.ActiveRequest,
+        answer: answers.RunnerAnswer,
+    ) -> AttemptResult:
+        if answer.failure is not None:
+            failed = self._failed(active, answer.failure)
+            if (
+                failed.retry_at is not None
+                or answer.failure.reason in _NEVER_PASSED_ON
+            ):
+                await answer.drop()
+                return failed
+        sink = entry_answering.CallerSink(active, answer)
+        active.relay = answers.AnswerRelay(sink)
+        if active.exchange.answered:
+            active.relay.drop_rest()
+        cut = await answer.deliver(active.relay)
+        if cut is not None:
+            return self._failed(active, cut)
+        sink.end()
+        if answer.failure is None:
+            self._budget.note_success(self._reactor.seconds())
+        return AttemptResult(answer.status, answer.failure, True)
+
+    def _failed(
+        self,
+        active: active_request.ActiveRequest,
+        failure: verdict_models.Failure,
+    ) -> AttemptResult:
+        now = self._reactor.seconds()
+        assert verdicts.VERDICT_BY_REASON[failure.reason] is failure.verdict, (
+            failure
+        )
+        if active.exchange.answered or active.exchange.streaming:
+            return AttemptResult(None, failure)
+        decision = retry.decide(
+            now,
+            retry.Attempt(
+                active.attempts,
+                failure,
+                active.submission.idempotent,
+                active.exchange.body.repeatable,
+                active.submission.deadline,
+            ),
+            self._budget.left(now),
+            self._rng.random(),
+        )
+        if decision.not_before is not None:
+            self._budget.pay(now)
+        return AttemptResult(None, failure, retry_at=decision.not_before)
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -1,13 +1,19 @@
-"""The entry daemon's callers' side: decides, dispatches and answers."""
+"""The entry daemon's callers' side: from a request to its answer."""
 
+import dataclasses
 import logging
+import random
 from typing import Any
 
 from returns import pipeline
 from twisted.internet import defer
+from twisted.python import failure as twisted_failure
 
-from azurevane._internal.callers import authentication
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.daemons import active_request
+from azurevane._internal.daemons import entry_admission
+from azurevane._internal.daemons import entry_answering
+from azurevane._internal.daemons import entry_running
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
 from azurevane._internal.models import effects
@@ -21,7 +27,7 @@
 
 
 class EntryService:
-    """Owns the exchanges with callers of one entry process."""
+    """Owns the requests of callers that one entry process serves."""
 
     def __init__(
         self,
@@ -33,12 +39,17 @@
         self._reactor = reactor
         self._keeper = keeper
         self._dispatcher = dispatcher
-        self._runners = runners
+        self._running = entry_running.RequestRunner(
+            reactor, runners, random.Random()
+        )
         self._next_id = 0
-        self._ready = False
-        self._exchange_by_id: dict[str, exchange_module.CallerRequest] = {}
-        self._submission_by_id: dict[str, request_models.Submission] = {}
-        self._path_by_id: dict[str, str] = {}
+        self._active_by_id: dict[str, active_request.ActiveRequest] = {}
+        self.stopping = False
+
+    @property
+    def active(self) -> int:
+        """Number of requests that haven't ended."""
+        return len(self._active_by_id)
 
     def begin(self, exchange: exchange_module.CallerRequest) -> None:
         """Decide on a request whose head has arrived."""
@@ -46,70 +57,102 @@
         if path == "/healthz":
             exchange.answer_bytes(b"ok\n")
             return
+        fresh = self._keeper.fresh(self._reactor.seconds())
         if path == "/readyz":
-            ready = self._keeper.fresh(self._reactor.seconds())
+            ready = fresh and not self.stopping
             exchange.setResponseCode(200 if ready else 503)
             exchange.answer_bytes(b"ready\n" if ready else b"not ready\n")
             return
-        decided = self._admit(exchange)
-        if decided is not None:
-            self._refuse(exchange, decided)
-
-    def _admit(
-        self, exchange: exchange_module.CallerRequest
-    ) -> request_models.Refusal | None:
-        now = self._reactor.seconds()
-        self._next_id += 1
-        submission_id = str(self._next_id)
-        if not self._keeper.fresh(now):
-            return request_models.Refusal(
+        submission_id = self._new_id()
+        if not fresh:
+            refused = request_models.Refusal(
                 submission_id,
                 503,
                 "not-fresh",
                 "This entry host can't confirm its configuration",
                 retry_after_s=1.0,
             )
-        state = self._keeper.state
-        parts = exchange.head.path.split("/", 3)
-        manifest = state.manifest
-        if (
-            manifest is None
-            or len(parts) < 3
-            or parts[1] != "q"
-            or parts[2].split("?")[0] not in manifest.queue_by_name
-        ):
-            return request_models.Refusal(
-                submission_id, 404, "unknown-queue", "There is no such queue"
-            )
-        queue = manifest.queue_by_name[parts[2].split("?")[0]]
-        team = authentication.authenticate(state, queue, exchange.head.headers)
-        if not pipeline.is_successful(team):
-            denied = team.failure()
-            return request_models.Refusal(
-                submission_id, denied.status, denied.problem, denied.detail
-            )
-        submission = request_models.Submission(
+            entry_answering.log_refusal(refused, refused.verdict)
+            exchange.refuse(refused)
+            return
+        admitted = entry_admission.admit(
+            self._reactor.seconds(),
+            self._keeper.state,
             submission_id,
-            queue.name,
-            team.unwrap(),
-            now,
-            now + queue.deadline_ms / 1000,
-            exchange.head.method in request_models.IDEMPOTENT_METHODS,
+            exchange,
         )
-        self._exchange_by_id[submission_id] = exchange
-        self._submission_by_id[submission_id] = submission
-        self._path_by_id[submission_id] = (
-            "/" + parts[3] if len(parts) > 3 else "/"
+        if not pipeline.is_successful(admitted):
+            refused = admitted.failure()
+            entry_answering.log_refusal(refused, refused.verdict)
+            exchange.refuse(refused)
+            return
+        self._take(admitted.unwrap())
+
+    def _new_id(self) -> str:
+        self._next_id += 1
+        return str(self._next_id)
+
+    def _take(self, active: active_request.ActiveRequest) -> None:
+        now = self._reactor.seconds()
+        active.exchange.active = active
+        active.deadline_call = self._reactor.callLater(
+            active.submission.deadline - now, self._deadline_passed, active
+        )
+        self._submit(active)
+
+    def _submit(self, active: active_request.ActiveRequest) -> None:
+        self._active_by_id[active.submission.submission_id] = active
+        self.apply(
+            self._dispatcher.submit(self._reactor.seconds(), active.submission)
+        )
+
+    def _deadline_passed(self, active: active_request.ActiveRequest) -> None:
+        active.deadline_call = None
+        self._answer_early(
+            active, entry_answering.build_deadline_refusal(active)
         )
-        exchange.submission_id = submission_id
-        self.apply(self._dispatcher.submit(now, submission))
-        return None
 
     def caller_left(self, exchange: exchange_module.CallerRequest) -> None:
-        """Drop the waiting submission of a caller that has left."""
-        submission_id = exchange.submission_id
-        if submission_id is None:
+        """Drop what waits; let what runs at a runner end there."""
+        active = exchange.active
+        if active is not None:
+            self._leave(active)
+
+    def input_failed(
+        self,
+        exchange: exchange_module.CallerRequest,
+        refusal: request_models.Refusal,
+    ) -> None:
+        """Refuse a request whose body turned out to be unacceptable."""
+        active = exchange.active
+        if active is None:
+            exchange.refuse(refusal)
+            return
+        self._answer_early(
+            active,
+            dataclasses.replace(
+                refusal, submission_id=active.submission.submission_id
+            ),
+        )
+
+    def _answer_early(
+        self,
+        active: active_request.ActiveRequest,
+        refusal: request_models.Refusal,
+    ) -> None:
+        """Answer before the runner is done, which keeps its slot."""
+        if not active.exchange.answered:
+            entry_answering.refuse(active, refusal)
+        self._leave(active)
+
+    def _leave(self, active: active_request.ActiveRequest) -> None:
+        if active.running:
+            # The runner's slot is free only when it is done.
+            if active.relay is not None:
+                active.relay.drop_rest()
             return
+        submission_id = active.submission.submission_id
+        self._end(active)
         self.apply(
             self._dispatcher.cancel(self._reactor.seconds(), submission_id)
         )
@@ -119,95 +162,130 @@
         for effect in decided:
             if isinstance(effect, request_models.Dispatch):
                 running = defer.ensureDeferred(self._run(effect))
-                running.addErrback(
-                    lambda reason: logger.error(
-                        "Run failed: %s", reason.getTraceback()
-                    )
-                )
+                running.addErrback(self._log_fault)
             elif isinstance(effect, request_models.Refusal):
-                exchange = self._exchange_by_id.pop(effect.submission_id, None)
-                if exchange is not None:
-                    self._refuse(exchange, effect)
+                active = self._active_by_id.get(effect.submission_id)
+                if active is not None:
+                    self._end(active)
+                    entry_answering.refuse(active, effect)
 
-    def _refuse(
-        self,
-        exchange: exchange_module.CallerRequest,
-        refusal: request_models.Refusal,
-    ) -> None:
-        catalogue.emit(
-            logger,
-            request_events.RequestRefused(
-                refusal.submission_id,
-                refusal.status,
-                refusal.problem,
-                refusal.verdict.value,
-                refusal.detail,
-            ),
-        )
-        exchange.refuse(refusal)
+    @staticmethod
+    def _log_fault(reason: twisted_failure.Failure) -> None:
+        logger.error("Run failed: %s", reason.getTraceback())
 
     async def _run(self, dispatch: request_models.Dispatch) -> None:
-        submission_id = dispatch.submission_id
-        exchange = self._exchange_by_id[submission_id]
-        submission = self._submission_by_id[submission_id]
+        active = self._active_by_id[dispatch.submission_id]
         manifest = self._keeper.state.manifest
         assert manifest is not None
+        assert not active.running, "one attempt at a time"
+        active.running = True
         catalogue.emit(
             logger,
             request_events.RequestRouted(
-                submission_id,
-                submission.queue,
-                submission.team,
+                dispatch.submission_id,
+                active.submission.queue,
+                active.submission.team,
                 dispatch.runner,
                 dispatch.reasons,
             ),
         )
         started_at = self._reactor.seconds()
-        answer = await self._runners.run(
-            exchange,
-            self._path_by_id[submission_id],
-            manifest.runner_by_name[dispatch.runner],
-            submission.team,
-            dispatch.not_after,
-        )
-        failed = None if pipeline.is_successful(answer) else answer.failure()
-        self._finish(dispatch, started_at, failed)
+        try:
+            attempt = await self._running.attempt(active, dispatch, manifest)
+        except Exception:
+            # A fault of this program must neither keep the slot nor leave
+            # the caller without an answer.
+            self._log_fault(twisted_failure.Failure())
+            attempt = entry_running.AttemptResult(
+                None,
+                verdict_models.Failure(
+                    verdict_models.Verdict.MAY_HAVE_RUN, "internal-error"
+                ),
+            )
+        self._finish_attempt(active, dispatch, started_at, attempt)
 
-    def _finish(
+    def _finish_attempt(
         self,
+        active: active_request.ActiveRequest,
         dispatch: request_models.Dispatch,
         started_at: float,
-        failed: verdict_models.Failure | None,
+        attempt: entry_running.AttemptResult,
     ) -> None:
-        submission_id = dispatch.submission_id
         now = self._reactor.seconds()
-        exchange = self._exchange_by_id.pop(submission_id)
-        del self._submission_by_id[submission_id]
-        del self._path_by_id[submission_id]
-        outcome = request_models.RunResult(
-            submission_id, dispatch.runner, started_at, now, None, failed
-        )
+        active.running = False
+        active.relay = None
+        failure = attempt.failure
+        active.last_failure = failure
+        if failure is None or (
+            failure.verdict is not verdict_models.Verdict.NOT_RUN
+        ):
+            active.may_have_run = True
         catalogue.emit(
             logger,
             request_events.RequestEnded(
-                submission_id,
+                dispatch.submission_id,
                 dispatch.runner,
                 round(now - started_at, 4),
-                None,
-                failed.reason if failed else "",
+                attempt.status,
+                failure.reason if failure else "",
             ),
         )
-        if failed is not None and not exchange.answered:
-            exchange.refuse(
-                request_models.Refusal(
-                    submission_id,
-                    502,
-                    failed.reason,
-                    "The runner gave no whole answer",
-                    failed.verdict,
-                )
+        self._active_by_id.pop(dispatch.submission_id, None)
+        if attempt.retry_at is not None and not active.exchange.answered:
+            self._schedule_retry(active, dispatch.runner, attempt.retry_at)
+        else:
+            self._conclude(active, attempt)
+        self.apply(
+            self._dispatcher.ended(
+                now,
+                request_models.RunResult(
+                    dispatch.submission_id,
+                    dispatch.runner,
+                    started_at,
+                    now,
+                    attempt.status,
+                    failure,
+                ),
             )
-        self.apply(self._dispatcher.ended(now, outcome))
+        )
+
+    def _schedule_retry(
+        self,
+        active: active_request.ActiveRequest,
+        runner: str,
+        retry_at: float,
+    ) -> None:
+        active.submission = dataclasses.replace(
+            active.submission,
+            submission_id=self._new_id(),
+            avoid_runner=runner,
+        )
+        # Counted as active while it waits, so that a stop waits for it.
+        self._active_by_id[active.submission.submission_id] = active
+        delay_s = max(retry_at - self._reactor.seconds(), 0.0)
+        self._reactor.callLater(delay_s, self._retry, active)
+
+    def _retry(self, active: active_request.ActiveRequest) -> None:
+        if active.submission.submission_id in self._active_by_id:
+            self._submit(active)
+
+    def _conclude(
+        self,
+        active: active_request.ActiveRequest,
+        attempt: entry_running.AttemptResult,
+    ) -> None:
+        if attempt.failure is not None and not active.exchange.answered:
+            entry_answering.refuse(
+                active,
+                entry_answering.build_failure_refusal(active, attempt.failure),
+            )
+        self._end(active)
+
+    def _end(self, active: active_request.ActiveRequest) -> None:
+        self._active_by_id.pop(active.submission.submission_id, None)
+        if active.deadline_call is not None:
+            active.deadline_call.cancel()
+            active.deadline_call = None
 
     def tick(self) -> None:
         """Drop what can't be answered in time any more."""
--- /dev/null
+++ b/src/azurevane/_internal/policy/retry.py
@@ -0,0 +1,67 @@
+"""Decide whether, and when, a failed request is sent once more."""
+
+import dataclasses
+
+from azurevane._internal.models import verdict as verdict_models
+
+MAX_ATTEMPTS = 3
+BASE_DELAY_S = 0.025
+MAX_DELAY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """A request whose last attempt has failed.
+
+    Attributes:
+        number: attempts so far, from 1.
+        repeatable: whether the request can be sent again whole.
+        deadline: monotonic seconds.
+        expected_run_s: time that another attempt needs.
+    """
+
+    number: int
+    failure: verdict_models.Failure
+    idempotent: bool
+    repeatable: bool
+    deadline: float
+    expected_run_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Whether to retry.
+
+    Attributes:
+        not_before: monotonic seconds of the retry; None for no retry.
+    """
+
+    not_before: float | None
+    reason: str
+
+
+def decide(
+    now: float, attempt: Attempt, budget_left: int, random: float
+) -> RetryDecision:
+    """Decide about one failed attempt.
+
+    Args:
+        budget_left: retries that may still be made now.
+        random: from 0 to 1, for the jitter.
+    """
+    not_run = attempt.failure.verdict is verdict_models.Verdict.NOT_RUN
+    if not (not_run or attempt.idempotent):
+        return RetryDecision(None, "may-have-run")
+    if not attempt.repeatable:
+        return RetryDecision(None, "body-not-kept")
+    if attempt.number >= MAX_ATTEMPTS:
+        return RetryDecision(None, "attempts-used")
+    # The whole delay is random, so that requests that failed together
+    # don't return together.
+    longest_s = min(BASE_DELAY_S * 2 ** (attempt.number - 1), MAX_DELAY_S)
+    not_before = now + longest_s * random
+    if not_before + attempt.expected_run_s >= attempt.deadline:
+        return RetryDecision(None, "deadline")
+    if budget_left < 1:
+        return RetryDecision(None, "budget-used")
+    return RetryDecision(not_before, "granted")
--- /dev/null
+++ b/src/azurevane/_internal/tasks/retry_budget.py
@@ -0,0 +1,44 @@
+"""The budget from which every retry is paid."""
+
+import collections
+
+# Retries are paid from a tenth of the successes of the last ten seconds,
+# so that retries add at most a tenth to the load that a pool gets while it
+# fails, and nothing soon after it fails altogether.
+BUDGET_RATIO = 0.1
+WINDOW_S = 10
+
+
+class RetryBudget:
+    """Owns the counts of successes and retries of the last ten seconds."""
+
+    def __init__(self) -> None:
+        self._count_by_second: collections.OrderedDict[int, list[int]] = (
+            collections.OrderedDict()
+        )
+
+    def _counts(self, now: float) -> list[int]:
+        second = int(now)
+        while self._count_by_second:
+            oldest = next(iter(self._count_by_second))
+            if oldest > second - WINDOW_S:
+                break
+            del self._count_by_second[oldest]
+        return self._count_by_second.setdefault(second, [0, 0])
+
+    def note_success(self, now: float) -> None:
+        """Count a request that got a whole answer."""
+        self._counts(now)[0] += 1
+
+    def left(self, now: float) -> int:
+        """Return how many retries may be made now."""
+        self._counts(now)
+        counts = self._count_by_second.values()
+        successes = sum(count[0] for count in counts)
+        retries = sum(count[1] for count in counts)
+        return int(successes * BUDGET_RATIO) - retries
+
+    def pay(self, now: float) -> None:
+        """Count a retry."""
+        assert self.left(now) >= 1, "the retry isn't paid for"
+        self._counts(now)[1] += 1
--- a/src/azurevane/_internal/upstreams/client.py
+++ b/src/azurevane/_internal/upstreams/client.py
@@ -1,22 +1,19 @@
-"""Sends requests to runners and passes their answers on."""
+"""Sends requests to runners."""
 
 import dataclasses
 from typing import Any
 
+from returns import pipeline
 from returns import result
-from twisted.internet import defer
-from twisted.internet import error
-from twisted.internet import interfaces
-from twisted.internet import protocol
-from twisted.python import failure as twisted_failure
-from twisted.web import client
+from twisted.web import _newclient
 from twisted.web import http
 from twisted.web import http_headers
-from twisted.web import iweb
 
-from azurevane._internal.callers import exchange as exchange_module
 from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.upstreams import answers
+from azurevane._internal.upstreams import connection as connection_module
+from azurevane._internal.upstreams import connections
 from azurevane._internal.upstreams import verdicts
 
 # Headers that belong to one connection (RFC 9110, section 7.6.1), or that
@@ -26,6 +23,7 @@
         b"connection",
         b"keep-alive",
         b"proxy-connection",
+        b"proxy-authorization",
         b"te",
         b"trailer",
         b"transfer-encoding",
@@ -34,149 +32,142 @@
         b"authorization",
         b"expect",
         b"host",
+        b"azurevane-deadline-ms",
     )
 )
-_DROPPED_RESPONSE_HEADERS = frozenset(
-    (b"connection", b"keep-alive", b"transfer-encoding", b"upgrade")
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RunnerAnswer:
-    """A whole answer that was passed on to the caller."""
-
-    status: int
-
-
-class _AnswerRelay(protocol.Protocol):
-    """Writes an answer's body to the caller with back-pressure."""
-
-    def __init__(self, exchange: exchange_module.CallerRequest) -> None:
-        self.done: defer.Deferred[None] = defer.Deferred()
-        self._exchange = exchange
+class OutgoingRequest:
+    """A request as it goes to a runner.
 
-    def connectionMade(self) -> None:  # noqa: N802
-        if not self._exchange.answered:
-            self._exchange.registerProducer(self.transport, True)
+    Attributes:
+        body: ``IBodyProducer``, or None if there is no body.
+        team: name of the caller's team; empty if it has none.
+        deadline: monotonic seconds; the runner is told what is left.
+    """
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if not self._exchange.answered:
-            self._exchange.write(data)
-
-    def connectionLost(  # noqa: N802
-        self, reason: twisted_failure.Failure = protocol.connectionDone
-    ) -> None:
-        if not self._exchange.answered:
-            self._exchange.unregisterProducer()
-        if reason.check(client.ResponseDone):
-            self.done.callback(None)
-        else:
-            self.done.errback(reason)
+    method: str
+    path: str
+    headers: http_headers.Headers
+    body: Any
+    team: str
+    idempotent: bool
+    deadline: float
 
 
 class RunnerClient:
     """Sends one request at a time on each connection to a runner."""
 
     def __init__(self, reactor: Any) -> None:
-        self._reactor: interfaces.IReactorTime = reactor
-        self._pool = client.HTTPConnectionPool(reactor)
-        self._pool.retryAutomatically = False
-        self._pool.maxPersistentPerHost = 10
-        self._agent = client.Agent(
-            reactor, connectTimeout=2.0, pool=self._pool
-        )
+        self._reactor = reactor
+        self._connections_by_address: dict[
+            tuple[str, int], connections.RunnerConnections
+        ] = {}
 
-    async def run(
+    async def send(
         self,
-        exchange: exchange_module.CallerRequest,
-        path: str,
+        outgoing: OutgoingRequest,
         runner: manifest_models.Runner,
-        team: str,
+        seats: int,
         not_after: float,
-    ) -> result.Result[RunnerAnswer, verdict_models.Failure]:
-        """Send a request to a runner and stream the answer back.
+    ) -> result.Result[answers.RunnerAnswer, verdict_models.Failure]:
+        """Send a request to a runner and wait for the answer's head.
 
         Args:
+            seats: entry hosts that share the runner's connections.
             not_after: monotonic seconds at which the run is given up.
-
-        Returns:
-            The status of a whole answer, or why there is none. If part
-            of the answer was already passed on, the caller's connection
-            has been broken.
         """
-        head = exchange.head
-        url = f"http://{runner.address}:{runner.port}{path}"
-        call = self._agent.request(
-            head.method.encode(),
-            url.encode(),
-            _request_headers(head.headers, team),
-            None if head.length == 0 else exchange.body,
+        # The runner may close an idle connection just when a request is
+        # written on it, which would leave the verdict open. Only what may
+        # be repeated takes that risk. A request with a body gets a fresh
+        # one too, so that an early answer can only be its own.
+        acquired = await self.connections(runner).acquire(
+            connections.connections_per_host(runner.connections, seats),
+            fresh=not outgoing.idempotent or outgoing.body is not None,
         )
-        call.addTimeout(not_after - self._reactor.seconds(), self._reactor)
-        try:
-            response = await call
-        except (
-            error.ConnectError,
-            defer.TimeoutError,
-            defer.CancelledError,
-            client.RequestNotSent,
-            client.ResponseFailed,
-            client.RequestTransmissionFailed,
-            client.RequestGenerationFailed,
-        ) as reason:
-            return result.Failure(verdicts.classify_error(reason))
-        return await self._relay(exchange, response, not_after)
-
-    async def _relay(
+        if not pipeline.is_successful(acquired):
+            return result.Failure(acquired.failure())
+        return await self._exchange(
+            outgoing, runner, acquired.unwrap(), not_after
+        )
+
+    async def _exchange(
         self,
-        exchange: exchange_module.CallerRequest,
-        response: iweb.IResponse,
+        outgoing: OutgoingRequest,
+        runner: manifest_models.Runner,
+        connection: connection_module.RunnerConnection,
         not_after: float,
-    ) -> result.Result[RunnerAnswer, verdict_models.Failure]:
-        refused = verdicts.classify_status(response.code, response.headers)
-        if refused is not None:
-            await client.readBody(response)
-            return result.Failure(refused)
-        if not exchange.answered:
-            _copy_head(response, exchange)
-        relay = _AnswerRelay(exchange)
-        response.deliverBody(relay)
-        relay.done.addTimeout(
-            not_after - self._reactor.seconds(), self._reactor
+    ) -> result.Result[answers.RunnerAnswer, verdict_models.Failure]:
+        now = self._reactor.seconds()
+        request = _newclient.Request(
+            outgoing.method.encode(),
+            outgoing.path.encode(),
+            _request_headers(outgoing, runner, now),
+            outgoing.body,
+            persistent=True,
         )
+        head = connection.send(request)
+        head.addTimeout(max(not_after - now, 0.0), self._reactor)
         try:
-            await relay.done
-        except (
-            client.ResponseFailed,
-            http.PotentialDataLoss,
-            defer.TimeoutError,
-            error.ConnectionClosed,
-        ) as reason:
-            exchange.abort()
-            return result.Failure(verdicts.classify_error(reason))
-        if not exchange.answered:
-            exchange.answered = True
-            exchange.finish()
-        return result.Success(RunnerAnswer(response.code))
+            response = await head
+        except Exception as reason:  # Whatever it is, there is no answer.
+            connection.abort()
+            if connection.request_cut:
+                return result.Failure(verdicts.build_failure("request-cut"))
+            return result.Failure(verdicts.classify_answer_error(reason))
+        failure = verdicts.classify_status(
+            response.code,
+            response.headers,
+            reused=connection.requests_sent > 1,
+        )
+        answer = answers.RunnerAnswer(
+            self._reactor, connection, response, not_after, failure
+        )
+        bodiless = (
+            outgoing.method == "HEAD" or response.code in http.NO_BODY_CODES
+        )
+        if not bodiless and not connection.delimited_answer:
+            connection.abort()
+            await answer.drop()
+            return result.Failure(
+                verdicts.build_failure("answer-without-length")
+            )
+        return result.Success(answer)
+
+    def connections(
+        self, runner: manifest_models.Runner
+    ) -> connections.RunnerConnections:
+        """Return the connections to a runner."""
+        address = (runner.address, runner.port)
+        if address not in self._connections_by_address:
+            self._connections_by_address[address] = (
+                connections.RunnerConnections(self._reactor, *address)
+            )
+        return self._connections_by_address[address]
+
+    def close(self) -> None:
+        """Close the idle connections to every runner."""
+        for item in self._connections_by_address.values():
+            item.close()
 
 
 def _request_headers(
-    headers: http_headers.Headers, team: str
+    outgoing: OutgoingRequest, runner: manifest_models.Runner, now: float
 ) -> http_headers.Headers:
+    nominated = {
+        token.strip().lower()
+        for value in outgoing.headers.getRawHeaders(b"Connection", [])
+        for token in value.split(b",")
+    }
     passed = http_headers.Headers()
-    for name, values in headers.getAllRawHeaders():
-        if name.lower() not in _DROPPED_REQUEST_HEADERS:
-            passed.setRawHeaders(name, values)
-    passed.setRawHeaders("X-Azurevane-Team", [team])
+    for name, values in outgoing.headers.getAllRawHeaders():
+        lowered = name.lower()
+        if lowered in _DROPPED_REQUEST_HEADERS or lowered in nominated:
+            continue
+        passed.setRawHeaders(name, values)
+    passed.setRawHeaders("Host", [f"{runner.address}:{runner.port}"])
+    passed.setRawHeaders("X-Azurevane-Team", [outgoing.team])
+    left_ms = max(int((outgoing.deadline - now) * 1000), 0)
+    passed.setRawHeaders("Azurevane-Deadline-Ms", [str(left_ms)])
     return passed
-
-
-def _copy_head(
-    response: iweb.IResponse, exchange: exchange_module.CallerRequest
-) -> None:
-    exchange.setResponseCode(response.code, response.phrase)
-    for name, values in response.headers.getAllRawHeaders():
-        if name.lower() not in _DROPPED_RESPONSE_HEADERS:
-            exchange.responseHeaders.setRawHeaders(name, values)
-    if response.length is not iweb.UNKNOWN_LENGTH:
-        exchange.setHeader(b"Content-Length", str(response.length).encode())
--- a/src/azurevane/_internal/upstreams/verdicts.py
+++ b/src/azurevane/_internal/upstreams/verdicts.py
@@ -1,6 +1,8 @@
 """Decide from a failure whether a request may have run."""
 
+from twisted.internet import defer
 from twisted.internet import error
+from twisted.python import failure as twisted_failure
 from twisted.web import client
 from twisted.web import http_headers
 
@@ -8,29 +10,82 @@
 
 NOT_RUN_HEADER = "Azurevane-Verdict"
 
+_NOT_RUN = verdict_models.Verdict.NOT_RUN
+_MAY_HAVE_RUN = verdict_models.Verdict.MAY_HAVE_RUN
 
-def classify_error(reason: Exception) -> verdict_models.Failure:
-    """Return the verdict on a request that got no whole answer."""
-    if isinstance(reason, error.ConnectError):
-        return verdict_models.Failure(
-            verdict_models.Verdict.NOT_RUN, "connection-refused"
-        )
-    if isinstance(reason, client.RequestNotSent):
-        return verdict_models.Failure(
-            verdict_models.Verdict.NOT_RUN, "not-sent"
-        )
-    return verdict_models.Failure(
-        verdict_models.Verdict.MAY_HAVE_RUN, "no-whole-answer"
+# Every way in which a runner gives no whole answer. docs/callers.md lists
+# the same rows, and tests/upstreams/verdicts.feature shows each of them.
+VERDICT_BY_REASON = {
+    "connection-refused": _NOT_RUN,
+    "connect-time-out": _NOT_RUN,
+    "no-connection": _NOT_RUN,
+    "closed-before-request": _NOT_RUN,
+    "runner-refused": _NOT_RUN,
+    "reset-before-answer": _MAY_HAVE_RUN,
+    "half-answer": _MAY_HAVE_RUN,
+    "malformed-answer": _MAY_HAVE_RUN,
+    "answer-without-length": _MAY_HAVE_RUN,
+    "unasked-answer": _MAY_HAVE_RUN,
+    "request-cut": _MAY_HAVE_RUN,
+    "time-out": _MAY_HAVE_RUN,
+    "runner-unavailable": _MAY_HAVE_RUN,
+}
+
+
+def build_failure(reason: str, detail: str = "") -> verdict_models.Failure:
+    """Return the failure with the verdict that belongs to a reason."""
+    return verdict_models.Failure(VERDICT_BY_REASON[reason], reason, detail)
+
+
+def classify_connect_error(reason: Exception) -> verdict_models.Failure:
+    """Return the verdict when no connection could be made."""
+    timed_out = isinstance(
+        reason, error.TimeoutError | defer.TimeoutError | TimeoutError
+    )
+    return build_failure(
+        "connect-time-out" if timed_out else "connection-refused",
+        type(reason).__name__,
     )
 
 
+def classify_answer_error(reason: BaseException) -> verdict_models.Failure:
+    """Return the verdict when a sent request got no whole answer."""
+    if isinstance(reason, defer.TimeoutError | defer.CancelledError):
+        return build_failure("time-out")
+    if isinstance(reason, client.ResponseNeverReceived):
+        return build_failure("reset-before-answer", _cause(reason))
+    if isinstance(reason, client.ResponseFailed):
+        if any(_is_connection_loss(item) for item in reason.reasons):
+            return build_failure("half-answer", _cause(reason))
+        return build_failure("malformed-answer", _cause(reason))
+    return build_failure("half-answer", type(reason).__name__)
+
+
+def _is_connection_loss(reason: twisted_failure.Failure) -> bool:
+    return bool(reason.check(error.ConnectionDone, error.ConnectionLost))
+
+
+def _cause(reason: client.ResponseFailed) -> str:
+    # Only the type is named: the text of a parse error repeats bytes of
+    # the answer, which may hold a caller's data.
+    return ",".join(item.type.__name__ for item in reason.reasons)
+
+
 def classify_status(
-    status: int, headers: http_headers.Headers
+    status: int, headers: http_headers.Headers, *, reused: bool
 ) -> verdict_models.Failure | None:
-    """Return the failure that a status stands for, if any."""
+    """Return the failure that a status stands for, if any.
+
+    Args:
+        reused: whether the connection carried a request before.
+    """
     promise = headers.getRawHeaders(NOT_RUN_HEADER, [""])[0]
-    if status == 503 and promise == "not-run":
-        return verdict_models.Failure(
-            verdict_models.Verdict.NOT_RUN, "runner-refused"
+    if status == 503:
+        return build_failure(
+            "runner-refused" if promise == "not-run" else "runner-unavailable"
         )
+    if status == 408 and reused:
+        # Servers send 408 unasked when an idle connection times out; it
+        # crosses with the next request and isn't the answer to it.
+        return build_failure("unasked-answer")
     return None
--- /dev/null
+++ b/tests/support/reactor_thread.py
@@ -0,0 +1,28 @@
+"""Run the real reactor beside a scenario, for code that owns sockets."""
+
+import inspect
+import threading
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import threads
+
+
+def start():
+    if not reactor.running:
+        thread = threading.Thread(
+            target=reactor.run, args=(False,), daemon=True
+        )
+        thread.start()
+
+
+def call(function, *arguments):
+    """Return the result of a function or coroutine in the reactor."""
+
+    def begin():
+        outcome = function(*arguments)
+        if inspect.iscoroutine(outcome):
+            return defer.ensureDeferred(outcome)
+        return outcome
+
+    return threads.blockingCallFromThread(reactor, begin)
