Check callers' requests strictly and stream both ways in bounded memory

Cause: malformed input got a bare 400 after which twisted.web went on parsing and could still begin the request; a chunked body had no bound; a head or body could be sent arbitrarily slowly; the deadline wasn't answered while a runner worked.

Conclusion: bad input never reaches a runner, and a slot stays in use until the runner is done.

--- a/src/azurevane/_internal/callers/body.py
+++ b/src/azurevane/_internal/callers/body.py
@@ -130,6 +130,8 @@
         self, consumer: interfaces.IConsumer
     ) -> defer.Deferred[None]:
         """Write the body to a consumer until it is complete."""
+        if not self._body.repeatable:
+            return defer.fail(BodyStopped())
         self._consumer = consumer
         if self._body.begin_feed(consumer):
             self.end()
--- a/src/azurevane/_internal/callers/channel.py
+++ b/src/azurevane/_internal/callers/channel.py
@@ -17,6 +17,8 @@
 # connection is closed: closing with unread input would reset it, and the
 # answer could be lost.
 LINGER_S = 2.0
+# RFC 6585; twisted.web has no name for it.
+_HEADERS_TOO_LARGE = 431
 
 
 class CallersChannel(http.HTTPChannel):
@@ -50,9 +52,7 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
         """Refuse a head with too long a line."""
-        self.refuse_input(
-            http.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large"
-        )
+        self.refuse_input(_HEADERS_TOO_LARGE, "headers-too-large")
 
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Begin a request whose head is complete."""
@@ -105,9 +105,7 @@
             or self._receivedHeaderCount > self.maxHeaders
         )
         if too_large:
-            self.refuse_input(
-                http.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large"
-            )
+            self.refuse_input(_HEADERS_TOO_LARGE, "headers-too-large")
         else:
             self.refuse_input(http.BAD_REQUEST, "malformed")
 
@@ -144,7 +142,9 @@
 
 def _encode_answer(refusal: request_models.Refusal) -> bytes:
     body = problems.encode_problem(refusal)
-    phrase = http.RESPONSES.get(refusal.status, b"Refused")
+    phrase = http.RESPONSES.get(
+        refusal.status, b"Request Header Fields Too Large"
+    )
     return b"".join(
         (
             b"HTTP/1.1 %d %s\r\n" % (refusal.status, phrase),
--- a/src/azurevane/_internal/daemons/entry_running.py
+++ b/src/azurevane/_internal/daemons/entry_running.py
@@ -65,12 +65,7 @@
         over. The caller may have been answered earlier.
         """
         if active.exchange.answered or not active.exchange.body.repeatable:
-            return AttemptResult(
-                None,
-                verdict_models.Failure(
-                    verdict_models.Verdict.NOT_RUN, "caller-left"
-                ),
-            )
+            return AttemptResult(None, verdicts.build_failure("not-wanted"))
         active.attempts += 1
         outgoing = upstream_client.OutgoingRequest(
             active.exchange.head.method,
@@ -80,6 +75,7 @@
             active.submission.team,
             active.submission.idempotent,
             active.submission.deadline,
+            lambda: not active.exchange.answered,
         )
         sent = await self._runners.send(
             outgoing,
--- a/src/azurevane/_internal/upstreams/client.py
+++ b/src/azurevane/_internal/upstreams/client.py
@@ -1,5 +1,6 @@
 """Sends requests to runners."""
 
+from collections.abc import Callable
 import dataclasses
 from typing import Any
 
@@ -45,6 +46,7 @@
         body: ``IBodyProducer``, or None if there is no body.
         team: name of the caller's team; empty if it has none.
         deadline: monotonic seconds; the runner is told what is left.
+        wanted: says whether anybody still waits for the answer.
     """
 
     method: str
@@ -54,6 +56,7 @@
     team: str
     idempotent: bool
     deadline: float
+    wanted: Callable[[], bool] = lambda: True
 
 
 class RunnerClient:
@@ -88,9 +91,11 @@
         )
         if not pipeline.is_successful(acquired):
             return result.Failure(acquired.failure())
-        return await self._exchange(
-            outgoing, runner, acquired.unwrap(), not_after
-        )
+        connection = acquired.unwrap()
+        if not outgoing.wanted():
+            connection.abort()
+            return result.Failure(verdicts.build_failure("not-wanted"))
+        return await self._exchange(outgoing, runner, connection, not_after)
 
     async def _exchange(
         self,
--- a/src/azurevane/_internal/upstreams/verdicts.py
+++ b/src/azurevane/_internal/upstreams/verdicts.py
@@ -20,6 +20,7 @@
     "connect-time-out": _NOT_RUN,
     "no-connection": _NOT_RUN,
     "closed-before-request": _NOT_RUN,
+    "not-wanted": _NOT_RUN,
     "runner-refused": _NOT_RUN,
     "reset-before-answer": _MAY_HAVE_RUN,
     "half-answer": _MAY_HAVE_RUN,
--- /dev/null
+++ b/tests/callers/steps/request_steps.py
@@ -0,0 +1,475 @@
+import functools
+import io
+import logging
+import pathlib
+import re
+import socket
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from azurevane._internal.callers import channel
+from azurevane._internal.callers import exchange
+from support import entry_harness
+from support import processes
+from support import raw_runner
+
+MEGABYTE = 1024 * 1024
+build = entry_harness.build_request
+BAD_INPUT = {
+    "no key": build(Authorization=None),
+    "a wrong key": build(Authorization="Bearer stolen-secret-key"),
+    "two keys": build(authorization="Bearer stolen-secret-key"),
+    "the key of another team": build(Authorization="Bearer other-key"),
+    "an unknown queue": build(path="/q/nothing/price"),
+    "a path outside every queue": build(path="/etc"),
+    "a declared body over the limit": build(Content_Length=10**9),
+    "an over-limit expecting body": build(
+        Content_Length=10**9, Expect="100-continue"
+    ),
+    "a header of 20 KB": build(X_Long="x" * 20_000),
+    "600 headers": build(**{f"X{i}": i for i in range(600)}),
+    "20 KB of small headers": build(
+        **{f"X{i}": "x" * 200 for i in range(100)}
+    ),
+    "no HTTP at all": b"\x16\x03\x01 hello\r\n\r\n",
+    "a header without a colon": build().replace(b"Host: h", b"Host: h\r\nno"),
+    "a space before the colon": build().replace(b"Host:", b"Host :"),
+    "two lengths": build(body=b"abc", Content_length=4),
+    "a length and chunks": build(
+        Content_Length=3, Transfer_Encoding="chunked"
+    ),
+    "a negative length": build(Content_Length=-1),
+    "an unknown coding": build(Transfer_Encoding="gzip"),
+    "no host": build().replace(b"Host: h\r\n", b""),
+    "an absolute target": build(path="http://h/q/quoting/price"),
+    "a deadline that is no number": build(Azurevane_Deadline_Ms="soon"),
+    "a request id over the limit": build(Idempotency_Key="x" * 129),
+    "a request id without a key": build(
+        path="/q/open/price", Authorization=None, Idempotency_Key="order-1"
+    ),
+    "a deadline of 0": build(Azurevane_Deadline_Ms=0),
+}
+CHUNKS = b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+GOOD_INPUT = {
+    "a small body": build(body=b"abcdefg"),
+    "a chunked body": build(Transfer_Encoding="chunked") + CHUNKS,
+    "a body of 150 KB": build(body=b"x" * 150_000),
+    "a HEAD": build("HEAD"),
+    "a request answered with 204": build("GET", "/q/quoting/204"),
+    "a request answered with 304": build("GET", "/q/quoting/304"),
+    "a chunked answer": build("GET", "/q/quoting/chunked"),
+    "a plain 503 of the runner": build(path="/q/quoting/503"),
+}
+ANSWER_BY_PATH = {
+    "/204": b"HTTP/1.1 204 No\r\n\r\n",
+    "/304": b"HTTP/1.1 304 No\r\n\r\n",
+    "/503": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+    "/chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nmi\r\n2\r\nne\r\n0\r\n\r\n",
+}
+
+
+def read_request(connection):
+    """Return head and body; the body is None if it is cut."""
+    head, _, data = raw_runner.read_head(connection).partition(b"\r\n\r\n")
+    if not head:
+        return b"", b""
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    chunked = b"ncoding: chunked" in head
+
+    def complete():
+        if chunked:
+            return data.endswith(b"0\r\n\r\n")
+        return len(data) >= int(length[1] if length else 0)
+
+    while not complete():
+        part = connection.recv(65536)
+        if not part:
+            return head, None
+        data += part
+    return head, data
+
+
+def serve(runner, connection, delay_s=0.0):
+    while True:
+        head, body = read_request(connection)
+        if not head:
+            return
+        runner.requests.append((head, body))
+        if body is None or runner.stopped.wait(delay_s):
+            return
+        path = head.split(b" ")[1].decode()
+        answer = ANSWER_BY_PATH.get(path, raw_runner.ANSWER)
+        if head.startswith(b"HEAD"):
+            answer = answer.removesuffix(b"mine")
+        connection.sendall(answer)
+        runner.answered += 1
+
+
+def serve_cut(sent, runner, connection):
+    read_request(connection)
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + sent)
+    time.sleep(0.1)
+
+
+def serve_large(runner, connection):
+    read_request(connection)
+    size = 64 * MEGABYTE
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    for _ in range(64):
+        connection.sendall(b"x" * MEGABYTE)
+    runner.answered += 1
+
+
+def serve_slow_reader(runner, connection):
+    left = 64 * MEGABYTE
+    left -= len(raw_runner.read_head(connection).partition(b"\r\n\r\n")[2])
+    while left > 0:
+        left -= len(connection.recv(MEGABYTE))
+        time.sleep(0.005)
+    connection.sendall(raw_runner.ANSWER)
+
+
+def resident_bytes():
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * 4096
+
+
+def start(context, serve_one, **options):
+    context.log = io.StringIO()
+    handler = logging.StreamHandler(context.log)
+    logging.getLogger().handlers[:] = [handler]
+    logging.getLogger().setLevel(logging.DEBUG)
+    context.entry = entry_harness.Entry([serve_one], **options)
+    context.entry.runners[0].answered = 0
+
+
+@given("an entry host")
+def start_plain(context):
+    start(context, serve)
+
+
+@given("an entry host whose runner answers after {ms:d} ms")
+def start_slow(context, ms):
+    start(context, functools.partial(serve, delay_s=ms / 1000))
+
+
+@given("an entry host whose runner never answers")
+def start_silent(context):
+    start(context, functools.partial(serve, delay_s=30))
+
+
+@given("an entry host whose runner cuts its answer {where} the body")
+def start_cut(context, where):
+    sent = b"" if where == "before" else b"mi"
+    start(context, functools.partial(serve_cut, sent))
+
+
+@given("an entry host whose runner answers with 64 MB")
+def start_large(context):
+    start(context, serve_large, max_run_s=30)
+
+
+@given("an entry host whose runner reads 64 MB slowly")
+def start_slow_reader(context):
+    start(
+        context,
+        serve_slow_reader,
+        max_run_s=30,
+        max_body_bytes=64 * MEGABYTE,
+    )
+
+
+def limit_time(context, module, name, ms):
+    former = getattr(module, name)
+    context.add_cleanup(setattr, module, name, former)
+    setattr(module, name, ms / 1000)
+    start(context, serve)
+
+
+@given("an entry host with a head time-out of {ms:d} ms")
+def start_head(context, ms):
+    limit_time(context, channel, "HEAD_TIMEOUT_S", ms)
+
+
+@given("an entry host with a body time-out of {ms:d} ms")
+def start_body(context, ms):
+    limit_time(context, exchange, "BODY_STALL_S", ms)
+
+
+def send(context, data, method="POST"):
+    context.connection = context.entry.connect()
+    context.sent_at = time.monotonic()
+    context.connection.sendall(data)
+    context.answer = entry_harness.Answer(context.connection, method)
+    context.answer_s = time.monotonic() - context.sent_at
+
+
+@when("a caller sends a body that waits for 100")
+def send_expecting(context):
+    context.connection = context.entry.connect()
+    context.connection.sendall(build(Content_Length=7, Expect="100-continue"))
+    first = entry_harness.Answer(context.connection)
+    assert first.status == 100, first.status
+    context.connection.sendall(b"abcdefg")
+    context.answer = entry_harness.Answer(context.connection, rest=first.rest)
+
+
+@when("a caller streams chunks without end")
+def stream_chunks(context):
+    context.connection = context.entry.connect()
+    context.connection.sendall(build(Transfer_Encoding="chunked"))
+    for _ in range(30):
+        context.connection.sendall(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
+        time.sleep(0.005)
+    context.answer = entry_harness.Answer(context.connection)
+
+
+@when("a caller sends a malformed chunk after a good one")
+def send_malformed_chunk(context):
+    context.connection = context.entry.connect()
+    context.connection.sendall(
+        build(Transfer_Encoding="chunked") + b"3\r\nabc\r\n"
+    )
+    time.sleep(0.2)
+    context.connection.sendall(b"zz\r\n")
+    context.answer = entry_harness.Answer(context.connection)
+
+
+@when("a caller sends a request with a deadline of {ms:d} ms")
+def send_deadline(context, ms):
+    send(context, build(Azurevane_Deadline_Ms=ms))
+
+
+@when("a caller leaves {ms:d} ms after it sent a request")
+def leave(context, ms):
+    with context.entry.connect() as connection:
+        connection.sendall(build())
+        time.sleep(ms / 1000)
+
+
+@when("a caller sends its head one byte a time")
+def send_slowly(context):
+    context.connection = context.entry.connect()
+    for byte in b"GET /healthz H":
+        context.connection.sendall(bytes([byte]))
+        time.sleep(0.05)
+    context.answer = entry_harness.Answer(context.connection)
+
+
+@when("a caller sends half a body")
+def send_half(context):
+    send(context, build(body=b"abc", Content_Length=6))
+
+
+@when("a caller sends {count:d} pipelined requests of three kinds")
+def send_pipelined(context, count):
+    context.kinds = ["chunked", "204", "price"] * count
+    context.kinds = context.kinds[:count]
+    data = b"".join(build("GET", f"/q/quoting/{k}") for k in context.kinds)
+    context.connection = context.entry.connect()
+    context.connection.sendall(data)
+
+
+@when("a caller reads the answer slowly")
+def read_slowly(context):
+    context.before = resident_bytes()
+    context.connection = context.entry.connect()
+    context.connection.sendall(build(Azurevane_Deadline_Ms=30_000))
+    context.received = 0
+    buffer = bytearray(MEGABYTE)
+    context.highest = 0
+    while context.received < 64 * MEGABYTE:
+        count = context.connection.recv_into(buffer)
+        if not count:
+            break
+        context.received += count
+        time.sleep(0.002)
+        context.highest = max(context.highest, resident_bytes())
+
+
+@when("a caller sends 64 MB")
+def send_large(context):
+    context.before = resident_bytes()
+    context.highest = 0
+    connection = context.connection = context.entry.connect()
+    connection.sendall(
+        build(Content_Length=64 * MEGABYTE, Azurevane_Deadline_Ms=30_000)
+    )
+    for _ in range(64):
+        connection.sendall(b"x" * MEGABYTE)
+        context.highest = max(context.highest, resident_bytes())
+    context.answer = entry_harness.Answer(connection)
+
+
+@when("a caller sends {name}")
+def send_named(context, name):
+    context.input = name
+    data = BAD_INPUT[name] if name in BAD_INPUT else GOOD_INPUT[name]
+    send(context, data, data.split(b" ")[0].decode("latin-1"))
+
+
+@then(
+    'the answer is a problem {status:d} "{problem}" with verdict "{verdict}"'
+)
+def check_problem(context, status, problem, verdict):
+    answer = context.answer
+    assert answer.status == status, (answer.status, answer.body)
+    assert answer.whole
+    assert answer.headers["content-type"] == "application/problem+json"
+    assert answer.problem["type"] == f"urn:azurevane:problem:{problem}"
+    assert answer.problem["verdict"] == verdict, answer.problem
+
+
+@then("no runner has seen a request")
+def check_unseen(context):
+    assert not context.entry.runners[0].requests
+
+
+@then("no log line holds a key or a traceback")
+def check_log(context):
+    log = context.log.getvalue()
+    for text in ("secret-key", "other-key", "Traceback"):
+        assert text not in log, log
+
+
+@then('the answer is whole with status {status:d} and body "{body}"')
+@then('the answer is whole with status {status:d} and body ""')
+def check_whole(context, status, body=""):
+    answer = context.answer
+    assert answer.whole and answer.status == status, vars(answer)
+    assert answer.body == body.encode(), answer.body
+
+
+@then("the runner has received the body whole")
+def check_body(context):
+    ((_, body),) = context.entry.runners[0].requests
+    sent = GOOD_INPUT.get(getattr(context, "input", ""), b"\r\n\r\nabcdefg")
+    sent = sent.partition(b"\r\n\r\n")[2]
+    if sent == CHUNKS:
+        body = b"".join(re.findall(rb"\r\n?([a-g]+)\r\n", b"\r\n" + body))
+        sent = b"abcdefg"
+    assert body == sent, (body, sent)
+
+
+@then("each answer belongs to its request")
+def check_order(context):
+    rest = b""
+    for kind in context.kinds:
+        answer = entry_harness.Answer(context.connection, rest=rest)
+        rest = answer.rest
+        assert answer.whole
+        assert ("transfer-encoding" in answer.headers) == (kind == "chunked")
+        assert answer.status == (204 if kind == "204" else 200)
+
+
+@then("the runner has received the end of the stream inside the body")
+def check_cut(context):
+    runner = context.entry.runners[0]
+    processes.wait_until(lambda: runner.requests, timeout=2)
+    assert runner.requests[0][1] is None, runner.requests
+
+
+@then("the answer is broken off")
+def check_broken(context):
+    assert context.answer.status == 200
+    assert not context.answer.whole and context.answer.broken
+
+
+@then("the answer came within {ms:d} ms")
+def check_time(context, ms):
+    assert context.answer_s * 1000 < ms, context.answer_s
+
+
+@then("1 slot is in use")
+def check_slot(context):
+    assert context.entry.running() == 1
+
+
+@then("no slot is in use after {seconds:d} second")
+@then("no slot is in use after {seconds:d} seconds")
+def check_no_slot(context, seconds):
+    processes.wait_until(lambda: context.entry.running() == 0, seconds)
+
+
+@then("the runner could send its answer whole")
+def check_read(context):
+    assert context.entry.runners[0].answered == 1
+
+
+@then("the answer has 64 MB")
+def check_large(context):
+    assert context.received >= 64 * MEGABYTE, context.received
+
+
+@then("the process has grown by less than {count:d} MB")
+def check_memory(context, count):
+    grown = (context.highest - context.before) / MEGABYTE
+    assert grown < count, grown
+
+
+def malformed():
+    """Requests with one part replaced by random bytes, or cut."""
+    parts = [
+        strategies.sampled_from([b"GET", b"POST", b"P OST", b"", b"\x00"]),
+        strategies.sampled_from([b" ", b"  ", b"\t"]),
+        strategies.one_of(
+            strategies.just(b"/q/quoting/price"), strategies.binary(max_size=9)
+        ),
+        strategies.sampled_from([b" HTTP/1.1", b" HTTP/1.0", b" HTTP/9", b""]),
+        strategies.sampled_from([b"\r\n", b"\n", b"\r"]),
+        strategies.lists(
+            strategies.one_of(
+                strategies.binary(max_size=30),
+                strategies.sampled_from(
+                    [
+                        b"Host: h",
+                        b"Content-Length: 3",
+                        b"Transfer-Encoding: chunked",
+                        b"Expect: 100-continue",
+                        b"Idempotency-Key: \xff",
+                        b"Azurevane-Deadline-Ms: 99999999999",
+                    ]
+                ),
+            ),
+            max_size=5,
+        ).map(b"\r\n".join),
+        strategies.sampled_from([b"\r\n\r\n", b"\r\n"]),
+        strategies.binary(max_size=40),
+    ]
+    return strategies.tuples(*parts).map(b"".join)
+
+
+@then("{count:d} random inputs from a fixed seed are each refused or answered")
+def check_random(context, count):
+    @hypothesis.seed(1)
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, print_blob=False
+    )
+    @hypothesis.given(malformed())
+    def check(data):
+        with context.entry.connect() as connection:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            received = b""
+            while part := receive(connection):
+                received += part
+        for line in re.findall(rb"HTTP/1\.[01] (\d+)", received):
+            assert int(line) in (100, 400, 401, 404, 408, 431), received
+
+    check()
+    assert not context.entry.runners[0].requests
+    assert threading.active_count() < 20
+
+
+def receive(connection):
+    try:
+        return connection.recv(65536)
+    except ConnectionError:
+        return b""
