--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -35,12 +35,13 @@
         keeper: state_keeper.StateKeeper,
         dispatcher: dispatcher_module.Dispatcher,
         runners: upstream_client.RunnerClient,
+        rng: random.Random | None = None,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
         self._dispatcher = dispatcher
         self._running = entry_running.RequestRunner(
-            reactor, runners, random.Random()
+            reactor, runners, rng or random.Random()
         )
         self._next_id = 0
         self._active_by_id: dict[str, active_request.ActiveRequest] = {}
--- /dev/null
+++ b/tests/callers/steps/retry_steps.py
@@ -0,0 +1,95 @@
+import functools
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from support import entry_harness
+from support import raw_runner
+from support import reactor_thread
+
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nAzurevane-Verdict: not-run\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+SENT_BY_BEHAVIOUR = {
+    "refuses at first": [REFUSAL],
+    "resets at first": [None],
+    "cuts at first": [CUT],
+    "is busy at first": [BUSY],
+    "always refuses": [REFUSAL] * 9,
+    "resets, then refuses": [None, REFUSAL, REFUSAL],
+}
+
+
+def serve(sent, runner, connection):
+    """Send the next scripted answer, then good ones; close after each."""
+    head, _, body = raw_runner.read_head(connection).partition(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: (\d+)", head)
+    while length and len(body) < int(length[1]):
+        body += connection.recv(65536)
+    runner.requests.append((head, body))
+    answer = sent.pop(0) if sent else raw_runner.ANSWER
+    if answer is None:
+        raw_runner.reset(connection)
+    else:
+        connection.sendall(answer)
+
+
+@given("an entry host {budget} a full retry budget whose runner {behaviour}")
+@given("an entry host {budget} a retry budget whose runner {behaviour}")
+def start(context, budget, behaviour):
+    sent = list(SENT_BY_BEHAVIOUR[behaviour])
+    context.entry = entry_harness.Entry([functools.partial(serve, sent)])
+    if budget == "with":
+        reactor_thread.call(fill_budget, context.entry.service)
+
+
+def fill_budget(service):
+    budget = service._running._budget
+    for _ in range(100):
+        budget.note_success(service._reactor.seconds())
+
+
+@when('a "{method}" of {size:d} bytes comes from a caller')
+def send(context, method, size):
+    data = entry_harness.build_request(
+        method, body=b"x" * size, Content_Length=size
+    )
+    connection = context.entry.connect()
+    connection.sendall(data)
+    context.size = size
+    context.answer = entry_harness.Answer(connection)
+
+
+@then("the request is answered after {count:d} attempts")
+def check_answered(context, count):
+    assert context.answer.status == 200, context.answer.body
+    assert context.answer.whole and context.answer.body == b"mine"
+    check_attempts(context, count)
+
+
+def check_attempts(context, count):
+    requests = context.entry.runners[0].requests
+    assert len(requests) == count, len(requests)
+    for _, body in requests:
+        assert body == b"x" * context.size
+
+
+@then(
+    'the request is refused with {status:d} "{problem}" "{verdict}"'
+    " after {count:d} attempt"
+)
+@then(
+    'the request is refused with {status:d} "{problem}" "{verdict}"'
+    " after {count:d} attempts"
+)
+def check_refused(context, status, problem, verdict, count):
+    assert context.answer.status == status, context.answer.body
+    found = context.answer.problem
+    assert found["type"].endswith(f":{problem}"), found
+    assert found["verdict"] == verdict, found
+    check_attempts(context, count)
