--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 from twisted.web import server
 
-from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import channel
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.daemons import fleet_follower
 from azurevane._internal.daemons import program
@@ -85,7 +85,7 @@
         """Listen and start the periodic work."""
         self._reactor.listenTCP(
             self._settings.integer("callers", "port"),
-            exchange_module.CallersFactory(self._reactor, self._service),
+            channel.CallersFactory(self._reactor, self._service),
             interface=self._hello.address,
         )
         operators = api.OperatorsResource(
