--- a/src/azurevane/_internal/models/effects.py
+++ b/src/azurevane/_internal/models/effects.py
@@ -15,4 +15,19 @@
     message: messages.Message
 
 
-Effect: TypeAlias = Send | request_models.Dispatch | request_models.Refusal
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitsGained:
+    """Tell the dispatcher to try its waiting work again.
+
+    Attributes:
+        kind: ``team`` or ``pool``, as in ``Permits.want``.
+        name: name of that team or pool.
+    """
+
+    kind: str
+    name: str
+
+
+Effect: TypeAlias = (
+    Send | PermitsGained | request_models.Dispatch | request_models.Refusal
+)
--- a/src/azurevane/_internal/models/permit_messages.py
+++ b/src/azurevane/_internal/models/permit_messages.py
@@ -17,7 +17,13 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask(messages.Message):
-    """Asks for permits of a team, or for slots of a pool's runners."""
+    """Asks for permits of a team, or for slots of a pool's runners.
+
+    Attributes:
+        ask_id: grows with each ask of a sender; the upper 32 bits
+            identify the sender's incarnation.
+        count: 0 withdraws the earlier asks for the same name.
+    """
 
     ask_id: int
     kind: str
@@ -31,12 +37,18 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loan(messages.Message):
-    """Lends permits; the lender has given them up already."""
+    """Lends permits; the lender has given them up already.
+
+    Attributes:
+        max_run_ms: longest run that the lender waits for after the loan
+            has lapsed; no longer run may start under the loan.
+    """
 
     loan_id: int
     ask_id: int
     limit_key: str
     count: int
+    max_run_ms: int = 0
 
 
 @messages.message
@@ -60,7 +72,12 @@
 @messages.message
 @dataclasses.dataclass(frozen=True, slots=True)
 class Return(messages.Message):
-    """Gives back permits of a loan."""
+    """Gives back permits of a loan.
+
+    Attributes:
+        count: all permits of the loan given back so far, so that a
+            repeated or late message changes nothing.
+    """
 
     loan_id: int
     count: int
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -95,6 +95,7 @@
   askId @1 :UInt64;
   limitKey @2 :Text;
   count @3 :UInt32;
+  maxRunMs @4 :UInt32;
 }
 
 struct Renew {
--- /dev/null
+++ b/src/azurevane/_internal/policy/limits.py
@@ -0,0 +1,140 @@
+"""Division of limits into base parts, and lending between hosts."""
+
+import dataclasses
+import zlib
+
+LOAN_S = 2.0
+"""Life of a loan, counted by the borrower from when it sent the ask."""
+
+FRESH_S = 2.0
+"""Longest time a host that missed a change still acts on the old state."""
+
+FIRST_EPOCH = 1
+"""Epoch of a seat's first holder, which has no predecessor."""
+
+REPEAT_S = 0.5
+"""Time after which an ask is repeated while work waits."""
+
+REFRESH_S = 0.1
+"""Least time between asks when only their rank or count has changed."""
+
+BATCH_S = 0.005
+"""Least time between two asks for the same name."""
+
+OPEN_S = 0.6
+"""Time an ask stays open at a lender; a repeat comes before its end."""
+
+IDLE_S = 0.1
+"""Time after which a permit of a loan that nobody used goes back."""
+
+RENEW_S = 0.5
+"""Time between renewals, so that a loan outlives two lost ones."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimant:
+    """Waiting work that could use permits of one limit.
+
+    Attributes:
+        peer: entry host that asks; empty for this host.
+        kind: ``team`` or ``pool``.
+        name: name of the team or the pool.
+        tier: 0 if the permits are of what it asks for, 1 if it would
+            borrow them from a spare pool.
+        rank: used slot seconds by weight; the lowest is served first.
+        waited_s: seconds that the most deserving waiter has waited.
+        count: permits wanted.
+    """
+
+    peer: str
+    kind: str
+    name: str
+    tier: int
+    rank: float
+    waited_s: float
+    count: int
+
+
+def base_part(limit_key: str, limit: int, seats: int, seat: int) -> int:
+    """Return the part of a limit that belongs to one seat.
+
+    The parts of all seats add up to the limit. The remainder starts at a
+    seat that the key's checksum picks, so a higher limit lowers no part.
+    """
+    whole, rest = divmod(max(0, limit), seats)
+    first = zlib.crc32(limit_key.encode()) % seats
+    return whole + ((seat - first) % seats < rest)
+
+
+def base_usable_at(seen_at: float, epoch: int, max_run_s: float) -> float:
+    """Return from when a new holder may use the base parts of its seat.
+
+    By then the predecessor has lost its freshness, its last loan has
+    lapsed, and the work started at the loan's last moment has ended.
+
+    Args:
+        seen_at: when the accepted seat change was in force here.
+    """
+    if epoch <= FIRST_EPOCH:
+        return seen_at
+    return seen_at + FRESH_S + LOAN_S + max_run_s
+
+
+def settled_at(renewed_at: float, max_run_s: float) -> float:
+    """Return when the home takes back a loan that wasn't returned.
+
+    Args:
+        renewed_at: when the home sent the loan or its last renewal.
+    """
+    return renewed_at + LOAN_S + max_run_s
+
+
+def by_merit(claimants: list[Claimant]) -> list[Claimant]:
+    """Order claimants from the most to the least deserving."""
+    return sorted(
+        claimants,
+        key=lambda item: (
+            item.tier,
+            item.rank,
+            -item.waited_s,
+            item.peer != "",
+        ),
+    )
+
+
+def split_spare(
+    spare: int, claimants: list[Claimant]
+) -> list[tuple[Claimant, int]]:
+    """Divide spare permits between claimants, the most deserving first.
+
+    What falls to this host's own waiters is kept and isn't returned.
+    """
+    granted: list[tuple[Claimant, int]] = []
+    for claimant in by_merit(claimants):
+        if spare <= 0:
+            break
+        count = min(spare, claimant.count)
+        spare -= count
+        if claimant.peer and count:
+            granted.append((claimant, count))
+    return granted
+
+
+def ask_due(
+    asked_at: float | None, unanswered: int, wanted: int, changed: bool
+) -> float:
+    """Return when waiting work is to be asked for (again).
+
+    Args:
+        asked_at: when the last ask was sent; None if none was.
+        unanswered: permits of the last ask that weren't lent.
+        wanted: permits that waiting work could use.
+        changed: whether the rank has changed since the last ask.
+    """
+    if asked_at is None:
+        return 0.0
+    if wanted >= 2 * max(1, unanswered) or (wanted and not unanswered):
+        return asked_at + BATCH_S
+    if changed or wanted > unanswered:
+        return asked_at + REFRESH_S
+    return asked_at + REPEAT_S
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -124,3 +124,12 @@
     Option("log", "level", str, "info", "Least level logged: debug to error.")
 )
 define(Option("log", "format", str, "json", "Log format: json or text."))
+define(
+    Option(
+        "invariants",
+        "check",
+        bool,
+        False,
+        "Whether the program checks its invariants while it runs.",
+    )
+)
