Divide limits between seats and lend permits between entry hosts

Change: PermitKeeper with a ledger (what is held, lent, borrowed and in use), demand (own wishes, open asks of peers), a lender, a borrower and a topology (keys, pools, base parts). Permits.want counts all of a team's waiting work, so that a permit that waits for a slot stays here.

--- /dev/null
+++ b/benchmarks/permit_site.py
@@ -0,0 +1,284 @@
+"""Simulated site: entry hosts with permit keepers, calls and runners.
+
+Used by the randomised scenarios and by ``limits.py``. The runners count
+what they run apart from the keepers: work of a killed or paused host goes
+on until it ends.
+"""
+
+import collections
+import dataclasses
+
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.tasks import permit_keeper
+from azurevane._internal.tasks import permits
+from support import virtual_time
+
+FRESH_S = 2.0
+PROBE_S = 0.5
+POOLS = ("main", "spare")
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Size of a simulated site."""
+
+    limit_by_team: dict
+    runners: int = 3
+    spare_runners: int = 1
+    slots: int = 8
+    hosts: int = 6
+    standbys: int = 0
+    max_run_s: float = 8.0
+    most_waiting: int = 50
+
+
+def build_manifest(plan):
+    """Return the manifest of a plan, with one pool and its spare pool."""
+    counts = {"main": plan.runners, "spare": plan.spare_runners}
+    return manifest_models.Manifest(
+        site="sim",
+        region="sim",
+        zones=("a",),
+        teams=tuple(
+            manifest_models.Team(name, 1.0, limit)
+            for name, limit in plan.limit_by_team.items()
+        ),
+        pools=tuple(
+            manifest_models.Pool(pool, spare=pool == "spare") for pool in POOLS
+        ),
+        queues=(manifest_models.Queue("q", "main", max_run_s=plan.max_run_s),),
+        runners=tuple(
+            manifest_models.Runner(
+                f"{pool}-{number}", pool, "a", "", 0, plan.slots
+            )
+            for pool in POOLS
+            for number in range(counts[pool])
+        ),
+    )
+
+
+@dataclasses.dataclass(eq=False)
+class Entry:
+    """Queue of one incarnation of an entry host."""
+
+    node: virtual_time.Node
+    incarnation: str
+    version: int = 0
+    waiting: collections.deque = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class Site:
+    """Entry hosts of one site and the work that the runners do.
+
+    Attributes:
+        overruns: admissions above a limit, counted at the runners.
+        running: permits in use by key, counted at the runners.
+        finished: calls that ran to their end.
+        highest: highest number of permits in use at once, by key.
+    """
+
+    def __init__(self, plan, seed, faults=None, keeper=None):
+        self.plan = plan
+        self.network = virtual_time.VirtualNetwork(
+            seed, self._on_effect, faults
+        )
+        self.random = self.network.random
+        self.running = collections.Counter()
+        self.highest = collections.Counter()
+        self.state = None
+        self.overruns = 0
+        self.finished = 0
+        self._keeper = keeper or permit_keeper.PermitKeeper
+        self._incarnations = 0
+        self._calls = 0
+        self._entry_by_node = {}
+        names = [f"e{n}" for n in range(plan.hosts + plan.standbys)]
+        entries = [self.start(name) for name in names]
+        manifest = build_manifest(plan)
+        self.limit_by_key = {
+            permits.team_limit_key(team.name): team.limit
+            for team in manifest.teams
+        } | {
+            permits.runner_limit_key(runner.name): runner.slots
+            for runner in manifest.runners
+        }
+        self.runner_keys = [
+            key for key in self.limit_by_key if key.startswith("runner:")
+        ]
+        seats = tuple(
+            fleet.Seat(number, entry.node.name, entry.incarnation, 1)
+            for number, entry in enumerate(entries[: plan.hosts])
+        )
+        self.state = fleet.FleetState(1, "", manifest, seats=seats)
+        for entry in entries:
+            self._configure(entry, self.state)
+        self._probe_all()
+
+    def start(self, name):
+        """Start a host, or its next incarnation after a kill."""
+        self._incarnations += 1
+        incarnation = f"{name}-{self._incarnations}"
+        keeper = self._keeper(name, incarnation)
+        entry = Entry(self.network.add(name, keeper), incarnation)
+        self._entry_by_node[entry.node] = entry
+        self._set_peers()
+        if self.state is not None:
+            self._configure(entry, self.state)
+        return entry
+
+    def kill(self, name):
+        """End a host at once; its calls go on at the runners."""
+        self.network.kill(name)
+        self._set_peers()
+
+    def entry(self, name):
+        """Return the entry host of a name, or None if it isn't alive."""
+        node = self.network.node_by_name.get(name)
+        return None if node is None else self._entry_by_node[node]
+
+    def change(self, **changes):
+        """Accept a fleet state; each host follows it within 3 seconds."""
+        self.state = dataclasses.replace(
+            self.state, version=self.state.version + 1, **changes
+        )
+        state = self.state
+        for node in self.network.node_by_name.values():
+            entry = self._entry_by_node[node]
+            self.network.after(
+                3.0 * self.random.random(),
+                lambda entry=entry: self._configure(entry, state),
+            )
+
+    def give_seat(self, number, entry):
+        """Let a host take a seat from its holder."""
+        seats = tuple(
+            fleet.Seat(
+                number, entry.node.name, entry.incarnation, seat.epoch + 1
+            )
+            if seat.number == number
+            else seat
+            for seat in self.state.seats
+        )
+        self.change(seats=seats)
+
+    def submit(self, name, team, run_s):
+        """Send a call of a team to a host."""
+        entry = self.entry(name)
+        if entry is None or len(entry.waiting) >= self.plan.most_waiting:
+            return
+        entry.waiting.append((team, self.network.now, run_s))
+        self.network.call(entry.node, self._dispatch(entry))
+
+    def _dispatch(self, entry):
+        def dispatch(keeper, now):
+            decided = []
+            count = collections.Counter()
+            oldest = {}
+            for item in list(entry.waiting):
+                team, arrived_at, run_s = item
+                lacking = self._admit(entry, keeper, now, team, run_s)
+                if lacking is None:
+                    entry.waiting.remove(item)
+                else:
+                    for topic in {lacking, ("team", team)}:
+                        count[topic] += 1
+                        oldest.setdefault(topic, self.network.now - arrived_at)
+            topics = [("team", team) for team in self.plan.limit_by_team]
+            for topic in [*topics, ("pool", "main")]:
+                decided += keeper.want(
+                    now, *topic, count[topic], 0.0, oldest.get(topic, 0.0)
+                )
+            return decided
+
+        return dispatch
+
+    def _admit(self, entry, keeper, now, team, run_s):
+        """Start a call; return the topic that lacks permits, or None."""
+        team_key = permits.team_limit_key(team)
+        if not keeper.free(now, team_key):
+            return ("team", team)
+        runner_key = max(
+            self.runner_keys, key=lambda key: keeper.free(now, key)
+        )
+        if not keeper.free(now, runner_key):
+            return ("pool", "main")
+        self._calls += 1
+        holder = f"call-{self._calls}"
+        not_after = now + self.plan.max_run_s
+        if not keeper.acquire(now, team_key, holder, not_after):
+            return ("team", team)
+        if not keeper.acquire(now, runner_key, holder, not_after):
+            keeper.release(now, holder)
+            return ("pool", "main")
+        self._count_start(team_key)
+        self._count_start(runner_key)
+        self.network.after(
+            run_s, lambda: self._end(entry, holder, (team_key, runner_key))
+        )
+        return None
+
+    def _count_start(self, key):
+        self.running[key] += 1
+        self.highest[key] = max(self.highest[key], self.running[key])
+        if self.running[key] > self.limit_by_key[key]:
+            self.overruns += 1
+
+    def _end(self, entry, holder, keys):
+        for key in keys:
+            self.running[key] -= 1
+        self.finished += 1
+        self.network.call(
+            entry.node, lambda keeper, now: keeper.release(now, holder)
+        )
+        self.network.call(entry.node, self._dispatch(entry))
+
+    def _on_effect(self, node, effect):
+        if isinstance(effect, effects.PermitsGained):
+            entry = self._entry_by_node[node]
+            self.network.call(node, self._dispatch(entry))
+
+    def _configure(self, entry, state):
+        def configure(keeper, now):
+            if state.version <= entry.version:
+                return []
+            entry.version = state.version
+            return keeper.configure(now, state)
+
+        self.network.call(entry.node, configure)
+
+    def _set_peers(self):
+        names = set(self.network.node_by_name)
+        for name, node in self.network.node_by_name.items():
+            node.machine.set_peers(names - {name})
+
+    def _probe_all(self):
+        for node in list(self.network.node_by_name.values()):
+            self.network.call(node, self._probe(node))
+        self.network.after(PROBE_S, self._probe_all)
+
+    def _probe(self, node):
+        def probe(keeper, now):
+            entry = self._entry_by_node[node]
+            current = entry.version == self.state.version
+            if current and self._in_touch(node):
+                return keeper.set_fresh(now, now + FRESH_S)
+            return []
+
+        return probe
+
+    def _in_touch(self, node):
+        """Whether a majority of seats answers probes of a node."""
+        cuts = self.network.cuts
+        confirmed = 0
+        for seat in self.state.seats:
+            peer = self.network.node_by_name.get(seat.holder)
+            if peer is None or self.network.now < peer.paused_until:
+                continue
+            pair = (node.name, seat.holder)
+            if pair not in cuts and pair[::-1] not in cuts:
+                confirmed += 1
+        return confirmed > len(self.state.seats) // 2
--- a/src/azurevane/_internal/policy/limits.py
+++ b/src/azurevane/_internal/policy/limits.py
@@ -1,6 +1,7 @@
 """Division of limits into base parts, and lending between hosts."""
 
 import dataclasses
+import math
 import zlib
 
 LOAN_S = 2.0
@@ -30,6 +31,9 @@
 RENEW_S = 0.5
 """Time between renewals, so that a loan outlives two lost ones."""
 
+RAMP_S = 4.0
+"""Time over which the runners of a returned zone get all their slots."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claimant:
@@ -66,6 +70,19 @@
     return whole + ((seat - first) % seats < rest)
 
 
+def ramped_limit(limit: int, returned_s: float) -> int:
+    """Return a runner's slots while its zone comes back.
+
+    They grow from a quarter to all, so that a returned zone isn't given
+    more at once than it can start.
+
+    Args:
+        returned_s: seconds since the zone came back.
+    """
+    part = 0.25 + 0.75 * min(1.0, max(0.0, returned_s) / RAMP_S)
+    return max(min(limit, 1), int(limit * part))
+
+
 def base_usable_at(seen_at: float, epoch: int, max_run_s: float) -> float:
     """Return from when a new holder may use the base parts of its seat.
 
@@ -132,7 +149,7 @@
         changed: whether the rank has changed since the last ask.
     """
     if asked_at is None:
-        return 0.0
+        return -math.inf
     if wanted >= 2 * max(1, unanswered) or (wanted and not unanswered):
         return asked_at + BATCH_S
     if changed or wanted > unanswered:
--- /dev/null
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -0,0 +1,317 @@
+"""Divides limits between entry hosts and lends permits between them."""
+
+from collections.abc import Callable, Collection
+import hashlib
+import itertools
+import math
+
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.models import messages
+from azurevane._internal.models import permit_messages
+from azurevane._internal.policy import limits
+from azurevane._internal.tasks import permit_borrower
+from azurevane._internal.tasks import permit_demand
+from azurevane._internal.tasks import permit_ledger
+from azurevane._internal.tasks import permit_lender
+from azurevane._internal.tasks import permit_topology
+from azurevane._internal.utils import timers
+
+Effects = list[effects.Effect]
+
+_RAMP_STEP_S = 0.5
+
+
+def _no_usage(
+    now: float, kind: str, name: str
+) -> tuple[permit_messages.Usage, ...]:
+    return ()
+
+
+class PermitKeeper:
+    """Permits of team limits and runners' slots at one entry host.
+
+    Implements ``permits.Permits``. All times are monotonic seconds of
+    this host. Every method that returns effects may free permits for
+    peers; the owner carries the effects out in order and calls ``tick``
+    at ``next_due``.
+
+    Args:
+        host: name of this entry host.
+        incarnation: identifies this process start, as in ``Hello``.
+        usage_of: returns the slot seconds that an ask carries, from the
+            time, the kind and the name of the ask.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        usage_of: permit_borrower.UsageOf = _no_usage,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._state = fleet.FleetState()
+        self._restrictions: tuple[fleet.Restrictions, ...] = ()
+        self._topology: permit_topology.Topology | None = None
+        self._seat: tuple[int, int] | None = None
+        self._seat_from = math.inf
+        self._returned_at: dict[str, float] = {}
+        self._connected: tuple[str, ...] | None = None
+        self._turn = 0
+        self._due: permit_lender.Timers = timers.Timers()
+        self._ledger = permit_ledger.Ledger()
+        self._demand = permit_demand.Demand()
+        digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
+        ids = itertools.count(
+            permit_demand.first_id(int.from_bytes(digest, "big"))
+        )
+        self._lender = permit_lender.Lender(
+            self._ledger, self._due, ids, self._freed
+        )
+        self._borrower = permit_borrower.Borrower(
+            self._ledger, self._demand, self._due, ids, usage_of
+        )
+        self._handler_by_type: dict[type, Callable[..., Effects]] = {
+            permit_messages.Ask: self._on_ask,
+            permit_messages.Loan: self._borrower.take,
+            permit_messages.Renew: self._lender.renew,
+            permit_messages.RenewAck: self._borrower.extend,
+            permit_messages.Return: self._lender.returned,
+        }
+
+    @property
+    def next_due(self) -> float | None:
+        """When ``tick`` has to be called next; None if it needn't be."""
+        return self._due.next_due
+
+    def free(self, now: float, limit_key: str) -> int:
+        """Return how many more permits may be used here now."""
+        return self._ledger.free(now, limit_key)
+
+    def acquire(
+        self, now: float, limit_key: str, holder: str, not_after: float
+    ) -> bool:
+        """Use a permit until ``release``; False if none is free.
+
+        Args:
+            holder: submission id.
+            not_after: monotonic seconds by which the run has ended; at
+                most the longest run time of the configured queues away.
+
+        Raises:
+            InvariantViolation: checks are on and the limit is exceeded.
+        """
+        return self._ledger.acquire(now, limit_key, holder, not_after)
+
+    def release(self, now: float, holder: str) -> Effects:
+        """Free every permit of a holder whose run has ended.
+
+        A freed permit goes to the most deserving open ask at once, if
+        no waiter of this host is more deserving.
+        """
+        sent: Effects = []
+        for account, loan in self._ledger.release(holder):
+            if loan is not None and now >= loan.deadline:
+                sent.append(self._borrower.give_back(loan, loan.idle))
+            else:
+                sent += self._offer(now, account.limit_key)
+        return sent
+
+    def want(
+        self,
+        now: float,
+        kind: str,
+        name: str,
+        count: int,
+        rank: float,
+        waited_s: float,
+    ) -> Effects:
+        """Say how many permits waiting work could use.
+
+        Args:
+            kind: ``team`` or ``pool``.
+            count: 0 ends the wish. See ``permits.Permits.want``.
+            rank: used slot seconds by weight of the most deserving
+                waiter; the lowest is served first. Has no meaning among
+                the waiters of one team.
+        """
+        topic = (kind, name)
+        had = self._demand.wanted(topic)
+        sent = self._borrower.want(now, topic, count, rank, waited_s)
+        if had and not count:
+            sent += self._serve(now, topic)
+        return sent
+
+    def handle(
+        self, now: float, peer: str, message: messages.Message
+    ) -> Effects:
+        """Act on a message of a peer; other types are ignored."""
+        handler = self._handler_by_type.get(type(message))
+        return handler(now, peer, message) if handler else []
+
+    def tick(self, now: float) -> Effects:
+        """Do what is due; costs nothing when nothing is."""
+        done: Effects = []
+        for action in self._due.pop(now):
+            done += action(now)
+        return done
+
+    def set_fresh(self, now: float, fresh_until: float) -> Effects:
+        """Say until when this host may use permits at all."""
+        was_fresh = now < self._ledger.fresh_until
+        self._ledger.fresh_until = fresh_until
+        return [] if was_fresh else self._serve_all(now)
+
+    def set_peers(self, peers: Collection[str]) -> None:
+        """Name the peers to ask; without a call, the other holders."""
+        self._connected = tuple(sorted(peers))
+        self._borrower.peers = self._connected
+
+    def configure(
+        self,
+        now: float,
+        state: fleet.FleetState,
+        restrictions: tuple[fleet.Restrictions, ...] = (),
+    ) -> Effects:
+        """Follow the fleet state in force and the prepared restrictions."""
+        if state.manifest is None:
+            return []
+        for zone in self._state.zones_out:
+            if zone not in state.zones_out:
+                self._returned_at[zone] = now
+        self._state = state
+        self._restrictions = restrictions
+        return self._apply(now)
+
+    def _apply(self, now: float) -> Effects:
+        for zone, back_at in list(self._returned_at.items()):
+            if now >= back_at + limits.RAMP_S:
+                del self._returned_at[zone]
+        if self._returned_at:
+            self._due.add(now + _RAMP_STEP_S, self._apply)
+        topology = permit_topology.Topology(
+            now, self._state, self._restrictions, self._returned_at
+        )
+        self._topology = topology
+        self._ledger.max_run_s = topology.max_run_s
+        self._follow_seat(now)
+        if self._connected is None:
+            self._borrower.peers = tuple(
+                sorted(
+                    {seat.holder for seat in self._state.seats} - {self._host}
+                )
+            )
+        return self._serve_all(now)
+
+    def _follow_seat(self, now: float) -> None:
+        assert self._topology is not None
+        seat = self._own_seat()
+        self._ledger.set_limits(self._topology.limits_and_bases(seat))
+        if seat is None:
+            self._seat = None
+            self._ledger.base_from = math.inf
+            return
+        if self._seat != (seat.number, seat.epoch):
+            self._seat = (seat.number, seat.epoch)
+            self._seat_from = limits.base_usable_at(
+                now, seat.epoch, self._topology.max_run_s
+            )
+            if self._seat_from > now:
+                self._due.add(self._seat_from, self._serve_all)
+        changing = any(
+            seat.number in item.seats for item in self._restrictions
+        )
+        self._ledger.base_from = math.inf if changing else self._seat_from
+
+    def _own_seat(self) -> fleet.Seat | None:
+        for seat in self._state.seats:
+            if (
+                seat.holder == self._host
+                and seat.incarnation == self._incarnation
+            ):
+                return seat
+        return None
+
+    def _on_ask(
+        self, now: float, peer: str, ask: permit_messages.Ask
+    ) -> Effects:
+        if not self._demand.add_ask(now, peer, ask):
+            return []
+        return self._serve(now, (ask.kind, ask.name))
+
+    def _freed(self, now: float, limit_key: str) -> Effects:
+        """Offer permits that came back, first to the most deserving."""
+        done = self._offer(now, limit_key)
+        if self._topology is None or not self._ledger.free(now, limit_key):
+            return done
+        return done + [
+            effects.PermitsGained(*topic)
+            for topic, _ in self._topology.claims(limit_key)
+            if self._demand.wanted(topic)
+        ]
+
+    def _serve_all(self, now: float) -> Effects:
+        done: Effects = []
+        for topic in list(self._demand.asks_by_topic):
+            done += self._serve(now, topic)
+        return done + [
+            effects.PermitsGained(*topic)
+            for topic, wish in self._demand.wish_by_topic.items()
+            if wish.count
+        ]
+
+    def _serve(self, now: float, topic: permit_demand.Topic) -> Effects:
+        """Offer everything idle that serves a topic to open asks."""
+        if self._topology is None or now >= self._ledger.fresh_until:
+            return []
+        done: Effects = []
+        for keys in self._topology.key_groups(topic):
+            # Starts at another key each time, to spread loans over them.
+            self._turn += 1
+            start = self._turn % max(1, len(keys))
+            for key in itertools.chain(keys[start:], keys[:start]):
+                if not self._demand.has_asks(now, topic):
+                    return done
+                done += self._offer(now, key)
+        return done
+
+    def _offer(self, now: float, limit_key: str) -> Effects:
+        """Lend or give back what is idle to who deserves it more."""
+        account = self._ledger.account_by_key.get(limit_key)
+        if account is None or self._topology is None:
+            return []
+        spare = 0
+        if account.spare > 0 and self._ledger.base_usable(now):
+            spare = account.spare
+        idle = sum(loan.idle for loan in account.taken)
+        if not spare + idle:
+            return []
+        claimants = self._demand.claimants(
+            now, self._topology.claims(limit_key)
+        )
+        done: Effects = []
+        for claimant, count in limits.split_spare(spare + idle, claimants):
+            ask = self._demand.serve_ask(claimant, count)
+            lent = min(spare, count)
+            if lent:
+                spare -= lent
+                done.append(
+                    self._lender.lend(
+                        now, limit_key, claimant.peer, ask.ask_id, lent
+                    )
+                )
+            done += self._give_back(account, count - lent)
+        return done
+
+    def _give_back(
+        self, account: permit_ledger.Account, count: int
+    ) -> Effects:
+        """Give idle loans back to homes, which lend them to the asker."""
+        done: Effects = []
+        for loan in list(account.taken):
+            part = min(count, loan.idle)
+            if part > 0:
+                count -= part
+                done.append(self._borrower.give_back(loan, part))
+        return done
--- /dev/null
+++ b/src/azurevane/_internal/tasks/permit_ledger.py
@@ -0,0 +1,238 @@
+"""Counts permits of divided limits: base parts, loans and their use."""
+
+import dataclasses
+import math
+
+from azurevane._internal import invariants
+
+_CLOCK_SLACK_S = 1e-6
+"""Rounding of ``now + max_run_s`` by callers."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class TakenLoan:
+    """Permits borrowed from a home.
+
+    Attributes:
+        total: permits that the home sent.
+        count: permits not given back yet.
+        used: permits with running work.
+        deadline: monotonic seconds until which new work may start.
+        max_run_s: longest run that may start under the loan.
+        least_idle: least idle permits since the last idle check.
+    """
+
+    loan_id: int
+    home: str
+    limit_key: str
+    total: int
+    count: int
+    deadline: float
+    max_run_s: float
+    used: int = 0
+    least_idle: int = 0
+
+    @property
+    def idle(self) -> int:
+        """Permits without running work."""
+        return self.count - self.used
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class GivenLoan:
+    """Permits lent to a borrower.
+
+    Attributes:
+        total: permits sent.
+        count: permits not returned yet.
+        settled_at: monotonic seconds at which the rest is taken back.
+    """
+
+    loan_id: int
+    borrower: str
+    limit_key: str
+    total: int
+    count: int
+    settled_at: float
+    max_run_s: float
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Account:
+    """Permits of one limit at this host.
+
+    Attributes:
+        limit: the whole limit in force; 0 if the key isn't configured.
+        base: part of the limit that belongs to the seat held here.
+        used: permits of the base part with running work.
+        lent: permits of the base part that are lent.
+        running: permits with running work, loans included.
+    """
+
+    limit_key: str
+    limit: int = 0
+    base: int = 0
+    used: int = 0
+    lent: int = 0
+    running: int = 0
+    taken: list[TakenLoan] = dataclasses.field(default_factory=list)
+
+    @property
+    def spare(self) -> int:
+        """Idle permits of the base; negative after it was lowered."""
+        return self.base - self.used - self.lent
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing of this limit is used, lent or borrowed."""
+        return not (self.running or self.lent or self.taken)
+
+
+Permit = tuple[Account, TakenLoan | None]
+
+
+class Ledger:
+    """Owns the accounts, the loans and the permits in use of one host."""
+
+    def __init__(self) -> None:
+        self.account_by_key: dict[str, Account] = {}
+        self.given_by_id: dict[int, GivenLoan] = {}
+        self.taken_by_id: dict[int, TakenLoan] = {}
+        self.fresh_until = -math.inf
+        self.base_from = math.inf
+        self.max_run_s = 0.0
+        self._permits_by_holder: dict[str, list[Permit]] = {}
+
+    def base_usable(self, now: float) -> bool:
+        """Whether this host may use and lend its base parts."""
+        return self.base_from <= now < self.fresh_until
+
+    def free(self, now: float, limit_key: str) -> int:
+        """Return how many more permits may be used here now."""
+        account = self.account_by_key.get(limit_key)
+        if account is None or now >= self.fresh_until:
+            return 0
+        count = 0
+        if self.base_from <= now:
+            count = account.base - account.used - account.lent
+        for loan in account.taken:
+            if now < loan.deadline:
+                count += loan.count - loan.used
+        return max(0, min(count, account.limit - account.running))
+
+    def acquire(
+        self, now: float, limit_key: str, holder: str, not_after: float
+    ) -> bool:
+        """Use a permit until it is released; False if none is free."""
+        if self.free(now, limit_key) <= 0:
+            return False
+        account = self.account_by_key[limit_key]
+        run_s = not_after - now - _CLOCK_SLACK_S
+        loan = None
+        if (
+            account.spare > 0
+            and self.base_from <= now
+            and run_s <= self.max_run_s
+        ):
+            account.used += 1
+        else:
+            loan = self._loan_for(now, account, run_s)
+            if loan is None:
+                return False
+            loan.used += 1
+            loan.least_idle = min(loan.least_idle, loan.idle)
+        account.running += 1
+        self._permits_by_holder.setdefault(holder, []).append((account, loan))
+        if invariants.enabled():
+            self._check_admission(now, account)
+        return True
+
+    def release(self, holder: str) -> list[Permit]:
+        """Free every permit of a holder and return them."""
+        permits = self._permits_by_holder.pop(holder, [])
+        for account, loan in permits:
+            account.running -= 1
+            if loan is None:
+                account.used -= 1
+            else:
+                loan.used -= 1
+        return permits
+
+    def give(self, loan: GivenLoan) -> None:
+        """Take permits out of the base part, before they are sent."""
+        self.account_by_key[loan.limit_key].lent += loan.count
+        self.given_by_id[loan.loan_id] = loan
+
+    def take_back(self, loan: GivenLoan, count: int) -> None:
+        """Put lent permits back into the base part."""
+        self.account_by_key[loan.limit_key].lent -= count
+        loan.count -= count
+        if not loan.count:
+            del self.given_by_id[loan.loan_id]
+
+    def take(self, loan: TakenLoan) -> None:
+        """Add a loan that a home has sent."""
+        account = self.account_by_key.setdefault(
+            loan.limit_key, Account(loan.limit_key)
+        )
+        account.taken.append(loan)
+        self.taken_by_id[loan.loan_id] = loan
+
+    def give_back(self, loan: TakenLoan, count: int) -> None:
+        """Remove idle permits of a loan, before they are sent back."""
+        loan.count -= count
+        loan.least_idle = min(loan.least_idle, loan.idle)
+        if not loan.count:
+            self.account_by_key[loan.limit_key].taken.remove(loan)
+            del self.taken_by_id[loan.loan_id]
+
+    def set_limits(self, limit_and_base: dict[str, tuple[int, int]]) -> None:
+        """Follow the limits in force, and the parts of the seat held here.
+
+        A limit that is gone keeps its account until its loans and its
+        work have ended, but nothing more is admitted under it.
+        """
+        for key in self.account_by_key.keys() - limit_and_base.keys():
+            account = self.account_by_key[key]
+            account.limit = account.base = 0
+            if account.settled:
+                del self.account_by_key[key]
+        for key, (limit, base) in limit_and_base.items():
+            account = self.account_by_key.setdefault(key, Account(key))
+            account.limit = limit
+            account.base = base
+
+    def _loan_for(
+        self, now: float, account: Account, run_s: float
+    ) -> TakenLoan | None:
+        for loan in account.taken:
+            if (
+                now < loan.deadline
+                and loan.used < loan.count
+                and run_s <= loan.max_run_s
+            ):
+                return loan
+        return None
+
+    def _check_admission(self, now: float, account: Account) -> None:
+        """Count the permits of a key anew and check them."""
+        key = account.limit_key
+        permits = [
+            loan
+            for held in self._permits_by_holder.values()
+            for owner, loan in held
+            if owner is account
+        ]
+        if self.base_usable(now):
+            held = account.base - sum(
+                loan.count
+                for loan in self.given_by_id.values()
+                if loan.limit_key == key
+            )
+        else:
+            held = permits.count(None)
+        for loan in self.taken_by_id.values():
+            if loan.limit_key == key:
+                lapsed = now >= loan.deadline
+                held += permits.count(loan) if lapsed else loan.count
+        invariants.check_admission(key, len(permits), held, account.limit)
--- /dev/null
+++ b/src/azurevane/_internal/tasks/permit_lender.py
@@ -0,0 +1,105 @@
+"""Home side of loans: sends, renews and takes back permits."""
+
+from collections.abc import Callable, Iterator
+import functools
+
+from azurevane._internal.models import effects
+from azurevane._internal.models import permit_messages
+from azurevane._internal.policy import limits
+from azurevane._internal.tasks import permit_ledger
+from azurevane._internal.utils import timers
+
+Effects = list[effects.Effect]
+Timers = timers.Timers[Callable[[float], Effects]]
+
+
+class Lender:
+    """Lends permits of the base parts of the seat held here.
+
+    Args:
+        ids: numbers of loans, unique over all incarnations of hosts.
+        freed: called when permits of a key are back in the base part.
+    """
+
+    def __init__(
+        self,
+        ledger: permit_ledger.Ledger,
+        due: Timers,
+        ids: Iterator[int],
+        freed: Callable[[float, str], Effects],
+    ) -> None:
+        self._ledger = ledger
+        self._due = due
+        self._ids = ids
+        self._freed = freed
+
+    def lend(
+        self, now: float, limit_key: str, peer: str, ask_id: int, count: int
+    ) -> effects.Send:
+        """Take permits out of the base part and send them."""
+        max_run_s = self._ledger.max_run_s
+        loan = permit_ledger.GivenLoan(
+            next(self._ids),
+            peer,
+            limit_key,
+            count,
+            count,
+            limits.settled_at(now, max_run_s),
+            max_run_s,
+        )
+        self._ledger.give(loan)
+        self._settle_later(loan)
+        return effects.Send(
+            peer,
+            permit_messages.Loan(
+                loan.loan_id, ask_id, limit_key, count, int(max_run_s * 1000)
+            ),
+        )
+
+    def renew(
+        self, now: float, peer: str, renew: permit_messages.Renew
+    ) -> Effects:
+        """Extend loans, unless this host may not lend or wants them."""
+        if not self._ledger.base_usable(now):
+            return []
+        extended = []
+        for loan_id in renew.loan_ids:
+            loan = self._ledger.given_by_id.get(loan_id)
+            if loan is None or loan.borrower != peer:
+                continue
+            # A lowered limit leaves more lent than the base part has.
+            if self._ledger.account_by_key[loan.limit_key].spare < 0:
+                continue
+            loan.settled_at = limits.settled_at(now, loan.max_run_s)
+            extended.append(loan_id)
+        if not extended:
+            return []
+        ack = permit_messages.RenewAck(renew.seq, tuple(extended))
+        return [effects.Send(peer, ack)]
+
+    def returned(
+        self, now: float, peer: str, message: permit_messages.Return
+    ) -> Effects:
+        """Put returned permits back into the base part."""
+        loan = self._ledger.given_by_id.get(message.loan_id)
+        if loan is None or loan.borrower != peer:
+            return []
+        count = loan.count - max(0, loan.total - message.count)
+        if count <= 0:
+            return []
+        self._ledger.take_back(loan, count)
+        return self._freed(now, loan.limit_key)
+
+    def _settle_later(self, loan: permit_ledger.GivenLoan) -> None:
+        self._due.add(
+            loan.settled_at, functools.partial(self._settle, loan=loan)
+        )
+
+    def _settle(self, now: float, loan: permit_ledger.GivenLoan) -> Effects:
+        if not loan.count:
+            return []
+        if now < loan.settled_at:
+            self._settle_later(loan)
+            return []
+        self._ledger.take_back(loan, loan.count)
+        return self._freed(now, loan.limit_key)
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -43,11 +43,14 @@
         rank: float,
         waited_s: float,
     ) -> list[effects.Effect]:
-        """Say how many more permits waiting work could use.
+        """Say how many permits waiting work could use.
 
         Args:
             kind: ``team`` or ``pool``.
-            count: 0 ends the wish.
+            count: 0 ends the wish. For a team, count all its waiting
+                work, also what has a permit free here and lacks only a
+                slot: the wish keeps that permit from less deserving
+                work at peers. For a pool, count what lacks only a slot.
             rank: used slot seconds by weight of the most deserving
                 waiter; the lowest is served first.
         """
--- /dev/null
+++ b/src/azurevane/_internal/utils/timers.py
@@ -0,0 +1,31 @@
+"""Timers of a state machine that its owner drives with ``tick``."""
+
+import heapq
+import itertools
+from typing import Generic, TypeVar
+
+_ItemT = TypeVar("_ItemT")
+
+
+class Timers(Generic[_ItemT]):
+    """Items by the time at which they are due."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int, _ItemT]] = []
+        self._numbers = itertools.count()
+
+    @property
+    def next_due(self) -> float | None:
+        """Monotonic seconds of the first item; None without items."""
+        return self._heap[0][0] if self._heap else None
+
+    def add(self, due: float, item: _ItemT) -> None:
+        """Add an item; it can't be removed before it is due."""
+        heapq.heappush(self._heap, (due, next(self._numbers), item))
+
+    def pop(self, now: float) -> list[_ItemT]:
+        """Remove and return the items that are due."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            due.append(heapq.heappop(self._heap)[2])
+        return due
--- /dev/null
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -0,0 +1,380 @@
+import collections
+import dataclasses
+import math
+import unittest
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+import permit_runs
+import permit_site
+
+from azurevane import exceptions
+from azurevane._internal import invariants
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.models import permit_messages
+from azurevane._internal.policy import limits
+from azurevane._internal.tasks import permit_keeper
+from azurevane._internal.tasks import permit_ledger
+
+TEAM = "team:t"
+SEATS = [f"e{number}" for number in range(6)]
+
+
+class Hosts:
+    """Permit keepers whose messages arrive at once and in order."""
+
+    def __init__(self, limit=60, **plan):
+        self.now = 0.0
+        self.keeper_by_name = {}
+        self.lost = lambda sender, send: False
+        self.sent = []
+        self.runs = collections.defaultdict(list)
+        self.plan = permit_site.Plan(
+            {"t": limit}, **{"max_run_s": 30.0, **plan}
+        )
+        self.state = fleet.FleetState(
+            version=1,
+            manifest=permit_site.build_manifest(self.plan),
+            seats=tuple(
+                fleet.Seat(number, name, f"{name}-1", 1)
+                for number, name in enumerate(SEATS)
+            ),
+        )
+        for name in SEATS:
+            self.start(name, 1)
+
+    def start(self, name, incarnation):
+        keeper = permit_keeper.PermitKeeper(name, f"{name}-{incarnation}")
+        keeper.configure(self.now, self.state)
+        keeper.set_fresh(self.now, math.inf)
+        self.keeper_by_name[name] = keeper
+
+    def change(self, names=None, **changes):
+        self.state = dataclasses.replace(
+            self.state, version=self.state.version + 1, **changes
+        )
+        for name in names or self.keeper_by_name:
+            self.run(
+                name,
+                self.keeper_by_name[name].configure(self.now, self.state),
+            )
+
+    def run(self, sender, decided):
+        queue = collections.deque((sender, effect) for effect in decided)
+        while queue:
+            name, effect = queue.popleft()
+            if not isinstance(effect, effects.Send):
+                continue
+            self.sent.append((name, effect))
+            keeper = self.keeper_by_name.get(effect.peer)
+            if keeper and not self.lost(name, effect):
+                queue.extend(
+                    (effect.peer, item)
+                    for item in keeper.handle(self.now, name, effect.message)
+                )
+
+    def want(self, name, topic, count, rank=0.0, waited_s=0.0):
+        keeper = self.keeper_by_name[name]
+        self.run(name, keeper.want(self.now, *topic, count, rank, waited_s))
+
+    def start_runs(self, name, count, run_s=30.0, key=TEAM):
+        """Start runs while permits are free; return how many started."""
+        keeper = self.keeper_by_name[name]
+        started = 0
+        for _ in range(count):
+            holder = f"{name}-run-{len(self.sent)}-{len(self.runs[name])}"
+            if keeper.acquire(self.now, key, holder, self.now + run_s):
+                self.runs[name].append(holder)
+                started += 1
+        return started
+
+    def end_runs(self, name, count):
+        for _ in range(count):
+            keeper = self.keeper_by_name[name]
+            self.run(name, keeper.release(self.now, self.runs[name].pop()))
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while True:
+            due, name = min(
+                (keeper.next_due or math.inf, name)
+                for name, keeper in self.keeper_by_name.items()
+            )
+            if due > end:
+                break
+            self.now = max(self.now, due)
+            self.run(name, self.keeper_by_name[name].tick(self.now))
+        self.now = end
+
+
+@given("a team with a limit of {limit:d}")
+def make_hosts(context, limit):
+    context.hosts = Hosts(limit)
+
+
+@given('a host "{name}" without a seat')
+def add_host(context, name):
+    context.hosts.start(name, 1)
+
+
+@given('messages from "{sender}" to "{receiver}" are lost')
+def lose(context, sender, receiver):
+    context.hosts.lost = lambda name, send: (
+        (name, send.peer) == (sender, receiver)
+    )
+
+
+@given('loans to "{receiver}" arrive late')
+def hold(context, receiver):
+    context.held = []
+
+    def late(sender, send):
+        if not isinstance(send.message, permit_messages.Loan):
+            return False
+        context.held.append((sender, send))
+        return send.peer == receiver
+
+    context.hosts.lost = late
+
+
+@when("the late loans arrive")
+@when("the late loans arrive again")
+def deliver_held(context):
+    context.answers = []
+    for sender, send in list(context.held):
+        keeper = context.hosts.keeper_by_name[send.peer]
+        answers = keeper.handle(context.hosts.now, sender, send.message)
+        context.answers += answers
+        context.hosts.run(send.peer, answers)
+
+
+@when('work for {count:d} permits waits at "{name}"')
+def want_team(context, count, name):
+    context.hosts.want(name, ("team", "t"), count)
+
+
+@when('the wish of "{name}" ends')
+def end_wish(context, name):
+    context.hosts.want(name, ("team", "t"), 0)
+
+
+@when("{seconds:g} s pass")
+def advance(context, seconds):
+    context.hosts.advance(seconds)
+
+
+@when('"{name}" runs work under {count:d} permits')
+def run_work(context, name, count):
+    assert context.hosts.start_runs(name, count) == count
+
+
+@when('"{name}" is cut off from its peers but stays fresh')
+def cut_off(context, name):
+    context.hosts.lost = lambda sender, send: name in (sender, send.peer)
+
+
+@when('"{name}" is replaced by a new incarnation')
+def replace(context, name):
+    context.hosts.start(name, 2)
+
+
+@when('"{name}" hears that 4, 7, 4 and 7 of them are back')
+def repeat_returns(context, name):
+    loan = next(
+        send.message
+        for sender, send in context.hosts.sent
+        if sender == name and isinstance(send.message, permit_messages.Loan)
+    )
+    keeper = context.hosts.keeper_by_name[name]
+    for count in (4, 7, 4, 7):
+        message = permit_messages.Return(loan.loan_id, count)
+        keeper.handle(context.hosts.now, "e0", message)
+
+
+@when('a host "{name}" takes the seat of "{holder}"')
+def take_seat(context, name, holder):
+    context.hosts.start(name, 1)
+    number = SEATS.index(holder)
+    seats = list(context.hosts.state.seats)
+    seats[number] = fleet.Seat(number, name, f"{name}-1", 2)
+    context.hosts.change(seats=tuple(seats))
+
+
+@when('"{name}" isn\'t fresh')
+def lose_freshness(context, name):
+    context.hosts.keeper_by_name[name].set_fresh(0.0, -1.0)
+
+
+@when("the limit is lowered to {limit:d}")
+def lower(context, limit):
+    plan = dataclasses.replace(context.hosts.plan, limit_by_team={"t": limit})
+    context.hosts.change(manifest=permit_site.build_manifest(plan))
+
+
+@when('"{name}" learns that runs last {seconds:d} s')
+def lengthen(context, name, seconds):
+    plan = dataclasses.replace(context.hosts.plan, max_run_s=seconds)
+    context.hosts.change([name], manifest=permit_site.build_manifest(plan))
+
+
+@then('"{name}" may use {count:d} permits')
+def check_free(context, name, count):
+    keeper = context.hosts.keeper_by_name[name]
+    free = keeper.free(context.hosts.now, TEAM)
+    assert free == count, free
+
+
+@then("all hosts together may use {count:d} permits")
+def check_all_free(context, count):
+    keepers = context.hosts.keeper_by_name.values()
+    free = sum(keeper.free(context.hosts.now, TEAM) for keeper in keepers)
+    assert free == count, free
+
+
+@then('{ended:d} runs end at "{name}" and {started:d} new ones start')
+def check_restart(context, ended, name, started):
+    context.hosts.end_runs(name, ended)
+    found = context.hosts.start_runs(name, ended)
+    assert found == started, found
+
+
+@then("nothing is returned")
+def check_no_return(context):
+    assert context.held
+    assert not context.answers, context.answers
+
+
+@then('"{name}" starts 10 runs of 90 s and 50 of 30 s')
+def check_run_times(context, name):
+    assert context.hosts.start_runs(name, 60, 90.0) == 10
+    assert context.hosts.start_runs(name, 60, 30.0) == 50
+
+
+@then("no message is sent in {seconds:d} s and no timer is left")
+def check_rest(context, seconds):
+    assert context.hosts.sent
+    context.hosts.sent.clear()
+    context.hosts.advance(seconds)
+    assert not context.hosts.sent, context.hosts.sent
+    for keeper in context.hosts.keeper_by_name.values():
+        assert keeper.next_due is None
+
+
+@given("runners with 6 slots, all in use")
+def fill_runner(context):
+    context.hosts = Hosts(runners=1, spare_runners=0, slots=6)
+    for name in SEATS:
+        assert context.hosts.start_runs(name, 2, key="runner:main-0") == 1
+
+
+@given('a waiter of rank {rank:g} at "{name}" that has waited {waited_s:g} s')
+def want_slot(context, rank, name, waited_s):
+    context.hosts.want(name, ("pool", "main"), 1, rank, waited_s)
+
+
+@when('"{name}" frees a slot')
+def free_slot(context, name):
+    context.hosts.end_runs(name, 1)
+
+
+@then('the slot is at "{place}"')
+def check_place(context, place):
+    free = {
+        name: keeper.free(context.hosts.now, "runner:main-0")
+        for name, keeper in context.hosts.keeper_by_name.items()
+    }
+    assert free == {name: int(name == place) for name in SEATS}, free
+
+
+@given("a spare pool with 6 free slots")
+def make_spare(context):
+    context.hosts = Hosts(runners=0, spare_runners=1, slots=6)
+
+
+@given('work for {count:d} slots waits for the spare pool at "{name}"')
+def want_spare(context, count, name):
+    # Its asks are lost, so that only its own base part serves it.
+    context.hosts.lost = lambda sender, send: (
+        sender == name and isinstance(send.message, permit_messages.Ask)
+    )
+    context.hosts.want(name, ("pool", "spare"), count, rank=9.0)
+
+
+@when('work for {count:d} slots waits for the main pool at "{name}"')
+def want_main(context, count, name):
+    context.hosts.want(name, ("pool", "main"), count, rank=1.0)
+
+
+@then('"{name}" may use {count:d} spare slots')
+def check_spare(context, name, count):
+    keeper = context.hosts.keeper_by_name[name]
+    free = keeper.free(context.hosts.now, "runner:spare-0")
+    assert free == count, free
+
+
+@when("a site runs for {seconds:d} s with seed {seed:d}")
+def run_site(context, seconds, seed):
+    context.site = permit_runs.randomised_run(seed, seconds)
+
+
+@then("no limit was exceeded at the runners")
+def check_overruns(context):
+    assert context.site.overruns == 0, context.site.overruns
+
+
+@then("every limit was used to at least {percent:d}%")
+def check_use(context, percent):
+    for key, limit in context.site.limit_by_key.items():
+        highest = context.site.highest[key]
+        assert 100 * highest >= percent * limit, (key, highest)
+
+
+@given("invariant checks are on")
+def check_invariants(context):
+    invariants.enable(True)
+
+
+def _catch(context, action):
+    with unittest.TestCase().assertLogs(invariants.logger) as logs:
+        try:
+            action()
+            context.error = None
+        except exceptions.InvariantViolation as error:
+            context.error = error
+        invariants.logger.warning("end")
+    context.records = logs.records
+
+
+@when("a host forgets what it has lent of a {kind}")
+def forget_lent(context, kind):
+    topic = ("team", "t") if kind == "team" else ("pool", "main")
+    key = TEAM if kind == "team" else "runner:main-0"
+
+    def give(ledger, loan):
+        ledger.given_by_id[loan.loan_id] = loan
+
+    def lend_and_use():
+        context.hosts.want("e0", topic, 60)
+        context.hosts.start_runs("e1", 1, key=key)
+
+    with mock.patch.object(permit_ledger.Ledger, "give", give):
+        _catch(context, lend_and_use)
+
+
+@when("every seat gets the whole limit as its part")
+def whole_parts(context):
+    def whole(key, limit, seats, seat):
+        return limit
+
+    with mock.patch.object(limits, "base_part", whole):
+        _catch(context, context.hosts.change)
+
+
+@then("an invariant violation with event {number:d} is raised")
+def check_violation(context, number):
+    assert context.error is not None
+    event = context.records[0].event
+    assert event.number == number, event
