--- a/src/azurevane/_internal/models/effects.py
+++ b/src/azurevane/_internal/models/effects.py
@@ -31,8 +31,22 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitsGained:
+    """Tell the dispatcher to try its waiting work again.
+
+    Attributes:
+        kind: ``team`` or ``pool``, as in ``Permits.want``.
+        name: name of that team or pool.
+    """
+
+    kind: str
+    name: str
+
+
 Effect: TypeAlias = (
     Send
+    | PermitsGained
     | ChangePrepared
     | StateInstalled
     | request_models.Dispatch
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -135,3 +135,12 @@
         high=65535,
     )
 )
+define(
+    Option(
+        "invariants",
+        "check",
+        bool,
+        False,
+        "Whether the program checks its invariants while it runs.",
+    )
+)
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -2,6 +2,7 @@
 
 import importlib
 import json
+import logging
 import pathlib
 import pkgutil
 import sys
@@ -50,14 +51,13 @@
         "| number | name | level | meaning | fields |",
         "|---|---|---|---|---|",
     ]
-    level_names = {10: "debug", 20: "info", 30: "warning", 40: "error"}
     entries = sorted(
         catalogue.entry_by_type.items(), key=lambda item: item[1].number
     )
     for cls, entry in entries:
         fields = ", ".join(cls.__dataclass_fields__)
         lines.append(
-            f"| {entry.number} | {entry.name} | {level_names[entry.level]}"
+            f"| {entry.number} | {entry.name} | {logging.getLevelName(entry.level).lower()}"
             f" | {entry.summary} | {fields} |"
         )
     return "\n".join(lines) + "\n"
