Check the fleet state over six state keepers in virtual time

Change: a seeded virtual-time site over the real state keepers, change code, transport and table stand-in, with loss, duplicates, reordering, cuts, pauses, kills and store faults; invariants checked after each step. A change passed back to its maker by a peer is no longer acknowledged to itself, which the first run showed as a seventh host.

--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -73,7 +73,7 @@
         self._changed = changed
         self._chance = chance or random.Random()
         self._maker = change_maker.ChangeMaker(
-            reactor, keeper, store, self.apply
+            reactor, keeper, store, self.apply, self._chance
         )
         self._announced = keeper.effective
         self._was_fresh = False
--- a/src/azurevane/_internal/operators/change_maker.py
+++ b/src/azurevane/_internal/operators/change_maker.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import logging
+import random
 from typing import Any
 
 from twisted.internet import defer
@@ -75,11 +76,13 @@
         keeper: state_keeper.StateKeeper,
         store: state_store.StateStore,
         apply: Callable[[list[effects.Effect]], None],
+        chance: random.Random,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
         self._store = store
         self._apply = apply
+        self._chance = chance
         self._lock = defer.DeferredLock()
         self._prepared_by_token: dict[str, defer.Deferred[None]] = {}
         self._version_by_token: collections.OrderedDict[str, int] = (
@@ -225,7 +228,7 @@
             StoreUnavailable: it isn't known whether it was written.
         """
         no_try_after = self._reactor.seconds() + WRITE_WITHIN_S
-        waits = backoff.Backoff(0.05, 0.5)
+        waits = backoff.Backoff(0.05, 0.5, self._chance)
         maybe_sent = False
         while True:
             try:
--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -287,10 +287,10 @@
         if self._prepared.aborted(token):
             return [effects.Send(sender, state_messages.Abort(token))]
         if message.version <= current:
-            return [self._reply(message, sender, ok=False)]
+            return self._reply(message, sender, ok=False)
         if token not in self._prepared.tokens:
             if self._prepared.full:
-                return [self._reply(message, sender, ok=False)]
+                return self._reply(message, sender, ok=False)
             taken = state_history.decode(
                 message.restrictions, fleet.Restrictions
             )
@@ -299,13 +299,18 @@
             # Acknowledged once the version before it is in force: a
             # majority must never be able to confirm two versions back.
             return self._catch_up(now, sender, message.version - 1)
-        return [self._reply(message, sender, ok=True)]
+        return self._reply(message, sender, ok=True)
 
     def _reply(
         self, message: state_messages.Prepare, sender: str, *, ok: bool
-    ) -> effects.Effect:
-        reply = state_messages.PrepareAck(message.token, ok)
-        return effects.Send(message.maker or sender, reply)
+    ) -> list[effects.Effect]:
+        maker = message.maker or sender
+        if maker == self.host:
+            # A peer passed a change back to its maker.
+            return []
+        return [
+            effects.Send(maker, state_messages.PrepareAck(message.token, ok))
+        ]
 
     def _obey(self, change: prepared_changes.PreparedChange) -> None:
         self._prepared.obey(change)
@@ -381,10 +386,8 @@
         decided: list[effects.Effect] = [
             effects.StateInstalled(state.version, previous.version, source)
         ]
-        decided += [
-            self._reply(prepare, self.host, ok=True)
-            for prepare in self._prepared.decide(state.version)
-        ]
+        for prepare in self._prepared.decide(state.version):
+            decided += self._reply(prepare, self.host, ok=True)
         self._recompute()
         self._follow_seat(now)
         return decided
--- /dev/null
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -0,0 +1,479 @@
+import copy
+import random
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from azurevane._internal.platform import state_store
+from support import virtual_fleet
+
+MILLS = virtual_fleet.digest_of("mills-key")
+
+
+def admitting(context, name):
+    fleet = context.fleet
+    digest = virtual_fleet.digest_of(name)
+    return {
+        host.hello.host
+        for host in fleet.live()
+        if not host.paused and fleet.admits(host, "key", digest)
+    }
+
+
+@given("six entry hosts with seats under seed {seed:d}")
+def start_fleet(context, seed):
+    context.fleet = virtual_fleet.VirtualFleet(seed)
+    context.fleet.run(1)
+    context.fleet.settle()
+
+
+def cut_off(context, names):
+    fleet = context.fleet
+    fleet.cuts |= {(other, name) for other in fleet.names for name in names}
+
+
+def trouble_actions(context, text):
+    fleet = context.fleet
+
+    def store_down():
+        fleet.store.down = True
+
+    def hear_nobody():
+        cut_off(context, ["entry-5"])
+
+    def heard_by_nobody():
+        fleet.cuts |= {("entry-5", other) for other in fleet.names}
+
+    return {
+        "the store goes down": [store_down],
+        '"entry-5" is paused': [lambda: fleet.pause("entry-5")],
+        '"entry-5" hears nobody': [hear_nobody],
+        '"entry-5" is heard by nobody': [heard_by_nobody],
+        'the store and "entry-5" fail': [
+            store_down,
+            lambda: fleet.pause("entry-5"),
+        ],
+        'the maker "entry-2" dies and the store': [
+            store_down,
+            lambda: fleet.kill("entry-2"),
+        ],
+        'every message to "entry-5,entry-6" is lost': [
+            store_down,
+            lambda: cut_off(context, ["entry-5", "entry-6"]),
+        ],
+    }[text]
+
+
+@given("{text} as soon as the table accepts a change")
+def plan_trouble(context, text):
+    actions = trouble_actions(context, text)
+    context.fleet.on_accepted = lambda: [action() for action in actions]
+
+
+@given('every message to "{names}" is lost')
+def lose_messages(context, names):
+    cut_off(context, names.split(","))
+    context.fleet.run(2.5)
+
+
+@given("the store goes down")
+def store_down(context):
+    context.fleet.store.down = True
+    context.fleet.run(3)
+
+
+@when("the store is up again")
+def store_up(context):
+    context.fleet.store.down = False
+
+
+@given("the store loses every answer to a write")
+def lose_answers(context):
+    context.fleet.store.lose_written = True
+
+
+@given("{count:d} hosts are killed")
+def kill_hosts(context, count):
+    for name in context.fleet.names[-count:]:
+        context.fleet.kill(name)
+
+
+@when('"{name}" withdraws the key "{key}"')
+def withdraw(context, name, key):
+    context.version = context.fleet.stored.version
+    context.began_at = context.fleet.clock.seconds()
+    digest = virtual_fleet.digest_of(key)
+    answer = context.fleet.change(name, "key-withdraw", {"digest": digest})
+    fleet = context.fleet
+    fleet.run(8, lambda: answer or not fleet.host_by_name[name].alive)
+    context.answer = answer[0] if answer else None
+
+
+@when('"{name}" takes out the zone "{zone}" if it can')
+def take_zone_out(context, name, zone):
+    context.fleet.change(name, "zone-out", {"zone": zone})
+
+
+@when(
+    '"{name}" withdraws the key "{key}" while the store answers after'
+    " {seconds:f} seconds"
+)
+def withdraw_slowly(context, name, key, seconds):
+    context.fleet.store.slow_s = seconds / 3
+    context.fleet.run(1)
+    context.began_at = context.fleet.clock.seconds()
+    digest = virtual_fleet.digest_of(key)
+    context.fleet.change(name, "key-withdraw", {"digest": digest})
+    context.fleet.run(seconds / 3)
+
+
+@then("the answer has status {status:d} and says {has:d} of {known:d} hosts")
+def check_answer(context, status, has, known):
+    code, body = context.answer
+    assert code == status, context.answer
+    assert (body["in_force"], body["hosts"]) == (has, known), body
+
+
+@then("the answer has status {status:d} and the version is unchanged")
+def check_refused(context, status):
+    assert context.answer[0] == status, context.answer
+    assert context.fleet.stored.version == context.version
+
+
+@then('no host admits the key "{key}" after {seconds:f} seconds')
+def check_refuses(context, key, seconds):
+    fleet = context.fleet
+    until = fleet.accepted_at["key", virtual_fleet.digest_of(key)] + seconds
+    fleet.run(max(until - fleet.clock.seconds(), 0.0))
+    assert not admitting(context, key)
+
+
+@then('no host but "{name}" admits the key "{key}" after {seconds:f} seconds')
+def check_others_refuse(context, name, key, seconds):
+    context.fleet.run(seconds)
+    assert not context.fleet.accepted_at, "written too early for this test"
+    assert admitting(context, key) <= {name}
+
+
+@then("all hosts have the stored state within {seconds:g} seconds")
+def check_everywhere(context, seconds):
+    context.fleet.run(seconds + 0.001, context.fleet.everywhere)
+
+
+@when("the trouble ends after {seconds:d} seconds")
+def end_trouble(context, seconds):
+    fleet = context.fleet
+    fleet.on_accepted = lambda: None
+    fleet.run(seconds)
+    heal(fleet)
+
+
+def heal(fleet):
+    fleet.store = virtual_fleet.StoreFaults()
+    fleet.cuts.clear()
+    fleet.loss = fleet.duplicates = 0.0
+    for host in fleet.live():
+        if host.paused:
+            host.resume()
+
+
+@when('"{names}" grant {count:d} keys each in turn')
+def grant_keys(context, names, count):
+    for index in range(count):
+        for name in names.split(","):
+            digest = virtual_fleet.digest_of(f"{name}{index}")
+            context.fleet.make(
+                name, "key-grant", {"digest": digest, "team": "mills"}
+            )
+
+
+@then("every answer agrees with the table")
+def check_answers(context):
+    context.fleet.check_answers()
+
+
+@then("every answer has status {status:d}")
+def check_statuses(context, status):
+    codes = [answer[0][0] for answer in context.fleet.answers]
+    assert set(codes) == {status}, codes
+
+
+@when('"{one}" and "{two}" change the limit from the same version')
+def race(context, one, two):
+    fleet = context.fleet
+    base = fleet.stored.version
+    answers = []
+    for index, name in enumerate((one, two)):
+        manifest = copy.deepcopy(virtual_fleet.site_manifest())
+        manifest["teams"][0]["limit"] = 20 + index
+        answers.append(fleet.change(name, "manifest", manifest, base))
+    fleet.run(10, lambda: all(answers))
+    context.answers = sorted(
+        (answer[0] for answer in answers), key=lambda item: item[0]
+    )
+
+
+@then("one answer has status 200 and one 409 with the winner's version")
+def check_race(context):
+    (won, winner), (lost, loser) = context.answers
+    assert (won, lost) == (200, 409), context.answers
+    assert loser["current_version"] == winner["version"], context.answers
+
+
+@then('the loser is told that "{path}" changed')
+def check_told(context, path):
+    assert context.answers[1][1]["changed"] == (path,), context.answers
+
+
+@then('all of "{names}" admit the key "{key}" within {seconds:d} seconds')
+def check_admit(context, names, key, seconds):
+    wanted = set(names.split(","))
+    context.fleet.run(seconds, lambda: wanted <= admitting(context, key))
+
+
+@then('every live host admits the key "{key}" within {seconds:d} seconds')
+def check_all_admit(context, key, seconds):
+    live = {host.hello.host for host in context.fleet.live()}
+    context.fleet.run(seconds, lambda: live == admitting(context, key))
+
+
+@when('"{name}" dies right after a majority prepared to withdraw "{key}"')
+def die_prepared(context, name, key):
+    fleet = context.fleet
+    host = fleet.host_by_name[name]
+    read, maker = host.store.read, host.follower._maker
+
+    async def read_in_outage():
+        # The row was read before the outage began.
+        row = fleet.platform.table.row_by_name["fleet/state"]
+        return state_store._decode(
+            virtual_fleet.table.Row("fleet/state", *row)
+        )
+
+    async def write(stored, state):
+        context.late_write = lambda: fleet.platform.table.transact(
+            {"fleet/state": stored.row_version}, {"fleet/state": "late"}
+        )
+        fleet.kill(name)
+        return None
+
+    host.store.read = read_in_outage if fleet.store.down else read
+    host.store.replace = write
+    assert maker is not None
+    digest = virtual_fleet.digest_of(key)
+    fleet.change(name, "key-withdraw", {"digest": digest})
+    fleet.run(3, lambda: not host.alive)
+    fleet.run(2)
+    assert not admitting(context, key)
+
+
+@then("a late write of the dead maker is refused")
+def check_late_write(context):
+    applied, _ = context.late_write()
+    assert not applied
+
+
+@then(
+    "after {seconds:d} seconds every live host is fresh and refuses the key"
+    ' "{key}"'
+)
+def check_stays(context, seconds, key):
+    fleet = context.fleet
+    fleet.run(seconds)
+    now = fleet.clock.seconds()
+    assert all(host.keeper.fresh(now) for host in fleet.live())
+    assert not admitting(context, key)
+
+
+@when('"{name}" is started again')
+def start_again(context, name):
+    context.fleet.kill(name)
+    context.fleet.start(name)
+
+
+@then('"{name}" is fresh at the stored version within {seconds:d} seconds')
+def check_started(context, name, seconds):
+    fleet = context.fleet
+    keeper = fleet.host_by_name[name].keeper
+    fleet.run(
+        seconds,
+        lambda: (
+            keeper.fresh(fleet.clock.seconds())
+            and keeper.in_force == fleet.stored
+        ),
+    )
+
+
+@then('"{name}" holds no seat')
+def check_no_seat(context, name):
+    assert context.fleet.host_by_name[name].keeper.seat is None
+
+
+@then("every live host stays fresh for {seconds:d} seconds")
+def check_stays_fresh(context, seconds):
+    fleet = context.fleet
+    fleet.run(3)
+    for _ in range(seconds // 60):
+        fleet.run(60)
+        now = fleet.clock.seconds()
+        assert all(host.keeper.fresh(now) for host in fleet.live())
+
+
+@when('"{old}" dies and "{new}" starts in its place')
+def replace_host(context, old, new):
+    fleet = context.fleet
+    context.seat = fleet.host_by_name[old].keeper.seat.number
+    fleet.kill(old)
+    fleet.platform.hosts = [{"name": name} for name in fleet.names[:-1]]
+    fleet.names.append(new)
+    fleet.start(new)
+
+
+@then(
+    '"{name}" holds the seat of "{old}" with epoch {epoch:d} within'
+    " {seconds:d} seconds"
+)
+def check_takeover(context, name, old, epoch, seconds):
+    keeper = context.fleet.host_by_name[name].keeper
+    context.fleet.run(seconds, lambda: keeper.seat is not None)
+    assert (keeper.seat.number, keeper.seat.epoch) == (context.seat, epoch)
+    context.keeper = keeper
+
+
+@then("it may use its base {seconds:d} seconds after that")
+def check_base(context, seconds):
+    wait = context.keeper.base_usable_at - context.fleet.clock.seconds()
+    assert seconds - 1 < wait <= seconds, wait
+
+
+@given("the host list names nobody")
+def empty_host_list(context):
+    context.fleet.platform.hosts = []
+
+
+@when('"{old}" is paused for {seconds:d} seconds while "{new}" starts')
+def pause_and_start(context, old, seconds, new):
+    fleet = context.fleet
+    fleet.names.append(new)
+    fleet.start(new)
+    fleet.pause(old)
+    fleet.run(seconds)
+    fleet.host_by_name[old].resume()
+    fleet.run(5)
+
+
+@then('"{name}" still holds its seat')
+def check_keeps_seat(context, name):
+    assert context.fleet.host_by_name[name].keeper.seat is not None
+
+
+@when("every host is started again")
+def start_all_again(context):
+    for name in context.fleet.names:
+        start_again(context, name)
+
+
+@then("every seat has epoch {epoch:d} within {seconds:d} seconds")
+def check_epochs(context, epoch, seconds):
+    fleet = context.fleet
+    fleet.run(
+        seconds,
+        lambda: all(seat.epoch == epoch for seat in fleet.stored.seats),
+    )
+
+
+@then('a change is accepted at "{name}"')
+def check_change(context, name):
+    context.fleet.grant("another-key")
+
+
+FAULTS = {}
+
+
+def fault(call):
+    FAULTS[call.__name__] = call
+    return call
+
+
+@fault
+def pause(fleet, chance):
+    host = chance.choice(fleet.live())
+    if not host.paused:
+        host.paused = True
+        fleet.clock.callLater(
+            chance.choice([0.5, 2.5, 30.0]),
+            lambda: host.alive and host.paused and host.resume(),
+        )
+
+
+@fault
+def kill_and_start(fleet, chance):
+    name = chance.choice(fleet.names)
+    fleet.kill(name)
+    fleet.clock.callLater(chance.uniform(0.1, 5), start_dead, fleet, name)
+
+
+def start_dead(fleet, name):
+    if not fleet.host_by_name[name].alive:
+        fleet.start(name)
+
+
+@fault
+def cut(fleet, chance):
+    pair = tuple(chance.sample(fleet.names, 2))
+    fleet.cuts.add(pair)
+    fleet.clock.callLater(chance.uniform(1, 20), fleet.cuts.discard, pair)
+
+
+@fault
+def store(fleet, chance):
+    fleet.store.down = chance.random() < 0.5
+    fleet.store.slow_s = chance.choice([0.0, 0.0, 0.5, 1.5])
+    fleet.store.lose_answers = chance.choice([0.0, 0.0, 0.3])
+
+
+@fault
+def network(fleet, chance):
+    fleet.loss = chance.choice([0.0, 0.0, 0.1, 0.4])
+    fleet.duplicates = chance.choice([0.0, 0.3])
+    fleet.delay_s = chance.choice([0.005, 0.005, 0.4])
+
+
+def change(fleet, chance):
+    name = chance.choice(fleet.names)
+    if not fleet.host_by_name[name].alive:
+        return
+    team = chance.choice(["mills", "forge"])
+    digest = virtual_fleet.digest_of(f"key-{chance.randrange(5)}")
+    zone = chance.choice(["az-a", "az-b", "az-c"])
+    kind, content = chance.choice(
+        [
+            ("key-grant", {"digest": digest, "team": team}),
+            ("key-withdraw", {"digest": digest}),
+            ("key-withdraw", {"digest": digest}),
+            ("zone-out", {"zone": zone}),
+            ("zone-in", {"zone": zone}),
+        ]
+    )
+    base = chance.choice([None, None, fleet.stored.version])
+    fleet.change(name, kind, content, base)
+
+
+@step(
+    "faults and changes come at random for {seconds:d} seconds under seed"
+    " {seed:d}"
+)
+def random_run(context, seconds, seed):
+    fleet, chance = context.fleet, random.Random(seed)
+    fleet.chance.seed(seed)
+    for _ in range(seconds * 2):
+        fleet.run(0.5)
+        if chance.random() < 0.3:
+            FAULTS[chance.choice(sorted(FAULTS))](fleet, chance)
+        for _ in range(chance.choice([0, 1, 1, 2])):
+            change(fleet, chance)
+    heal(fleet)
+    fleet.delay_s = 0.005
+    fleet.run(20)
