--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -177,11 +177,8 @@
 def _withdraw_api_key(
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
+    # Not an error if it is gone: two operators may withdraw it at once.
     digest = _field(content, "digest")
-    if digest not in state.team_by_digest:
-        raise exceptions.ManifestError(
-            ("content.digest: no such key; it was never granted here",)
-        )
     kept = tuple(key for key in state.api_keys if key.digest != digest)
     return dataclasses.replace(state, api_keys=kept)
 
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -56,8 +56,9 @@
     )
     for cls, entry in entries:
         fields = ", ".join(cls.__dataclass_fields__)
+        level = logging.getLevelName(entry.level).lower()
         lines.append(
-            f"| {entry.number} | {entry.name} | {logging.getLevelName(entry.level).lower()}"
+            f"| {entry.number} | {entry.name} | {level}"
             f" | {entry.summary} | {fields} |"
         )
     return "\n".join(lines) + "\n"
