--- a/benchmarks/retries.py
+++ b/benchmarks/retries.py
@@ -121,7 +121,7 @@
     dispatching.configure(0.0, state)
     runners = _Runners(clock, failing)
     service = entry_service.EntryService(
-        clock, keeper, dispatching, runners, random.Random(seed)
+        clock, keeper, dispatching, runners, None, random.Random(seed)
     )
     callers = []
     for step in range(SECONDS * REQUESTS_A_SECOND):
--- a/src/azurevane/_internal/daemons/active_request.py
+++ b/src/azurevane/_internal/daemons/active_request.py
@@ -7,6 +7,7 @@
 from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.tasks import kept_answers
 from azurevane._internal.upstreams import answers
 
 
@@ -21,7 +22,9 @@
         attempts: number of times it was sent, or begun to be sent.
         running: whether an attempt holds a slot.
         may_have_run: whether any attempt may have run.
-        claimed: whether its request id is claimed for it.
+        claim_seq: number of its claim; None without one.
+        ran_status: status of its whole answer, once there is one.
+        kept: that answer, for repeats.
         relay: passes the runner's answer on, once there is one.
         deadline_call: answers the caller when its deadline passes.
     """
@@ -34,7 +37,9 @@
     attempts: int = 0
     running: bool = False
     may_have_run: bool = False
-    claimed: bool = False
+    claim_seq: int | None = None
+    ran_status: int | None = None
+    kept: kept_answers.KeptAnswer | None = None
     relay: answers.AnswerRelay | None = None
     deadline_call: Any = None
     last_failure: verdict_models.Failure | None = None
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -9,6 +9,7 @@
 
 from azurevane import exceptions
 from azurevane._internal.callers import channel
+from azurevane._internal.daemons import entry_claims
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.daemons import program
 from azurevane._internal.events import catalogue
@@ -17,6 +18,7 @@
 from azurevane._internal.models import fleet
 from azurevane._internal.operators import api
 from azurevane._internal.operators import changes
+from azurevane._internal.platform import claim_journal
 from azurevane._internal.platform import state_store
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
@@ -24,6 +26,7 @@
 from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.utils import tokens
 
 logger = logging.getLogger(__name__)
 
@@ -44,12 +47,21 @@
             settings.text("platform", "url"),
             settings.number("platform", "timeout"),
         )
-        self._store = state_store.StateStore(table.TableClient(calls))
+        table_client = table.TableClient(calls)
+        self._store = state_store.StateStore(table_client)
+        self._claims = entry_claims.EntryClaims(
+            reactor,
+            settings.text("host", "name"),
+            tokens.new_token(),
+            claim_journal.ClaimJournal(table_client),
+            lambda peer, message: None,
+        )
         self._service = entry_service.EntryService(
             reactor,
             self._keeper,
             self._dispatcher,
             upstream_client.RunnerClient(reactor),
+            self._claims,
         )
 
     @property
@@ -74,6 +86,7 @@
             interface=address,
         )
         self._repeat(self._service.tick, _DISPATCHER_TICK_S)
+        self._repeat(self._claims.tick, entry_claims.TICK_S)
         self._repeat(self._check_store, _STORE_CHECK_INTERVAL_S)
 
     def _repeat(self, call: Any, interval_s: float) -> None:
@@ -102,6 +115,7 @@
             logger,
             state_events.StateInForce(state.version, previous, source),
         )
+        self._claims.configure(state)
         self._service.apply(
             self._dispatcher.configure(self._reactor.seconds(), state)
         )
--- a/src/azurevane/_internal/daemons/entry_answering.py
+++ b/src/azurevane/_internal/daemons/entry_answering.py
@@ -2,16 +2,62 @@
 
 import logging
 
+from twisted.web import http_headers
+
 from azurevane._internal.daemons import active_request
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
+from azurevane._internal.models import claim_messages
+from azurevane._internal.models import claim_records
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.tasks import kept_answers
 from azurevane._internal.upstreams import answers
 
 logger = logging.getLogger(__name__)
 
 _STATUS_BY_REASON = {"time-out": 504}
+_Outcome = claim_records.Outcome
+# What a caller is told whose claim isn't the first: status, problem type,
+# verdict on the request with this id, detail and Retry-After.
+_REPEAT_BY_OUTCOME = {
+    _Outcome.REFUSED: (
+        503,
+        "claim-unavailable",
+        verdict_models.Verdict.NOT_RUN,
+        "The request id can't be claimed now; this request wasn't run, and"
+        " the outcome of an earlier one with the same id is unknown",
+        1.0,
+    ),
+    _Outcome.MISMATCH: (
+        422,
+        "digest-mismatch",
+        verdict_models.Verdict.NOT_RUN,
+        "Another request was sent under the same Idempotency-Key",
+        None,
+    ),
+    _Outcome.RUNNING: (
+        409,
+        "request-running",
+        verdict_models.Verdict.MAY_HAVE_RUN,
+        "A request with this Idempotency-Key is running",
+        1.0,
+    ),
+    _Outcome.MAY_HAVE_RUN: (
+        409,
+        "request-may-have-run",
+        verdict_models.Verdict.MAY_HAVE_RUN,
+        "A request with this Idempotency-Key may have run",
+        None,
+    ),
+    _Outcome.RAN: (
+        409,
+        "request-ran",
+        verdict_models.Verdict.RAN,
+        "A request with this Idempotency-Key ran; its answer isn't kept",
+        None,
+    ),
+}
 
 
 def refuse(
@@ -78,6 +124,45 @@
     )
 
 
+def answer_repeat(
+    active: active_request.ActiveRequest, decided: claim_records.ClaimDecided
+) -> None:
+    """Answer a request whose claim isn't the first."""
+    if active.exchange.answered:
+        return
+    if decided.answer is not None:
+        _replay(active, decided.answer)
+        return
+    status, problem, verdict, detail, retry_after_s = _REPEAT_BY_OUTCOME[
+        decided.outcome
+    ]
+    refuse(
+        active,
+        request_models.Refusal(
+            active.submission.submission_id,
+            status,
+            problem,
+            detail,
+            verdict,
+            retry_after_s,
+        ),
+    )
+
+
+def _replay(
+    active: active_request.ActiveRequest, answer: claim_messages.AnswerReply
+) -> None:
+    headers = http_headers.Headers()
+    for header in answer.headers:
+        headers.addRawHeader(header.name, header.value)
+    active.exchange.start_answer(
+        answer.status, None, headers, len(answer.body)
+    )
+    active.exchange.setHeader(b"Azurevane-Verdict", b"ran")
+    active.exchange.write(answer.body)
+    active.exchange.end_answer()
+
+
 class CallerSink:
     """Passes an answer on to its caller, from its first byte on.
 
@@ -90,8 +175,15 @@
         active: active_request.ActiveRequest,
         answer: answers.RunnerAnswer,
     ) -> None:
+        self._active = active
         self._exchange = active.exchange
         self._answer = answer
+        # What is kept for a repeat of a claimed request; None if it is
+        # too large. It is kept also after the caller has left.
+        self._kept: list[bytes] | None = None
+        if active.claim_seq is not None:
+            self._kept = []
+        self._kept_bytes = 0
 
     def registerProducer(  # noqa: N802 (name of the interface)
         self, producer: object, streaming: bool
@@ -107,11 +199,21 @@
 
     def write(self, data: bytes) -> None:
         """Pass on a part of the body, unless nobody waits for it."""
+        self._keep(data)
         if self._exchange.answered:
             return
         self._start()
         self._exchange.write(data)
 
+    def _keep(self, data: bytes) -> None:
+        if self._kept is None:
+            return
+        self._kept_bytes += len(data)
+        if self._kept_bytes > kept_answers.MAX_BODY_BYTES:
+            self._kept = None
+        else:
+            self._kept.append(data)
+
     def _start(self) -> None:
         if self._exchange.streaming:
             return
@@ -129,6 +231,20 @@
 
     def end(self) -> None:
         """End an answer that has arrived whole."""
+        if self._answer.failure is None:
+            self._active.ran_status = self._answer.status
+        if self._kept is not None:
+            self._active.kept = kept_answers.KeptAnswer(
+                self._answer.status,
+                tuple(
+                    claim_messages.Header(
+                        name.decode("latin-1"), value.decode("latin-1")
+                    )
+                    for name, values in self._answer.headers.getAllRawHeaders()
+                    for value in values
+                ),
+                b"".join(self._kept),
+            )
         if not self._exchange.answered:
             self._start()
             self._exchange.end_answer()
--- /dev/null
+++ b/src/azurevane/_internal/daemons/entry_claims.py
@@ -0,0 +1,222 @@
+"""Wires claims to the table, to peers and to the requests of callers."""
+
+import collections
+from collections.abc import Callable
+import logging
+from typing import Any, Protocol
+
+from twisted.internet import defer
+from twisted.python import failure as twisted_failure
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import platform_events
+from azurevane._internal.models import claim_messages
+from azurevane._internal.models import claim_records
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.models import messages
+from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.tasks import claim_asker
+from azurevane._internal.tasks import claim_keeper
+from azurevane._internal.tasks import kept_answers
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+MESSAGE_TYPES = (
+    claim_messages.Claim,
+    claim_messages.ClaimAck,
+    claim_messages.ClaimDone,
+    claim_messages.AnswerRequest,
+    claim_messages.AnswerReply,
+)
+
+_Effects = list[claim_records.ClaimEffect]
+_Decided = Callable[[claim_records.ClaimDecided], None]
+
+
+class Journal(Protocol):
+    """What is needed of ``platform.claim_journal``."""
+
+    async def read(self, seat: int) -> claim_records.StoredJournal:
+        """Return the whole journal of a seat."""
+
+    async def append(
+        self, write: claim_records.AppendJournal
+    ) -> tuple[bool, int]:
+        """Write a segment; return whether it applied, and the version."""
+
+
+class EntryClaims:
+    """Owns the claims of one entry process, as asker and as keeper.
+
+    Args:
+        host: name of this entry host.
+        incarnation: identifies this process start.
+        send: sends a message to a peer, named by its entry host.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        host: str,
+        incarnation: str,
+        journal: Journal,
+        send: Callable[[str, messages.Message], None],
+    ) -> None:
+        self._reactor = reactor
+        self._host = host
+        self._incarnation = incarnation
+        self._journal = journal
+        self._send = send
+        self._asker = claim_asker.ClaimAsker(incarnation)
+        self._keeper = claim_keeper.ClaimKeeper(incarnation)
+        self._decided_by_seq: dict[int, _Decided] = {}
+        self._queue: collections.deque[claim_records.ClaimEffect] = (
+            collections.deque()
+        )
+        self._applying = False
+
+    def configure(self, state: fleet.FleetState) -> None:
+        """Follow the seats of a fleet state."""
+        seats = 0 if state.manifest is None else state.manifest.entry_seats
+        # Without any seat in the state a lone process keeps all claims.
+        # Epoch 0 is lower than that of every seat given out later.
+        given = state.seats or tuple(
+            fleet.Seat(number, self._host, self._incarnation, 0)
+            for number in range(seats)
+        )
+        own = (self._host, self._incarnation)
+        self._asker.configure(
+            seats, {seat.number: seat.holder for seat in given}
+        )
+        self._apply(
+            self._keeper.configure(
+                self._reactor.seconds(),
+                seats,
+                [
+                    seat
+                    for seat in given
+                    if (seat.holder, seat.incarnation) == own
+                ],
+            )
+        )
+
+    def claim(
+        self,
+        team: str,
+        request_id: str,
+        digest: str,
+        run_s: float,
+        begun: Callable[[int], None],
+        decided: _Decided,
+    ) -> None:
+        """Claim a request.
+
+        Args:
+            begun: is told the number of the claim, before anything else.
+            decided: is told the outcome, unless the claim ends earlier.
+        """
+        seq, asked = self._asker.begin(
+            self._reactor.seconds(), team, request_id, digest, run_s
+        )
+        self._decided_by_seq[seq] = decided
+        begun(seq)
+        self._apply(asked)
+
+    def end(
+        self,
+        seq: int,
+        verdict: verdict_models.Verdict,
+        status: int,
+        answer: kept_answers.KeptAnswer | None,
+    ) -> None:
+        """Report how a claimed request ended."""
+        self._decided_by_seq.pop(seq, None)
+        self._apply(
+            self._asker.end(
+                self._reactor.seconds(), seq, verdict, status, answer
+            )
+        )
+
+    def received(
+        self, peer: str, incarnation: str, message: messages.Message
+    ) -> None:
+        """Take a message of a peer."""
+        self._apply(self._handle(peer, incarnation, message))
+
+    def _handle(
+        self, peer: str, incarnation: str, message: messages.Message
+    ) -> _Effects:
+        now = self._reactor.seconds()
+        if isinstance(message, claim_messages.Claim):
+            return self._keeper.claimed(now, peer, incarnation, message)
+        if isinstance(message, claim_messages.ClaimDone):
+            return self._keeper.done(now, peer, incarnation, message)
+        if isinstance(message, claim_messages.ClaimAck):
+            return self._asker.acked(now, message)
+        if isinstance(message, claim_messages.AnswerRequest):
+            return self._asker.asked(now, peer, message)
+        assert isinstance(message, claim_messages.AnswerReply)
+        return self._asker.answered(message)
+
+    def tick(self) -> None:
+        """Do what is due; call every ``TICK_S``."""
+        now = self._reactor.seconds()
+        self._apply(self._keeper.tick(now) + self._asker.tick(now))
+
+    def _apply(self, decided: _Effects) -> None:
+        # One effect may lead to others; they are carried out in order
+        # instead of inside each other.
+        self._queue.extend(decided)
+        if self._applying:
+            return
+        self._applying = True
+        try:
+            while self._queue:
+                self._carry_out(self._queue.popleft())
+        finally:
+            self._applying = False
+
+    def _carry_out(self, effect: claim_records.ClaimEffect) -> None:
+        if isinstance(effect, effects.Send):
+            if effect.peer == self._host:
+                self._queue.extend(
+                    self._handle(self._host, self._incarnation, effect.message)
+                )
+            else:
+                self._send(effect.peer, effect.message)
+        elif isinstance(effect, claim_records.ClaimDecided):
+            told = self._decided_by_seq.pop(effect.seq, None)
+            if told is not None:
+                told(effect)
+        else:
+            call = defer.ensureDeferred(self._call_journal(effect))
+            call.addErrback(_log_fault)
+
+    async def _call_journal(
+        self,
+        call: claim_records.ReadJournal | claim_records.AppendJournal,
+    ) -> None:
+        try:
+            if isinstance(call, claim_records.ReadJournal):
+                stored = await self._journal.read(call.seat)
+                now = self._reactor.seconds()
+                decided = self._keeper.journal_read(now, call, stored)
+            else:
+                applied, version = await self._journal.append(call)
+                now = self._reactor.seconds()
+                decided = self._keeper.journal_written(
+                    now, call, applied, version
+                )
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("claims", str(error))
+            )
+            decided = self._keeper.store_failed(self._reactor.seconds(), call)
+        self._apply(decided)
+
+
+def _log_fault(reason: twisted_failure.Failure) -> None:
+    logger.error("Journal call failed: %s", reason.getTraceback())
--- a/src/azurevane/_internal/daemons/entry_running.py
+++ b/src/azurevane/_internal/daemons/entry_running.py
@@ -64,7 +64,12 @@
         runner has closed, nothing was sent, or the longest run time is
         over. The caller may have been answered earlier.
         """
-        if active.exchange.answered or not active.exchange.body.repeatable:
+        late = self._reactor.seconds() >= active.submission.deadline
+        if (
+            late
+            or active.exchange.answered
+            or not active.exchange.body.repeatable
+        ):
             return AttemptResult(None, verdicts.build_failure("not-wanted"))
         active.attempts += 1
         outgoing = upstream_client.OutgoingRequest(
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -1,6 +1,7 @@
 """The entry daemon's callers' side: from a request to its answer."""
 
 import dataclasses
+import functools
 import logging
 import random
 from typing import Any
@@ -13,9 +14,11 @@
 from azurevane._internal.daemons import active_request
 from azurevane._internal.daemons import entry_admission
 from azurevane._internal.daemons import entry_answering
+from azurevane._internal.daemons import entry_claims
 from azurevane._internal.daemons import entry_running
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
+from azurevane._internal.models import claim_records
 from azurevane._internal.models import effects
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import verdict as verdict_models
@@ -35,6 +38,7 @@
         keeper: state_keeper.StateKeeper,
         dispatcher: dispatcher_module.Dispatcher,
         runners: upstream_client.RunnerClient,
+        claims: entry_claims.EntryClaims,
         rng: random.Random | None = None,
     ) -> None:
         self._reactor = reactor
@@ -43,6 +47,7 @@
         self._running = entry_running.RequestRunner(
             reactor, runners, rng or random.Random()
         )
+        self._claims = claims
         self._next_id = 0
         self._active_by_id: dict[str, active_request.ActiveRequest] = {}
         self.stopping = False
@@ -99,7 +104,35 @@
         active.deadline_call = self._reactor.callLater(
             active.submission.deadline - now, self._deadline_passed, active
         )
-        self._submit(active)
+        if not active.digest:
+            self._submit(active)
+            return
+        # Counted as active while its claim is decided.
+        self._active_by_id[active.submission.submission_id] = active
+        self._claims.claim(
+            active.submission.team,
+            str(active.exchange.head.request_id),
+            active.digest,
+            active.submission.deadline - now + active.queue.max_run_s,
+            functools.partial(self._claim_begun, active),
+            functools.partial(self._claim_decided, active),
+        )
+
+    @staticmethod
+    def _claim_begun(active: active_request.ActiveRequest, seq: int) -> None:
+        active.claim_seq = seq
+
+    def _claim_decided(
+        self,
+        active: active_request.ActiveRequest,
+        decided: claim_records.ClaimDecided,
+    ) -> None:
+        if decided.outcome is claim_records.Outcome.FIRST:
+            self._submit(active)
+            return
+        active.claim_seq = None
+        self._end(active)
+        entry_answering.answer_repeat(active, decided)
 
     def _submit(self, active: active_request.ActiveRequest) -> None:
         self._active_by_id[active.submission.submission_id] = active
@@ -287,6 +320,15 @@
         if active.deadline_call is not None:
             active.deadline_call.cancel()
             active.deadline_call = None
+        if active.claim_seq is not None:
+            seq, active.claim_seq = active.claim_seq, None
+            ran = active.ran_status is not None
+            self._claims.end(
+                seq,
+                verdict_models.Verdict.RAN if ran else active.verdict,
+                active.ran_status or 0,
+                active.kept if ran else None,
+            )
 
     def tick(self) -> None:
         """Drop what can't be answered in time any more."""
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -117,6 +117,7 @@
   team @1 :Text;
   requestId @2 :Text;
   digest @3 :Text;
+  runMs @4 :UInt32;
 }
 
 struct ClaimAck {
@@ -131,6 +132,7 @@
   requestId @1 :Text;
   verdict @2 :Text;
   status @3 :UInt16;
+  seq @4 :UInt64;
 }
 
 struct AnswerRequest {
@@ -150,4 +152,5 @@
   status @2 :UInt16;
   headers @3 :List(Header);
   body @4 :Data;
+  outcome @5 :Text;
 }
--- /dev/null
+++ b/src/azurevane/_internal/platform/claim_journal.py
@@ -0,0 +1,74 @@
+"""The journals of claims in the table, one per seat."""
+
+import msgspec
+
+from azurevane._internal.models import claim_records
+from azurevane._internal.platform import table
+
+
+def _head_row(seat: int) -> str:
+    return f"claim-head/{seat}"
+
+
+def _segment_prefix(seat: int) -> str:
+    return f"claim-journal/{seat}/"
+
+
+class ClaimJournal:
+    """Reads and appends to journals.
+
+    A journal has a head row and one row per segment. Each write replaces
+    the head row, under the condition that nobody else has since; the
+    holder of a newer epoch does so before anything else, so that later
+    writes of the former holder are refused.
+    """
+
+    def __init__(self, client: table.TableClient) -> None:
+        self._client = client
+
+    async def read(self, seat: int) -> claim_records.StoredJournal:
+        """Return the whole journal of a seat.
+
+        Raises:
+            StoreUnavailable: the table service gave no usable answer.
+        """
+        # The head is read first: a segment written after it then shows
+        # without its head, and the next write is refused.
+        head = await self._client.read(_head_row(seat))
+        rows = await self._client.read_prefix(_segment_prefix(seat))
+        segments = (
+            msgspec.convert(row.value, claim_records.Segment) for row in rows
+        )
+        return claim_records.StoredJournal(
+            head.version,
+            None
+            if head.value is None
+            else msgspec.convert(head.value, claim_records.JournalHead),
+            tuple(sorted(segments, key=lambda item: item.number)),
+        )
+
+    async def append(
+        self, write: claim_records.AppendJournal
+    ) -> tuple[bool, int]:
+        """Write a segment; return whether it applied, and the version.
+
+        Raises:
+            StoreUnavailable: no usable answer; it may have been written.
+        """
+        head, prefix = _head_row(write.seat), _segment_prefix(write.seat)
+        value_by_row: claim_records.Plain = {
+            f"{prefix}{number}": None for number in write.dropped
+        }
+        value_by_row[head] = msgspec.to_builtins(write.head)
+        if write.segment.claims or write.segment.outcomes:
+            value_by_row[f"{prefix}{write.segment.number}"] = (
+                msgspec.to_builtins(write.segment)
+            )
+        applied = await self._client.transact(
+            table.Transaction(
+                token=write.head.token,
+                version_by_checked_row={head: write.head_version},
+                value_by_row=value_by_row,
+            )
+        )
+        return applied.applied, applied.version_by_row[head]
--- /dev/null
+++ b/src/azurevane/_internal/tasks/claim_keeper.py
@@ -0,0 +1,164 @@
+"""Keeps the claims of the seats that this process holds.
+
+Takes messages and the table's answers, and returns effects; owns no
+socket. Every ``now`` is in monotonic seconds of this host.
+"""
+
+from collections.abc import Iterable
+
+from azurevane._internal.models import claim_messages
+from azurevane._internal.models import claim_records
+from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.policy import claim_owner
+from azurevane._internal.tasks import claim_seat
+
+# At most ten writes a second: the 12 hosts of both sites then make 120 of
+# the 150 writes a second that a burst may cost.
+WRITE_INTERVAL_S = 0.1
+
+_Effects = list[claim_records.ClaimEffect]
+
+
+class ClaimKeeper:
+    """Owns the claims of this process's seats."""
+
+    def __init__(self, incarnation: str) -> None:
+        self._incarnation = incarnation
+        self._seats = 0
+        self._seat_by_number: dict[int, claim_seat.ClaimSeat] = {}
+        self._next_write_at = 0.0
+
+    def configure(
+        self, now: float, seats: int, held: Iterable[fleet.Seat]
+    ) -> _Effects:
+        """Follow which seats this process holds.
+
+        Args:
+            seats: number of seats of the site.
+            held: those of this process, each with its epoch.
+        """
+        self._seats = seats
+        epoch_by_number = {seat.number: seat.epoch for seat in held}
+        decided: _Effects = []
+        for number, seat in list(self._seat_by_number.items()):
+            if epoch_by_number.get(number) != seat.epoch:
+                decided += seat.refuse_all()
+                del self._seat_by_number[number]
+        for number, epoch in epoch_by_number.items():
+            if number not in self._seat_by_number:
+                self._seat_by_number[number] = claim_seat.ClaimSeat(
+                    number, epoch, self._incarnation
+                )
+        return decided + self.tick(now)
+
+    def _seat_of(
+        self, team: str, request_id: str
+    ) -> claim_seat.ClaimSeat | None:
+        if not self._seats:
+            return None
+        number = claim_owner.claim_seat(team, request_id, self._seats)
+        return self._seat_by_number.get(number)
+
+    def claimed(
+        self,
+        now: float,
+        host: str,
+        incarnation: str,
+        message: claim_messages.Claim,
+    ) -> _Effects:
+        """Decide a claim of an entry host, or begin to."""
+        attempt = claim_records.Attempt(host, incarnation, message.seq)
+        seat = self._seat_of(message.team, message.request_id)
+        if seat is None:
+            refused = claim_messages.ClaimAck(
+                message.seq, claim_records.Outcome.REFUSED.value, "", 0
+            )
+            return [effects.Send(host, refused)]
+        entry = claim_records.ClaimEntry(
+            message.team,
+            message.request_id,
+            message.digest,
+            attempt,
+            message.run_ms,
+        )
+        return seat.claim(now, entry) + self._write(now)
+
+    def done(
+        self,
+        now: float,
+        host: str,
+        incarnation: str,
+        message: claim_messages.ClaimDone,
+    ) -> _Effects:
+        """Note how an attempt of an entry host ended."""
+        seat = self._seat_of(message.team, message.request_id)
+        if seat is None:
+            return []
+        outcome = claim_records.OutcomeEntry(
+            message.team,
+            message.request_id,
+            claim_records.Attempt(host, incarnation, message.seq),
+            message.verdict,
+            message.status,
+        )
+        return seat.done(now, outcome)
+
+    def tick(self, now: float) -> _Effects:
+        """Begin writes and reads that are due, and refuse what is late."""
+        decided: _Effects = []
+        for seat in self._seat_by_number.values():
+            decided += seat.tick(now)
+        return decided + self._write(now)
+
+    def _write(self, now: float) -> _Effects:
+        if now < self._next_write_at:
+            return []
+        for number, seat in list(self._seat_by_number.items()):
+            if seat.write_due(now):
+                self._next_write_at = now + WRITE_INTERVAL_S
+                # To the end of the order, so that each seat has its turn.
+                self._seat_by_number[number] = self._seat_by_number.pop(number)
+                return seat.begin_write(now)
+        return []
+
+    def _current(self, number: int, epoch: int) -> claim_seat.ClaimSeat | None:
+        seat = self._seat_by_number.get(number)
+        return seat if seat is not None and seat.epoch == epoch else None
+
+    def journal_read(
+        self,
+        now: float,
+        read: claim_records.ReadJournal,
+        stored: claim_records.StoredJournal,
+    ) -> _Effects:
+        """Take a journal that was read."""
+        seat = self._current(read.seat, read.epoch)
+        if seat is None:
+            return []
+        return seat.read(now, stored) + self._write(now)
+
+    def journal_written(
+        self,
+        now: float,
+        write: claim_records.AppendJournal,
+        applied: bool,
+        version: int,
+    ) -> _Effects:
+        """Take the table's answer to a write."""
+        seat = self._current(write.seat, write.head.epoch)
+        return [] if seat is None else seat.written(now, applied, version)
+
+    def store_failed(
+        self,
+        now: float,
+        call: claim_records.ReadJournal | claim_records.AppendJournal,
+    ) -> _Effects:
+        """Note that a call to the table got no answer."""
+        epoch = (
+            call.epoch
+            if isinstance(call, claim_records.ReadJournal)
+            else call.head.epoch
+        )
+        seat = self._current(call.seat, epoch)
+        return [] if seat is None else seat.store_failed(now)
--- /dev/null
+++ b/src/azurevane/_internal/tasks/claim_seat.py
@@ -0,0 +1,380 @@
+"""The claims of one seat: decided by its holder, through the journal."""
+
+import dataclasses
+import enum
+
+from azurevane._internal.models import claim_messages
+from azurevane._internal.models import claim_records
+from azurevane._internal.models import effects
+from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.tasks import claim_table
+
+# A claim that isn't in the journal after this time is refused.
+DECIDE_WITHIN_S = 1.0
+# Outcomes wait this long for claims to be written with.
+OUTCOME_DELAY_S = 1.0
+# While the store fails, it is tried again this often.
+RETRY_S = 0.5
+MAX_RECORDS = 200_000
+MAX_WAITING = 10_000
+MAX_BATCH = 2_000
+_MAX_DROPPED = 50
+_EXPIRE_INTERVAL_S = 5.0
+
+_Effects = list[claim_records.ClaimEffect]
+_Outcome = claim_records.Outcome
+_NOT_RUN = verdict_models.Verdict.NOT_RUN.value
+
+
+class _Phase(enum.Enum):
+    UNREAD = "unread"
+    READING = "reading"
+    READY = "ready"
+    WRITING = "writing"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    """A claim that isn't in the journal yet."""
+
+    entry: claim_records.ClaimEntry
+    decide_by: float
+    refused: bool = False
+    followers: list[claim_records.Attempt] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """A segment whose write was begun, and may be repeated as it is."""
+
+    segment: claim_records.Segment
+    head_version: int
+    waiting_by_key: dict[claim_records.Key, _Waiting]
+    dropped: tuple[int, ...]
+    tokens: set[str]
+
+
+class ClaimSeat:
+    """Owns the claims of a seat while this process holds it."""
+
+    def __init__(self, number: int, epoch: int, incarnation: str) -> None:
+        self.number = number
+        self.epoch = epoch
+        self._incarnation = incarnation
+        self._phase = _Phase.UNREAD
+        self._retry_at = 0.0
+        self._failing_since: float | None = None
+        self._writes = 0
+        self._head_version = 0
+        self._next_number = 1
+        self._table = claim_table.ClaimTable()
+        self._waiting_by_key: dict[claim_records.Key, _Waiting] = {}
+        self._outcomes: list[claim_records.OutcomeEntry] = []
+        self._outcomes_due_at = 0.0
+        self._batch: _Batch | None = None
+        self._segment_ends: dict[int, float] = {}
+        self._expire_at = 0.0
+
+    @property
+    def lost(self) -> bool:
+        """Whether the journal belongs to a holder with a newer epoch."""
+        return self._phase is _Phase.LOST
+
+    def claim(self, now: float, entry: claim_records.ClaimEntry) -> _Effects:
+        """Decide a claim, or begin to."""
+        record = self._table.find(now, entry.key)
+        if record is not None:
+            outcome = claim_table.describe(
+                now, record, entry.digest, entry.attempt
+            )
+            return [
+                _ack(
+                    entry.attempt,
+                    outcome,
+                    record.entry.attempt.host,
+                    record.status,
+                )
+            ]
+        waiting = self._find_waiting(entry.key)
+        if waiting is not None:
+            return self._join(waiting, entry)
+        if self._must_refuse(now):
+            return [_ack(entry.attempt, _Outcome.REFUSED)]
+        self._waiting_by_key[entry.key] = _Waiting(
+            entry, now + DECIDE_WITHIN_S
+        )
+        return []
+
+    def _find_waiting(self, key: claim_records.Key) -> _Waiting | None:
+        if self._batch is not None and key in self._batch.waiting_by_key:
+            return self._batch.waiting_by_key[key]
+        return self._waiting_by_key.get(key)
+
+    def _join(
+        self, waiting: _Waiting, entry: claim_records.ClaimEntry
+    ) -> _Effects:
+        if waiting.entry.digest != entry.digest:
+            return [_ack(entry.attempt, _Outcome.MISMATCH)]
+        if waiting.refused:
+            return [_ack(entry.attempt, _Outcome.REFUSED)]
+        if entry.attempt not in (waiting.entry.attempt, *waiting.followers):
+            waiting.followers.append(entry.attempt)
+        return []
+
+    def _must_refuse(self, now: float) -> bool:
+        failing = (
+            self._failing_since is not None
+            and now - self._failing_since > DECIDE_WITHIN_S
+        )
+        return (
+            self.lost
+            or failing
+            or len(self._waiting_by_key) >= MAX_WAITING
+            or len(self._table) >= MAX_RECORDS
+        )
+
+    def done(
+        self, now: float, outcome: claim_records.OutcomeEntry
+    ) -> _Effects:
+        """Note how an attempt ended."""
+        waiting = self._find_waiting(outcome.key)
+        if waiting is not None and waiting.entry.attempt == outcome.attempt:
+            # Given up before it was decided; nothing ran.
+            waiting.refused = True
+            return _refuse(waiting)
+        if self._table.settle(now, outcome):
+            self._queue_outcome(now, outcome)
+        return []
+
+    def _queue_outcome(
+        self, now: float, outcome: claim_records.OutcomeEntry
+    ) -> None:
+        if not self._outcomes:
+            self._outcomes_due_at = now + OUTCOME_DELAY_S
+        self._outcomes.append(outcome)
+
+    def refuse_all(self) -> _Effects:
+        """Refuse every claim that isn't decided."""
+        decided: _Effects = []
+        batch = self._batch.waiting_by_key if self._batch else {}
+        for waiting in (*self._waiting_by_key.values(), *batch.values()):
+            decided += _refuse(waiting)
+        self._waiting_by_key.clear()
+        return decided
+
+    def tick(self, now: float) -> _Effects:
+        """Refuse what took too long; read the journal if need be."""
+        decided: _Effects = []
+        for key, waiting in list(self._waiting_by_key.items()):
+            if waiting.refused or waiting.decide_by <= now:
+                decided += _refuse(waiting)
+                del self._waiting_by_key[key]
+        if self._batch is not None:
+            for waiting in self._batch.waiting_by_key.values():
+                if not waiting.refused and waiting.decide_by <= now:
+                    decided += _refuse(waiting)
+        if now >= self._expire_at:
+            self._expire_at = now + _EXPIRE_INTERVAL_S
+            self._table.expire(now)
+        if self._phase is _Phase.UNREAD and now >= self._retry_at:
+            self._phase = _Phase.READING
+            decided.append(claim_records.ReadJournal(self.number, self.epoch))
+        return decided
+
+    def write_due(self, now: float) -> bool:
+        """Whether a write should be begun now."""
+        return self._phase is _Phase.READY and (
+            self._batch is not None
+            or bool(self._waiting_by_key)
+            or (bool(self._outcomes) and now >= self._outcomes_due_at)
+        )
+
+    def begin_write(self, now: float) -> _Effects:
+        """Write the next batch, or repeat the last one."""
+        if self._batch is None:
+            self._batch = self._build_batch(now)
+        batch = self._batch
+        self._writes += 1
+        token = f"{self._incarnation}/{self.number}/{self._writes}"
+        batch.tokens.add(token)
+        self._phase = _Phase.WRITING
+        head = claim_records.JournalHead(
+            self.epoch,
+            self._incarnation,
+            token,
+            batch.segment.number + 1,
+        )
+        return [
+            claim_records.AppendJournal(
+                self.number,
+                batch.head_version,
+                head,
+                batch.segment,
+                batch.dropped,
+            )
+        ]
+
+    def _build_batch(self, now: float) -> _Batch:
+        keys = list(self._waiting_by_key)[:MAX_BATCH]
+        waiting_by_key = {key: self._waiting_by_key.pop(key) for key in keys}
+        outcomes = tuple(self._outcomes[:MAX_BATCH])
+        del self._outcomes[:MAX_BATCH]
+        ended = [
+            number for number, end in self._segment_ends.items() if end <= now
+        ]
+        return _Batch(
+            claim_records.Segment(
+                self._next_number,
+                tuple(item.entry for item in waiting_by_key.values()),
+                outcomes,
+            ),
+            self._head_version,
+            waiting_by_key,
+            tuple(ended[:_MAX_DROPPED]),
+            set(),
+        )
+
+    def written(self, now: float, applied: bool, version: int) -> _Effects:
+        """Take the table's answer to a write."""
+        self._failing_since = None
+        if applied:
+            return self._commit(now, version)
+        # Somebody else has written since; read what.
+        self._phase = _Phase.UNREAD
+        self._retry_at = now
+        return self.tick(now)
+
+    def store_failed(self, now: float) -> _Effects:
+        """Note that a read or a write got no answer.
+
+        A write may have been made. The journal is read before anything
+        else, and tells by the token.
+        """
+        if self._failing_since is None:
+            self._failing_since = now
+        self._phase = _Phase.UNREAD
+        self._retry_at = now + RETRY_S
+        return []
+
+    def read(
+        self, now: float, stored: claim_records.StoredJournal
+    ) -> _Effects:
+        """Take the journal as read."""
+        self._failing_since = None
+        head = stored.head
+        if head is not None and self._belongs_to_other(head):
+            self._phase = _Phase.LOST
+            decided = self.refuse_all()
+            self._batch = None
+            return decided
+        self._phase = _Phase.READY
+        batch = self._batch
+        if batch is None:
+            return self._reload(now, stored)
+        if head is not None and head.token in batch.tokens:
+            return self._commit(now, stored.head_version)
+        if stored.head_version == batch.head_version:
+            # Not written yet. A write that is still on its way has the
+            # same content and condition as its repeat, so that at most
+            # one of them applies.
+            return []
+        return self._reload(now, stored)
+
+    def _belongs_to_other(self, head: claim_records.JournalHead) -> bool:
+        return head.epoch > self.epoch or (
+            head.epoch == self.epoch and head.incarnation != self._incarnation
+        )
+
+    def _reload(
+        self, now: float, stored: claim_records.StoredJournal
+    ) -> _Effects:
+        """Start from a journal that another holder wrote last."""
+        batch, self._batch = self._batch, None
+        self._head_version = stored.head_version
+        self._next_number = stored.head.next_number if stored.head else 1
+        self._table.load(now, stored.segments)
+        for segment in stored.segments:
+            self._note_segment(now, segment)
+        for outcome in self._outcomes:
+            self._table.settle(now, outcome)
+        waiting_items = list(self._waiting_by_key.values())
+        if batch is not None:
+            # Its condition can't hold any more, so that no write of it
+            # will apply: its claims are decided anew.
+            waiting_items += batch.waiting_by_key.values()
+            self._outcomes[:0] = batch.segment.outcomes
+        self._waiting_by_key.clear()
+        decided: _Effects = []
+        for waiting in waiting_items:
+            if waiting.refused:
+                continue
+            for attempt in (waiting.entry.attempt, *waiting.followers):
+                decided += self.claim(
+                    now, dataclasses.replace(waiting.entry, attempt=attempt)
+                )
+        return decided
+
+    def _note_segment(
+        self, now: float, segment: claim_records.Segment
+    ) -> None:
+        run_ms = max((item.run_ms for item in segment.claims), default=0)
+        self._segment_ends[segment.number] = (
+            now + run_ms / 1000 + claim_table.KEEP_S
+        )
+
+    def _commit(self, now: float, version: int) -> _Effects:
+        """Decide the claims of a batch that stands in the journal."""
+        batch, self._batch = self._batch, None
+        assert batch is not None, "a write without a batch"
+        self._phase = _Phase.READY
+        self._head_version = version
+        self._next_number = batch.segment.number + 1
+        self._note_segment(now, batch.segment)
+        for number in batch.dropped:
+            self._segment_ends.pop(number, None)
+        decided: _Effects = []
+        for key, waiting in batch.waiting_by_key.items():
+            assert self._table.find(now, key) is None, "claimed twice"
+            self._table.add(now, waiting.entry)
+            if waiting.refused:
+                self._give_back(now, waiting.entry)
+                continue
+            decided.append(_ack(waiting.entry.attempt, _Outcome.FIRST))
+            host = waiting.entry.attempt.host
+            decided += [
+                _ack(attempt, _Outcome.RUNNING, host)
+                for attempt in waiting.followers
+            ]
+        return decided
+
+    def _give_back(self, now: float, entry: claim_records.ClaimEntry) -> None:
+        outcome = claim_records.OutcomeEntry(
+            entry.team, entry.request_id, entry.attempt, _NOT_RUN, 0
+        )
+        self._table.settle(now, outcome)
+        self._queue_outcome(now, outcome)
+
+
+def _refuse(waiting: _Waiting) -> _Effects:
+    if waiting.refused:
+        attempts = waiting.followers
+    else:
+        attempts = [waiting.entry.attempt, *waiting.followers]
+    waiting.refused = True
+    waiting.followers = []
+    return [_ack(attempt, _Outcome.REFUSED) for attempt in attempts]
+
+
+def _ack(
+    attempt: claim_records.Attempt,
+    outcome: claim_records.Outcome,
+    host: str = "",
+    status: int = 0,
+) -> effects.Send:
+    return effects.Send(
+        attempt.host,
+        claim_messages.ClaimAck(attempt.seq, outcome.value, host, status),
+    )
--- a/tests/callers/environment.py
+++ b/tests/callers/environment.py
@@ -1,7 +1,8 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+TESTS = pathlib.Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(TESTS), str(TESTS.parent / "benchmarks")]
 
 from support import reactor_thread  # noqa: E402
 
--- a/tests/callers/retries.feature
+++ b/tests/callers/retries.feature
@@ -22,3 +22,29 @@
     Given an entry host without a retry budget whose runner refuses at first
     When a "POST" of 100 bytes comes from a caller
     Then the request is refused with 503 "runner-refused" "not-run" after 1 attempt
+
+  Scenario: An order that is repeated after its answer
+    Guards against an order that runs again though its answer is known.
+    Given an entry host with a full retry budget whose runner answers
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 200 "mine" with verdict "none" and has run 1 times
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 200 "mine" with verdict "ran" and has run 1 times
+    When an order "o-1" of 101 bytes comes from a caller
+    Then the order is answered 422 "digest-mismatch" with verdict "not-run" and has run 1 times
+
+  Scenario: An order whose runner broke off
+    Guards against running an order again that may have run.
+    Given an entry host with a full retry budget whose runner resets at first
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 502 "reset-before-answer" with verdict "may-have-run" and has run 1 times
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 409 "request-may-have-run" with verdict "may-have-run" and has run 1 times
+
+  Scenario: An order that was refused before it ran
+    Guards against losing an order because its id was used for a refusal.
+    Given an entry host without a retry budget whose runner refuses at first
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 503 "runner-refused" with verdict "not-run" and has run 1 times
+    When an order "o-1" of 100 bytes comes from a caller
+    Then the order is answered 200 "mine" with verdict "none" and has run 2 times
--- a/tests/callers/steps/request_steps.py
+++ b/tests/callers/steps/request_steps.py
@@ -204,42 +204,40 @@
 
 
 def send(context, data, method="POST"):
-    context.connection = context.entry.connect()
+    context.caller = entry_harness.Caller(context.entry)
     context.sent_at = time.monotonic()
-    context.connection.sendall(data)
-    context.answer = entry_harness.Answer(context.connection, method)
+    context.caller.send(data)
+    context.answer = context.caller.read_answer(method)
     context.answer_s = time.monotonic() - context.sent_at
 
 
 @when("a caller sends a body that waits for 100")
 def send_expecting(context):
-    context.connection = context.entry.connect()
-    context.connection.sendall(build(Content_Length=7, Expect="100-continue"))
-    first = entry_harness.Answer(context.connection)
-    assert first.status == 100, first.status
-    context.connection.sendall(b"abcdefg")
-    context.answer = entry_harness.Answer(context.connection, rest=first.rest)
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(build(Content_Length=7, Expect="100-continue"))
+    first = context.caller.socket.recv(100)
+    assert first == b"HTTP/1.1 100 Continue\r\n\r\n", first
+    context.caller.send(b"abcdefg")
+    context.answer = context.caller.read_answer()
 
 
 @when("a caller streams chunks without end")
 def stream_chunks(context):
-    context.connection = context.entry.connect()
-    context.connection.sendall(build(Transfer_Encoding="chunked"))
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(build(Transfer_Encoding="chunked"))
     for _ in range(30):
-        context.connection.sendall(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
+        context.caller.send(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
         time.sleep(0.005)
-    context.answer = entry_harness.Answer(context.connection)
+    context.answer = context.caller.read_answer()
 
 
 @when("a caller sends a malformed chunk after a good one")
 def send_malformed_chunk(context):
-    context.connection = context.entry.connect()
-    context.connection.sendall(
-        build(Transfer_Encoding="chunked") + b"3\r\nabc\r\n"
-    )
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(build(Transfer_Encoding="chunked") + b"3\r\nabc\r\n")
     time.sleep(0.2)
-    context.connection.sendall(b"zz\r\n")
-    context.answer = entry_harness.Answer(context.connection)
+    context.caller.send(b"zz\r\n")
+    context.answer = context.caller.read_answer()
 
 
 @when("a caller sends a request with a deadline of {ms:d} ms")
@@ -249,18 +247,18 @@
 
 @when("a caller leaves {ms:d} ms after it sent a request")
 def leave(context, ms):
-    with context.entry.connect() as connection:
+    with entry_harness.Caller(context.entry).socket as connection:
         connection.sendall(build())
         time.sleep(ms / 1000)
 
 
 @when("a caller sends its head one byte a time")
 def send_slowly(context):
-    context.connection = context.entry.connect()
+    context.caller = entry_harness.Caller(context.entry)
     for byte in b"GET /healthz H":
-        context.connection.sendall(bytes([byte]))
+        context.caller.send(bytes([byte]))
         time.sleep(0.05)
-    context.answer = entry_harness.Answer(context.connection)
+    context.answer = context.caller.read_answer()
 
 
 @when("a caller sends half a body")
@@ -273,20 +271,20 @@
     context.kinds = ["chunked", "204", "price"] * count
     context.kinds = context.kinds[:count]
     data = b"".join(build("GET", f"/q/quoting/{k}") for k in context.kinds)
-    context.connection = context.entry.connect()
-    context.connection.sendall(data)
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(data)
 
 
 @when("a caller reads the answer slowly")
 def read_slowly(context):
     context.before = resident_bytes()
-    context.connection = context.entry.connect()
-    context.connection.sendall(build(Azurevane_Deadline_Ms=30_000))
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(build(Azurevane_Deadline_Ms=30_000))
     context.received = 0
     buffer = bytearray(MEGABYTE)
     context.highest = 0
     while context.received < 64 * MEGABYTE:
-        count = context.connection.recv_into(buffer)
+        count = context.caller.socket.recv_into(buffer)
         if not count:
             break
         context.received += count
@@ -298,14 +296,14 @@
 def send_large(context):
     context.before = resident_bytes()
     context.highest = 0
-    connection = context.connection = context.entry.connect()
-    connection.sendall(
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(
         build(Content_Length=64 * MEGABYTE, Azurevane_Deadline_Ms=30_000)
     )
     for _ in range(64):
-        connection.sendall(b"x" * MEGABYTE)
+        context.caller.send(b"x" * MEGABYTE)
         context.highest = max(context.highest, resident_bytes())
-    context.answer = entry_harness.Answer(connection)
+    context.answer = context.caller.read_answer()
 
 
 @when("a caller sends {name}")
@@ -360,12 +358,10 @@
 
 @then("each answer belongs to its request")
 def check_order(context):
-    rest = b""
     for kind in context.kinds:
-        answer = entry_harness.Answer(context.connection, rest=rest)
-        rest = answer.rest
+        answer = context.caller.read_answer()
         assert answer.whole
-        assert ("transfer-encoding" in answer.headers) == (kind == "chunked")
+        assert bool(answer.headers["Transfer-Encoding"]) == (kind == "chunked")
         assert answer.status == (204 if kind == "204" else 200)
 
 
@@ -454,7 +450,7 @@
     )
     @hypothesis.given(malformed())
     def check(data):
-        with context.entry.connect() as connection:
+        with entry_harness.Caller(context.entry).socket as connection:
             connection.sendall(data)
             connection.shutdown(socket.SHUT_WR)
             received = b""
--- a/tests/callers/steps/retry_steps.py
+++ b/tests/callers/steps/retry_steps.py
@@ -16,6 +16,7 @@
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 SENT_BY_BEHAVIOUR = {
+    "answers": [],
     "refuses at first": [REFUSAL],
     "resets at first": [None],
     "cuts at first": [CUT],
@@ -54,15 +55,42 @@
         budget.note_success(service._reactor.seconds())
 
 
+@when('an order "{key}" of {size:d} bytes comes from a caller')
+def send_order(context, key, size):
+    data = entry_harness.build_request(
+        body=b"x" * size, Idempotency_Key=key, Azurevane_Deadline_Ms=1500
+    )
+    context.size = size
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(data)
+    context.answer = context.caller.read_answer()
+
+
+@then(
+    'the order is answered {status:d} "{problem}" with verdict "{verdict}"'
+    " and has run {count:d} times"
+)
+def check_order(context, status, problem, verdict, count):
+    answer = context.answer
+    assert answer.status == status, answer.body
+    if problem == "mine":
+        assert answer.whole and answer.body == b"mine"
+    else:
+        assert answer.problem["type"].endswith(f":{problem}"), answer.problem
+    found = answer.headers.get("azurevane-verdict", "none")
+    assert found == verdict, found
+    assert len(context.entry.runners[0].requests) == count
+
+
 @when('a "{method}" of {size:d} bytes comes from a caller')
 def send(context, method, size):
     data = entry_harness.build_request(
         method, body=b"x" * size, Content_Length=size
     )
-    connection = context.entry.connect()
-    connection.sendall(data)
     context.size = size
-    context.answer = entry_harness.Answer(connection)
+    context.caller = entry_harness.Caller(context.entry)
+    context.caller.send(data)
+    context.answer = context.caller.read_answer()
 
 
 @then("the request is answered after {count:d} attempts")
--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -1,16 +1,21 @@
 """The callers' side of an entry process, in this process."""
 
+import dataclasses
 import hashlib
+import http.client
 import json
 import socket
-import time
 
+import claim_site
 from twisted.internet import reactor
+from twisted.internet import task
 
 from azurevane._internal.callers import channel
+from azurevane._internal.daemons import entry_claims
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest
+from azurevane._internal.platform import claim_journal
 from azurevane._internal.tasks import dispatcher
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client
@@ -60,21 +65,32 @@
         self.dispatcher = dispatcher.Dispatcher()
         self.dispatcher.configure(reactor.seconds(), state)
         self.client = client.RunnerClient(reactor)
+        self.table = claim_site.FaultyTable(
+            claim_site.TableSite(reactor), claim_site.AlwaysOn()
+        )
+        self.claims = entry_claims.EntryClaims(
+            reactor,
+            "entry-1",
+            "start-1",
+            claim_journal.ClaimJournal(self.table),
+            lambda peer, message: None,
+        )
+        self.claims.configure(state)
+        self._loop = task.LoopingCall(self.claims.tick)
+        self._loop.start(entry_claims.TICK_S)
         self.service = entry_service.EntryService(
-            reactor, keeper, self.dispatcher, self.client
+            reactor, keeper, self.dispatcher, self.client, self.claims
         )
         self.factory = channel.CallersFactory(reactor, self.service)
         self._port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.port = self._port.getHost().port
 
-    def connect(self):
-        return socket.create_connection(("127.0.0.1", self.port), timeout=20)
-
     def running(self):
         return reactor_thread.call(lambda: self.dispatcher.running)
 
     def stop(self):
         reactor_thread.call(self._port.stopListening)
+        reactor_thread.call(self._loop.stop)
         reactor_thread.call(self.client.close)
         for runner in self.runners:
             runner.stop()
@@ -93,60 +109,47 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class Answer:
-    """One answer read from a connection; ``whole`` by its framing."""
-
-    def __init__(self, connection, method="GET", rest=b""):
-        self.began_at = time.monotonic()
-        self._connection = connection
-        self._data = rest
-        self.broken = False
-        head = self._read_until(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        self.status = int(lines[0].split(" ")[1]) if lines[0] else 0
-        self.headers = {
-            name.lower(): value
-            for name, _, value in (line.partition(": ") for line in lines[1:])
-        }
-        self.body = b""
-        bodiless = method == "HEAD" or self.status in (0, 100, 204, 304)
-        self.whole = bool(head) and (bodiless or self._read_body())
-        self.rest = self._data
-
-    def _receive(self):
+class Caller:
+    """A connection to an entry host; answers are read in their order."""
+
+    def __init__(self, entry):
+        address = ("127.0.0.1", entry.port)
+        self.socket = socket.create_connection(address, timeout=20)
+        self._file = self.socket.makefile("rb")
+        self._file.close = lambda: None
+
+    def send(self, data):
+        self.socket.sendall(data)
+
+    def makefile(self, mode):
+        return self._file
+
+    def read_answer(self, method="GET"):
+        """Return an answer; its status is 0 if there is none."""
+        response = http.client.HTTPResponse(self, method=method)
+        answer = Answer(0, {}, b"", False, False)
         try:
-            part = self._connection.recv(65536)
+            response.begin()
+            answer = Answer(
+                response.status, response.headers, b"", False, False
+            )
+            body = response.read()
+            return dataclasses.replace(answer, body=body, whole=True)
         except ConnectionError:
-            self.broken = True
-            part = b""
-        self._data += part
-        return part
-
-    def _read_until(self, mark):
-        while mark not in self._data:
-            if not self._receive():
-                return b""
-        found, _, self._data = self._data.partition(mark)
-        return found
-
-    def _read_count(self, count):
-        while len(self._data) < count:
-            if not self._receive():
-                return False
-        self.body += self._data[:count]
-        self._data = self._data[count:]
-        return True
-
-    def _read_body(self):
-        if "content-length" in self.headers:
-            return self._read_count(int(self.headers["content-length"]))
-        while True:
-            size = self._read_until(b"\r\n")
-            if not size or not self._read_count(int(size, 16)):
-                return False
-            if not int(size, 16):
-                return self._read_until(b"\r\n") == b""
-            self._read_until(b"\r\n")
+            return dataclasses.replace(answer, broken=True)
+        except http.client.HTTPException:
+            return answer
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller has read; ``broken`` if the connection was reset."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+    broken: bool
 
     @property
     def problem(self):
--- /dev/null
+++ b/tests/tasks/steps/claim_steps.py
@@ -0,0 +1,213 @@
+import json
+import logging
+
+from behave import given
+from behave import then
+from behave import when
+import claim_site
+
+from azurevane._internal.models import claim_messages
+from azurevane._internal.tasks import claim_asker
+
+ENDING_BY_TEXT = {
+    "and may have run": "may-have-run",
+    "and is not run": "not-run",
+}
+
+
+@given("claims of {hosts:d} entry hosts, of which {seats:d} hold the seats")
+def start_site(context, hosts, seats):
+    logging.getLogger("azurevane").setLevel(logging.CRITICAL)
+    context.site = claim_site.ClaimSite(hosts, seats)
+    context.site.run(0.5)
+
+
+@when('"{key}" comes to "{name}"')
+def send(context, key, name):
+    context.request = context.site.request(name, key)
+
+
+@when('{count:d} other orders come to "{name}"')
+def send_others(context, count, name):
+    for index in range(count):
+        context.site.request(name, f"order-2-{index}")
+
+
+@when("the seats lose their holders")
+def lose_holders(context):
+    context.site.seats.clear()
+    context.site.spread_state()
+
+
+@when('"{key}" comes to "{name}" and may have run')
+def send_lost(context, key, name):
+    context.request = context.site.request(name, key, ending="may-have-run")
+
+
+@when('"{key}" comes to "{name}" and is not run')
+def send_unrun(context, key, name):
+    context.request = context.site.request(name, key, ending="not-run")
+
+
+@when('"{key}" comes to "{name}" and takes {seconds:d} s')
+def send_long(context, key, name, seconds):
+    context.request = context.site.request(name, key, run_s=seconds)
+
+
+@when('"{key}" comes to "{name}" with another digest')
+def send_other(context, key, name):
+    context.request = context.site.request(name, key, digest="e")
+
+
+@when('"{key}" comes to "{name}" and to "{other}" at the same time')
+def send_two(context, key, name, other):
+    context.two = [
+        context.site.request(item, key, run_s=2.0) for item in (name, other)
+    ]
+    context.site.run(1)
+
+
+@when("the claims go on for {seconds:d} s")
+def wait(context, seconds):
+    context.site.run(seconds)
+
+
+@when('the kept answers of "{name}" are dropped')
+def drop_answers(context, name):
+    kept = context.site.host_by_name[name].claims._asker._kept
+    for key in list(kept._kept_by_key):
+        kept._drop_answer(key)
+
+
+@when('the process of "{name}" starts again')
+def restart(context, name):
+    context.site.start(name)
+
+
+@when('both seats go to "{name}"')
+def move_seats(context, name):
+    for number in (0, 1):
+        context.site.give_seat(number, name)
+
+
+@when('seat holders are cut off from "{name}"')
+def cut(context, name):
+    for holder in ("entry-0", "entry-1"):
+        context.site.cut_links |= {(holder, name), (name, holder)}
+
+
+@when('the claims\' store is "{fault}"')
+@when('the claims\' store is ""')
+def set_fault(context, fault=""):
+    context.site.fault = fault
+
+
+@when("both seats' holders are paused")
+def pause(context):
+    for name in ("entry-0", "entry-1"):
+        context.site.host_by_name[name].paused = True
+
+
+@when('the old holders go on without knowing and get a claim of "{key}"')
+def resume_unaware(context, key):
+    # The change of the seats hasn't reached them yet.
+    site = context.site
+    context.acks = []
+    context.table_versions = len(site.table.row_by_name)
+    context.refused = count_refused(site.table)
+    for name in ("entry-0", "entry-1"):
+        host = site.host_by_name[name]
+        host._waiting.clear()
+        host.paused = False
+        host._send = None
+        host.claims._send = lambda peer, message: context.acks.append(message)
+        message = claim_messages.Claim(7, "mills", key, "d", 30_000)
+        host.claims.received("entry-9", "start-9", message)
+
+
+def count_refused(table):
+    refused = []
+    former = table.transact
+
+    def transact(checks, puts):
+        applied, versions = former(checks, puts)
+        if not applied:
+            refused.append(checks)
+        return applied, versions
+
+    table.transact = transact
+    return refused
+
+
+@then("the table has refused a write")
+def check_refused(context):
+    assert context.refused
+
+
+@then('the late claim is not "first"')
+def check_late(context):
+    outcomes = [message.outcome for message in context.acks]
+    assert outcomes and "first" not in outcomes, outcomes
+
+
+@then('one of the two claims is "{first}" and the other is "{second}"')
+def check_two(context, first, second):
+    outcomes = sorted(request.outcome.value for request in context.two)
+    assert outcomes == sorted([first, second]), outcomes
+
+
+@then('its claim is "{outcome}" with the first\'s answer')
+def check_answer(context, outcome):
+    assert context.request.outcome.value == outcome
+    assert context.request.answer.body == context.request.key.encode()
+
+
+@then('its claim is "{outcome}" without an answer')
+def check_outcome(context, outcome):
+    assert context.request.outcome is not None
+    assert context.request.outcome.value == outcome, context.request.outcome
+    assert context.request.answer is None
+
+
+@then('"{key}" has run {count:d} time')
+@then('"{key}" has run {count:d} times')
+def check_runs(context, key, count):
+    assert context.site.runs_by_key[key] == count
+    assert context.site.false_refusals() == 0
+
+
+@then('the claim numbers of two processes of "{name}" differ')
+def check_numbers(context, name):
+    seqs = set()
+    for incarnation in ("start-1", "start-2"):
+        asker = claim_asker.ClaimAsker(incarnation)
+        asker.configure(1, {0: "entry-1"})
+        seqs |= {asker.begin(0.0, "t", "r", "d", 1.0)[0] for _ in range(99)}
+    assert len(seqs) == 198
+
+
+@then(
+    "{count:d} random runs from seed {seed:d} give no duplicate and no"
+    " false refusal"
+)
+def check_random(context, count, seed):
+    context.sites = [
+        claim_site.run_random(item) for item in range(seed, seed + count)
+    ]
+    for site in context.sites:
+        assert site.duplicates() == 0
+        assert site.false_refusals() == 0
+
+
+@then("each request of a living host has got an outcome")
+def check_outcomes(context):
+    for site in context.sites:
+        for request in site.requests:
+            assert request.host.dead or request.outcome is not None
+
+
+@then('the journals hold no claim of "{key}"')
+def check_journal(context, key):
+    rows = json.dumps(context.site.table.row_by_name)
+    assert '"order-2-0"' in rows
+    assert f'"{key}"' not in rows
