--- a/benchmarks/claim_site.py
+++ b/benchmarks/claim_site.py
@@ -215,8 +215,7 @@
             manifest=manifest.Manifest(
                 "s", "r", (), (), (), (), entry_seats=self._seat_count
             ),
-            seats=tuple(self.seats.values())
-            or (fleet.Seat(99, "nobody", "", 1),),
+            seats=tuple(self.seats.values()),
         )
 
     def give_seat(self, number, name, spread=True):
--- a/src/azurevane/_internal/daemons/entry_claims.py
+++ b/src/azurevane/_internal/daemons/entry_claims.py
@@ -81,15 +81,9 @@
     def configure(self, state: fleet.FleetState) -> None:
         """Follow the seats of a fleet state."""
         seats = 0 if state.manifest is None else state.manifest.entry_seats
-        # Without any seat in the state a lone process keeps all claims.
-        # Epoch 0 is lower than that of every seat given out later.
-        given = state.seats or tuple(
-            fleet.Seat(number, self._host, self._incarnation, 0)
-            for number in range(seats)
-        )
         own = (self._host, self._incarnation)
         self._asker.configure(
-            seats, {seat.number: seat.holder for seat in given}
+            seats, {seat.number: seat.holder for seat in state.seats}
         )
         self._apply(
             self._keeper.configure(
@@ -97,7 +91,7 @@
                 seats,
                 [
                     seat
-                    for seat in given
+                    for seat in state.seats
                     if (seat.holder, seat.incarnation) == own
                 ],
             )
@@ -161,6 +155,16 @@
         assert isinstance(message, claim_messages.AnswerReply)
         return self._asker.answered(message)
 
+    @property
+    def writing(self) -> bool:
+        """Whether the journals lack anything."""
+        return self._keeper.writing
+
+    def flush(self) -> None:
+        """Write outcomes without waiting for more."""
+        self._keeper.flush()
+        self.tick()
+
     def tick(self) -> None:
         """Do what is due; call every ``TICK_S``."""
         now = self._reactor.seconds()
--- a/src/azurevane/_internal/tasks/claim_keeper.py
+++ b/src/azurevane/_internal/tasks/claim_keeper.py
@@ -104,6 +104,16 @@
         )
         return seat.done(now, outcome)
 
+    @property
+    def writing(self) -> bool:
+        """Whether anything isn't in the journals yet."""
+        return any(seat.writing for seat in self._seat_by_number.values())
+
+    def flush(self) -> None:
+        """Write outcomes without waiting for more."""
+        for seat in self._seat_by_number.values():
+            seat.flush()
+
     def tick(self, now: float) -> _Effects:
         """Begin writes and reads that are due, and refuse what is late."""
         decided: _Effects = []
--- a/src/azurevane/_internal/tasks/claim_seat.py
+++ b/src/azurevane/_internal/tasks/claim_seat.py
@@ -192,6 +192,17 @@
             or (bool(self._outcomes) and now >= self._outcomes_due_at)
         )
 
+    @property
+    def writing(self) -> bool:
+        """Whether anything isn't in the journal yet."""
+        return not self.lost and bool(
+            self._batch or self._waiting_by_key or self._outcomes
+        )
+
+    def flush(self) -> None:
+        """Write the outcomes at the next chance."""
+        self._outcomes_due_at = 0.0
+
     def begin_write(self, now: float) -> _Effects:
         """Write the next batch, or repeat the last one."""
         if self._batch is None:
--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -48,6 +48,7 @@
         "t",
         manifest.Manifest("s", "r", ("z",), teams, pools, queues, runners),
         keys,
+        seats=tuple(fleet.Seat(n, "entry-1", "i", 1) for n in range(6)),
     )
 
 
@@ -60,8 +61,13 @@
         reactor_thread.call(self._start, build_state(ports, **options))
 
     def _start(self, state):
-        keeper = state_keeper.StateKeeper()
-        keeper.offer(state)
+        now = reactor.seconds()
+        keeper = state_keeper.StateKeeper("entry-1", "i", (), now)
+        keeper.offer(now, state, 1, "store")
+        self._confirming = task.LoopingCall(
+            lambda: keeper.store_confirmed(reactor.seconds(), state.version, 1)
+        )
+        self._confirming.start(0.5)
         self.dispatcher = dispatcher.Dispatcher()
         self.dispatcher.configure(reactor.seconds(), state)
         self.client = client.RunnerClient(reactor)
@@ -71,7 +77,7 @@
         self.claims = entry_claims.EntryClaims(
             reactor,
             "entry-1",
-            "start-1",
+            "i",
             claim_journal.ClaimJournal(self.table),
             lambda peer, message: None,
         )
@@ -89,6 +95,7 @@
         return reactor_thread.call(lambda: self.dispatcher.running)
 
     def stop(self):
+        reactor_thread.call(self._confirming.stop)
         reactor_thread.call(self._port.stopListening)
         reactor_thread.call(self._loop.stop)
         reactor_thread.call(self.client.close)
