--- a/src/azurevane/_internal/daemons/entry_answering.py
+++ b/src/azurevane/_internal/daemons/entry_answering.py
@@ -16,7 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
-_STATUS_BY_REASON = {"time-out": 504}
+_STATUS_BY_REASON = {"time-out": 504, "internal-error": 500}
 _Outcome = claim_records.Outcome
 # What a caller is told whose claim isn't the first: status, problem type,
 # verdict on the request with this id, detail and Retry-After.
--- a/tests/daemons/steps/restart_steps.py
+++ b/tests/daemons/steps/restart_steps.py
@@ -20,6 +20,8 @@
     entry = next(iter(context.site.zone_by_entry))
     manifest = manifests.small_manifest(context.site, queue, team)
     manifest["teams"][0]["limit"] = 300
+    # Ids that a seat without a holder keeps can't be claimed.
+    manifest["entry_seats"] = len(context.site.zone_by_entry)
     digest = hashlib.sha256(api_key.encode()).hexdigest()
     key = {"digest": digest, "team": team}
     for kind, content in (("manifest", manifest), ("key-grant", key)):
@@ -30,7 +32,7 @@
         )
     for name in context.site.zone_by_entry:
         processes.wait_until(
-            lambda name=name: send(context, name, "warm-up")[0] == 200
+            lambda name=name: send(context, name, f"warm-up-{name}")[0] == 200
         )
 
 
@@ -41,7 +43,12 @@
         "POST",
         "/q/quoting/price",
         request_id.encode(),
-        {**HEADERS, "X-Request-Id": request_id, "X-Run-Ms": str(run_ms)},
+        {
+            **HEADERS,
+            "X-Request-Id": request_id,
+            "X-Run-Ms": str(run_ms),
+            "Idempotency-Key": request_id,
+        },
     )
     if status == 200:
         assert json.loads(body)["request_id"] == request_id, body
