--- a/src/azurevane/_internal/callers/channel.py
+++ b/src/azurevane/_internal/callers/channel.py
@@ -190,6 +190,11 @@
         """Announce the close on each answer from now on."""
         self.closing = True
 
+    @property
+    def busy(self) -> bool:
+        """Whether any connection carries a request."""
+        return any(not channel.idle for channel in self.channels)
+
     def close_idle(self) -> None:
         """Close the connections that carry no request."""
         for channel in list(self.channels):
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -59,6 +59,19 @@
         high=65535,
     )
 )
+define(
+    Option(
+        "callers",
+        "drain_seconds",
+        float,
+        2.0,
+        "Time for which a stopping process is unready but still accepts,"
+        " so that the balancer sees it first.",
+        unit="s",
+        low=0.0,
+        high=60.0,
+    )
+)
 define(
     Option(
         "operators",
