Skip busy runners when an ask is answered

Cause: an ask for a pool whose slots are all in use looked at the asks again for each of 157 runners (98 teams, 2,500 runners), and releasing a slot of a spare pool looked at 32 topics although nobody asked.

Change: runners without idle permits are skipped before any look-up.

--- a/src/azurevane/_internal/tasks/permit_demand.py
+++ b/src/azurevane/_internal/tasks/permit_demand.py
@@ -118,6 +118,8 @@
         Args:
             topics: each topic with its tier.
         """
+        if not self.asks_by_topic:
+            return []
         found = []
         for topic, tier in topics:
             for peer, ask in self.open_asks(now, topic).items():
--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -266,14 +266,19 @@
         if self._topology is None or now >= self._ledger.fresh_until:
             return []
         done: Effects = []
+        if not self._demand.has_asks(now, topic):
+            return done
         for keys in self._topology.key_groups(topic):
             # Starts at another key each time, to spread loans over them.
             self._turn += 1
             start = self._turn % max(1, len(keys))
             for key in itertools.chain(keys[start:], keys[:start]):
+                account = self._ledger.account_by_key[key]
+                if account.spare <= 0 and not account.taken:
+                    continue
+                done += self._offer(now, key)
                 if not self._demand.has_asks(now, topic):
                     return done
-                done += self._offer(now, key)
         return done
 
     def _offer(self, now: float, limit_key: str) -> Effects:
