--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import sys
+import time
 from typing import Any, Protocol
 
 import azurevane
@@ -54,12 +55,19 @@
     )
     from twisted.internet import reactor
 
+    # Twisted's clock is the wall clock, which can be set back; freshness
+    # and loans must end on time whatever happens to it.
+    reactor.seconds = time.monotonic
+    address = settings.text("host", "address")
+    metrics_port = settings.integer("metrics", "port")
+    if metrics_port:
+        from azurevane._internal.metrics import exposition
+
+        exposition.listen_metrics(reactor, address, metrics_port)
     daemon = factory(reactor, settings)
     daemon.start()
     catalogue.emit(
         logger,
-        program_events.ProgramStarted(
-            name, settings.text("host", "address"), azurevane.__version__
-        ),
+        program_events.ProgramStarted(name, address, azurevane.__version__),
     )
     reactor.run()
