Check configuration on six real entry hosts, and pauses and amnesia

Cause: a first round of broken code on purpose showed that no scenario noticed freshness counted from the answer, confirmations that ignore version, prepared changes or incarnation.

--- a/src/azurevane/_internal/standins/httpserver.py
+++ b/src/azurevane/_internal/standins/httpserver.py
@@ -99,6 +99,10 @@
             )
         except LookupError:
             status, answer = 404, {"error": f"no {call.path}"}
+        if faults.down_after and call.path.startswith(faults.down_after):
+            self.faults = dataclasses.replace(
+                self.faults, down=True, down_after=""
+            )
         if faults.lose_answers:
             if request.channel is not None:
                 request.transport.abortConnection()
--- /dev/null
+++ b/tests/daemons/steps/configuration_steps.py
@@ -0,0 +1,242 @@
+import concurrent.futures
+import copy
+import json
+import signal
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.models import fleet
+from support import manifests
+from support import processes
+
+NAMES = [f"entry-{number}" for number in range(1, 7)]
+DIGEST = fleet.digest_api_key("mills-key")
+CHANGES = {
+    "key-withdraw": {"digest": DIGEST},
+    "zone-out": {"zone": "az-b"},
+    "drain": {"name": "quote-2"},
+}
+
+
+def request(context, name, key="mills-key"):
+    """Return the status and the runner of one request."""
+    try:
+        status, _, body = context.site.call(
+            name,
+            "GET",
+            "/q/quoting/price",
+            headers={"Authorization": f"Bearer {key}"},
+            timeout=40,
+        )
+    except OSError:
+        return 0, None
+    return status, json.loads(body).get("runner") if status == 200 else None
+
+
+def breaks(context, kind, name):
+    """Whether a host's next requests break a change."""
+    answers = [request(context, name) for _ in range(4)]
+    if kind == "key-withdraw":
+        return any(status not in (401, 503) for status, _ in answers)
+    # "quote-2" is the only runner of the zone "az-b".
+    return any(runner == "quote-2" for _, runner in answers)
+
+
+def breaking(context, kind, names):
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        found = pool.map(lambda name: breaks(context, kind, name), names)
+        return [
+            name for name, wrong in zip(names, found, strict=True) if wrong
+        ]
+
+
+@given('six entry hosts with seats, a team "{team}" and its key "{key}"')
+def start_site(context, team, key):
+    site = context.site = processes.Site(context.scratch.name)
+    context.stopped = []
+    site.start_platform()
+    site.start_runners(["quote-1", "quote-2", "quote-3"])
+    site.plan_entries(dict.fromkeys(NAMES, "az-a"))
+    site.start_entries(NAMES)
+    context.manifest = manifests.small_manifest(site, "quoting", team)
+    status, body = site.change("entry-1", "manifest", context.manifest)
+    assert status == 200, body
+    processes.wait_until(
+        lambda: len(site.status("entry-1")["seats"]) == 6, timeout=30
+    )
+    status, body = site.change(
+        "entry-1", "key-grant", {"digest": DIGEST, "team": team}
+    )
+    assert status == 200, body
+
+    def serve():
+        return all(request(context, name)[0] == 200 for name in NAMES)
+
+    processes.wait_until(serve, timeout=15)
+
+
+def set_faults(context, **faults):
+    assert context.site.platform("PUT", "/faults", faults)[0] == 200
+
+
+@given("no trouble")
+def no_trouble(context):
+    pass
+
+
+@given("the store goes down at the acceptance")
+def down_at_acceptance(context):
+    set_faults(context, down_after="/table/transact")
+
+
+@given("the store is down")
+def store_down(context):
+    set_faults(context, down=True)
+
+
+@given("the store loses the answers to writes")
+def lose_answers(context):
+    set_faults(context, lose_answers=True, only="/table/transact")
+
+
+@given('"{name}" is stopped')
+def stop(context, name):
+    context.site.signal(name, signal.SIGSTOP)
+    context.stopped.append(name)
+
+
+def running(context):
+    return [name for name in NAMES if name not in context.stopped]
+
+
+@when('"{name}" makes the change {kind}')
+def make_change(context, name, kind):
+    content = CHANGES.get(kind)
+    if kind == "share":
+        kind, content = "manifest", copy.deepcopy(context.manifest)
+        content["teams"][0]["share"] = 3.0
+    context.kind = kind
+    context.sent_at = time.monotonic()
+    context.status, context.body = context.site.change(name, kind, content)
+
+
+@then(
+    "the change is accepted and no running host breaks it after"
+    " {seconds:d} seconds"
+)
+def check_bound(context, seconds):
+    assert context.status == 200, context.body
+    # Counted from when the change was sent, which is before acceptance.
+    bound = context.sent_at + seconds
+    wrong = running(context)
+    while wrong and time.monotonic() < bound:
+        wrong = breaking(context, context.kind, running(context))
+    while time.monotonic() < bound + 1.0:
+        wrong += breaking(context, context.kind, running(context))
+    assert not wrong, wrong
+
+
+@then('when "{name}" continues and the store is up, no host ever breaks it')
+def check_continued(context, name):
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        # Requests already wait in the socket of a stopped host.
+        waiting = pool.submit(breaking, context, context.kind, [name])
+        time.sleep(0.2)
+        context.site.signal(name, signal.SIGCONT)
+        assert not waiting.result(), name
+    set_faults(context)
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        wrong = breaking(context, context.kind, NAMES)
+        assert not wrong, wrong
+    versions = {context.site.status(name)["version"] for name in NAMES}
+    assert versions == {context.body["version"]}, versions
+
+
+@then("every running host has the version in force within {seconds:d} seconds")
+def check_in_force(context, seconds):
+    assert context.status == 200, context.body
+    await_version(context, running(context), context.sent_at + seconds)
+    assert context.body["in_force"] == len(running(context)), context.body
+
+
+def await_version(context, names, bound):
+    processes.wait_until(
+        lambda: all(
+            context.site.status(name)["version"] == context.body["version"]
+            for name in names
+        ),
+        timeout=bound - time.monotonic(),
+    )
+
+
+@then('after "{name}" continues it has the version within {seconds:d} seconds')
+def check_continued_version(context, name, seconds):
+    context.site.signal(name, signal.SIGCONT)
+    await_version(context, [name], time.monotonic() + seconds)
+
+
+@when('"{name}" is killed and started again')
+def restart(context, name):
+    process = context.site.process_by_name[name]
+    process.kill()
+    process.wait(timeout=10)
+    context.site.start_entry(name)
+    context.started_at = time.monotonic()
+
+
+@then(
+    '"{name}" is ready within {seconds:d} seconds and serves the key "{key}"'
+)
+def check_ready(context, name, seconds, key):
+    processes.wait_until(
+        lambda: context.site.call(name, "GET", "/readyz")[0] == 200,
+        timeout=context.started_at + seconds - time.monotonic(),
+    )
+    assert request(context, name, key)[0] == 200
+
+
+@when('"{one}" and "{two}" make a change from the same version at once')
+def race(context, one, two):
+    site = context.site
+    base = site.status(one)["version"]
+
+    def change(name, share):
+        content = copy.deepcopy(context.manifest)
+        content["teams"][0]["share"] = share
+        return site.change(name, "manifest", content, base)
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        answers = pool.map(change, (one, two), (2.0, 3.0))
+        context.answers = sorted(answers, key=lambda item: item[0])
+
+
+@then("one is accepted and the other told the version that won")
+def check_race(context):
+    (won, winner), (lost, loser) = context.answers
+    assert (won, lost) == (200, 409), context.answers
+    assert loser["current_version"] == winner["version"], context.answers
+    assert loser["changed"] == ["manifest.teams[mills]"], context.answers
+
+
+@when('every entry host but "{name}" is stopped')
+def stop_others(context, name):
+    for other in NAMES:
+        if other != name:
+            stop(context, other)
+    context.stopped_at = time.monotonic()
+
+
+@then(
+    '"{name}" is unready within {seconds:d} seconds and refuses the key'
+    ' "{key}"'
+)
+def check_unready(context, name, seconds, key):
+    processes.wait_until(
+        lambda: context.site.call(name, "GET", "/readyz")[0] == 503,
+        timeout=context.stopped_at + seconds - time.monotonic(),
+    )
+    assert request(context, name, key)[0] == 503
