--- a/src/azurevane/_internal/models/manifest.py
+++ b/src/azurevane/_internal/models/manifest.py
@@ -11,11 +11,24 @@
     Attributes:
         share: weight when a pool is full; greater than zero.
         limit: most requests and tasks it may run at once, fleet-wide.
+        task_limit: part of the limit that is for tasks; at most the
+            limit. 0 means a quarter of the limit, at least 1.
     """
 
     name: str
     share: float
     limit: int
+    task_limit: int = 0
+
+    @property
+    def task_part(self) -> int:
+        """Most tasks that it may run at once, fleet-wide."""
+        return self.task_limit or max(1, self.limit // 4)
+
+    @property
+    def request_limit(self) -> int:
+        """Most requests that it may run at once, fleet-wide."""
+        return max(0, self.limit - self.task_part)
 
 
 @dataclasses.dataclass(frozen=True)
