Place tasks under the controller's epoch, with learned sizes

Cause: the control daemon started every task on the emptiest worker, without sizes, limits, urgency or a fence, and lost track of tasks when it died.

Change: the placer owns the queue of a pool and merges worker reports, lapsed leases and write results. A start is written before it is sent; in an outage ordinary starts are sent first and adopted from worker reports later. At-most-once starts are written first, sent once, and unknown if no report settles them. Placement is best fit with measured sizes, by share, with one reservation per 100 workers for what fits nowhere, victims for urgent work, quarantine and reasons. Entry hosts announce new and cancelled tasks by inbox rows, so that the controller reads no more than what changed. The worker stand-in knows sizes, capacity, lagged use, checkpoints, throttling, pauses and faults.

All pools of a site are controlled by one daemon, so the count of a team's running tasks is exact and needs no division.

--- /dev/null
+++ b/src/azurevane/_internal/daemons/control_service.py
@@ -0,0 +1,390 @@
+"""Runs the controllers of the pools whose leases this daemon holds."""
+
+from collections.abc import Awaitable, Callable, Coroutine
+import logging
+from typing import Any, Protocol
+
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+
+from azurevane import exceptions
+from azurevane._internal.daemons import fleet_source
+from azurevane._internal.daemons import inbox
+from azurevane._internal.daemons import lease_service
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import platform_events
+from azurevane._internal.events import task_events
+from azurevane._internal.models import rows as row_models
+from azurevane._internal.models import worker as worker_models
+from azurevane._internal.policy import renewal
+from azurevane._internal.tasks import controller_lease
+from azurevane._internal.tasks import placer as placer_module
+from azurevane._internal.tasks import task_control
+from azurevane._internal.tasks import task_ledger
+
+logger = logging.getLogger(__name__)
+
+LEASE_TICK_S = 0.1
+PLACE_INTERVAL_S = 0.2
+FLEET_INTERVAL_S = 0.6
+REPORTS_INTERVAL_S = 0.6
+INBOX_INTERVAL_S = 0.6
+_TIMER_SLACK_S = 0.05
+
+
+class Workers(Protocol):
+    """What control needs of the workers' client."""
+
+    async def reports(self) -> tuple[worker_models.WorkerReport, ...]:
+        """Return the latest report of every worker."""
+
+    async def fence(
+        self, worker: str, pool: str, epoch: int, assignment: int
+    ) -> bool:
+        """Make a worker refuse lower epochs."""
+
+    async def start(self, command: worker_models.StartTask) -> bool:
+        """Start an attempt."""
+
+    async def stop(self, command: worker_models.StopTask) -> bool:
+        """Stop an attempt."""
+
+    async def renew(
+        self, worker: str, task_ids: tuple[str, ...], lease_s: float
+    ) -> bool:
+        """Extend leases."""
+
+    async def forget(self, command: worker_models.ForgetEnded) -> bool:
+        """Drop ended attempts."""
+
+
+class ControlService:
+    """One control daemon, apart from its sockets and settings."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        table: lease_service.Table,
+        workers: Workers,
+        source: fleet_source.FleetSource,
+        holder: str,
+        new_token: Callable[[], str],
+    ) -> None:
+        self._reactor = reactor
+        self._table = table
+        self._workers = workers
+        self._source = source
+        self._new_token = new_token
+        self.leases = controller_lease.ControllerLeases(
+            holder, new_token(), new_token
+        )
+        self._lease_service = lease_service.LeaseService(
+            reactor, table, self.leases
+        )
+        self._ledger = task_ledger.TaskLedger()
+        self.placer_by_pool: dict[str, placer_module.Placer] = {}
+        self._loading: set[str] = set()
+        self._reports_asked_at = float("-inf")
+        self._renewed_by_worker: dict[str, int] = {}
+        self._view_by_pool: dict[str, object] = {}
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        for call, interval_s in (
+            (self._lease_service.tick, LEASE_TICK_S),
+            (self._place, PLACE_INTERVAL_S),
+            (lambda: self._run(self._source.refresh()), FLEET_INTERVAL_S),
+            (lambda: self._run(self._read_reports()), PLACE_INTERVAL_S),
+            (lambda: self._run(self._read_inbox()), INBOX_INTERVAL_S),
+        ):
+            loop = twisted_task.LoopingCall(call)
+            loop.clock = self._reactor
+            loop.start(interval_s)
+
+    def _run(
+        self, coroutine: Coroutine[Any, Any, Any]
+    ) -> "defer.Deferred[Any]":
+        running = defer.ensureDeferred(coroutine)
+        running.addErrback(
+            lambda reason: logger.error(
+                "Control step failed: %s", reason.getTraceback()
+            )
+        )
+        return running
+
+    # Leases and views.
+
+    def _place(self) -> None:
+        now = self._reactor.seconds()
+        manifest = self._source.state.manifest
+        if manifest is None:
+            return
+        pools = [pool.name for pool in manifest.pools]
+        self.leases.configure(pools)
+        for pool in pools:
+            epoch = self.leases.epoch(pool)
+            placer = self.placer_by_pool.get(pool)
+            if placer is not None and placer.epoch != epoch:
+                self._drop(pool, "another holder or a new epoch")
+                placer = None
+            held = self.leases.held(now, pool)
+            if held is None:
+                continue
+            if placer is None:
+                self._begin(pool, held)
+                continue
+            self._configure(now, pool, placer)
+            self._apply(placer, pool, placer.tick(now, self.leases.store_down))
+
+    def _drop(self, pool: str, reason: str) -> None:
+        placer = self.placer_by_pool.pop(pool, None)
+        self._view_by_pool.pop(pool, None)
+        if placer is not None:
+            placer.close()
+            catalogue.emit(logger, task_events.PoolLost(pool, reason))
+
+    def _begin(self, pool: str, held: controller_lease.Held) -> None:
+        if pool not in self._loading:
+            self._loading.add(pool)
+            self._run(self._load(pool, held))
+
+    async def _load(self, pool: str, held: controller_lease.Held) -> None:
+        try:
+            rows: list[row_models.StoredRow] = []
+            for queue in self._queues(pool):
+                rows += lease_service.as_stored(
+                    await self._table.read_prefix(f"task/{queue}/")
+                )
+            learned = await self._table.read(task_control.sizes_row(pool))
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("load", str(error))
+            )
+            return
+        finally:
+            self._loading.discard(pool)
+        if self.leases.epoch(pool) != held.epoch:
+            return
+        now = self._reactor.seconds()
+        placer = placer_module.Placer(
+            pool, held, self._ledger, self._new_token
+        )
+        self.placer_by_pool[pool] = placer
+        catalogue.emit(logger, task_events.PoolTaken(pool, held.epoch))
+        self._configure(now, pool, placer)
+        self._apply(
+            placer, pool, placer.load(now, rows, learned.value, held.uncertain)
+        )
+
+    def _queues(self, pool: str) -> list[str]:
+        manifest = self._source.state.manifest
+        assert manifest is not None
+        return [q.name for q in manifest.queues if q.pool == pool]
+
+    def _configure(
+        self, now: float, pool: str, placer: placer_module.Placer
+    ) -> None:
+        state = self._source.state
+        fresh = self._source.fresh(now)
+        key = (state.version, state.zones_out, state.draining, fresh)
+        if self._view_by_pool.get(pool) == key:
+            return
+        self._view_by_pool[pool] = key
+        view = fleet_source.pool_view(state, pool, fresh)
+        self._apply(placer, pool, placer.configure(now, view))
+
+    # Reports and renewals.
+
+    async def _read_reports(self) -> None:
+        now = self._reactor.seconds()
+        # Room for urgent work is being made, or a pool was just taken:
+        # reports are awaited.
+        awaited = any(
+            placer.awaits_reports for placer in self.placer_by_pool.values()
+        )
+        if now - self._reports_asked_at < REPORTS_INTERVAL_S and not awaited:
+            return
+        self._reports_asked_at = now - _TIMER_SLACK_S
+        try:
+            reports = await self._workers.reports()
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("reports", str(error))
+            )
+            return
+        now = self._reactor.seconds()
+        for pool, placer in list(self.placer_by_pool.items()):
+            self._apply(placer, pool, placer.reports(now, reports))
+        mine = bool(self.placer_by_pool)
+        for report in reports:
+            due = renewal.tasks_to_renew(
+                report, self._renewed_by_worker.get(report.worker, -1), mine
+            )
+            if due:
+                self._renewed_by_worker[report.worker] = report.sequence
+                self._run(
+                    self._send(
+                        self._workers.renew(
+                            report.worker, due, task_control.TASK_LEASE_S
+                        )
+                    )
+                )
+
+    # Inbox.
+
+    async def _read_inbox(self) -> None:
+        if not self.placer_by_pool:
+            return
+        try:
+            rows = await self._table.read_prefix("inbox/")
+            for pool, placer in list(self.placer_by_pool.items()):
+                await self._take_inbox(pool, placer, rows)
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("inbox", str(error))
+            )
+
+    async def _take_inbox(
+        self, pool: str, placer: placer_module.Placer, rows: Any
+    ) -> None:
+        entries = inbox.entries_of(pool, rows, placer.control.book.inbox_done)
+        stored = await inbox.read_tasks(self._table, entries)
+        now = self._reactor.seconds()
+        for entry in entries:
+            if entry.kind == "submit" and entry.task_id in stored:
+                row = stored[entry.task_id]
+                effects = placer.submitted(now, row, entry.row_name)
+                self._apply(placer, pool, effects)
+            elif entry.kind == "submit":
+                placer.control.book.inbox_done.add(entry.row_name)
+        cancelled = {
+            entry.task_id: entry.row_name
+            for entry in entries
+            if entry.kind == "cancel"
+        }
+        if cancelled:
+            self._apply(placer, pool, placer.cancel(now, cancelled))
+        if self.leases.held(now, pool) is not None:
+            self._apply(placer, pool, placer.tick(now, self.leases.store_down))
+
+    # Effects.
+
+    def _apply(
+        self,
+        placer: placer_module.Placer,
+        pool: str,
+        effects: list[task_control.Effect],
+    ) -> None:
+        if self.placer_by_pool.get(pool) is not placer:
+            return
+        for effect in effects:
+            if isinstance(effect, task_control.Note):
+                catalogue.emit(logger, effect.event)
+            elif isinstance(effect, task_control.Superseded):
+                self.leases.superseded(pool, effect.epoch)
+                self._drop(pool, f"a worker has seen epoch {effect.epoch}")
+                return
+            elif isinstance(effect, task_control.Reload):
+                self._drop(pool, "records changed; they are read again")
+                return
+            else:
+                self._run(self._carry_out(placer, pool, effect))
+
+    async def _carry_out(
+        self,
+        placer: placer_module.Placer,
+        pool: str,
+        effect: task_control.Effect,
+    ) -> None:
+        if isinstance(effect, row_models.WriteBatch):
+            await self._write(placer, pool, effect)
+        elif isinstance(effect, row_models.ReadRows):
+            await self._read_back(placer, pool, effect)
+        elif isinstance(effect, worker_models.StartTask):
+            await self._start_task(placer, pool, effect)
+        elif isinstance(effect, worker_models.StopTask):
+            await self._send(self._workers.stop(effect))
+        elif isinstance(effect, worker_models.ForgetEnded):
+            await self._send(self._workers.forget(effect))
+        elif isinstance(effect, worker_models.FenceWorker):
+            await self._send(
+                self._workers.fence(
+                    effect.worker, pool, effect.epoch, effect.assignment
+                )
+            )
+
+    async def _send(self, call: Awaitable[bool]) -> bool | None:
+        try:
+            return await call
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("worker", str(error))
+            )
+            return None
+
+    async def _write(
+        self,
+        placer: placer_module.Placer,
+        pool: str,
+        batch: row_models.WriteBatch,
+    ) -> None:
+        try:
+            answer = await self._table.transact(
+                lease_service.as_transaction(batch)
+            )
+            applied: bool | None = answer.applied
+            versions = answer.version_by_row
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("tasks", str(error))
+            )
+            applied, versions = None, {}
+        now = self._reactor.seconds()
+        self._apply(
+            placer,
+            pool,
+            placer.write_answered(now, batch.number, applied, versions),
+        )
+
+    async def _read_back(
+        self,
+        placer: placer_module.Placer,
+        pool: str,
+        wanted: row_models.ReadRows,
+    ) -> None:
+        rows: list[row_models.StoredRow] | None
+        try:
+            read = [await self._table.read(name) for name in wanted.names]
+            rows = lease_service.as_stored(tuple(read))
+        except exceptions.StoreUnavailable:
+            rows = None
+        now = self._reactor.seconds()
+        self._apply(placer, pool, placer.rows_read(now, wanted.number, rows))
+
+    async def _start_task(
+        self,
+        placer: placer_module.Placer,
+        pool: str,
+        command: worker_models.StartTask,
+    ) -> None:
+        task = command.task
+        admitted: bool | None = False
+        held = self.leases.held(self._reactor.seconds(), pool)
+        if held is not None and held.epoch == command.epoch:
+            catalogue.emit(
+                logger,
+                task_events.TaskPlaced(
+                    task.task_id,
+                    task.team,
+                    command.worker,
+                    command.epoch,
+                    command.reasons,
+                ),
+            )
+            admitted = await self._send(self._workers.start(command))
+        now = self._reactor.seconds()
+        self._apply(
+            placer,
+            pool,
+            placer.start_answered(now, task.task_id, task.attempts, admitted),
+        )
--- /dev/null
+++ b/src/azurevane/_internal/daemons/fleet_source.py
@@ -0,0 +1,109 @@
+"""The fleet state as a control daemon follows it."""
+
+import logging
+from typing import Any, Protocol
+
+from twisted.web import client
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import platform_events
+from azurevane._internal.models import control as control_models
+from azurevane._internal.models import fleet
+from azurevane._internal.platform import state_store
+
+logger = logging.getLogger(__name__)
+
+FRESH_S = 2.0
+VERSION_HEADER = "Azurevane-Fleet-Version"
+
+
+class FleetSource(Protocol):
+    """Where control learns the fleet state, and whether it is current."""
+
+    @property
+    def state(self) -> fleet.FleetState:
+        """The latest fleet state known, with prepared restrictions."""
+
+    def fresh(self, now: float) -> bool:
+        """Whether the state was confirmed recently enough to start work."""
+
+    async def refresh(self) -> None:
+        """Confirm the state once more."""
+
+
+class StoreFleetSource:
+    """Follows the store; the entry host beside confirms in an outage.
+
+    The entry host's readiness names the version that a majority of
+    seats has confirmed, so an equal version here is as fresh as there.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        store: state_store.StateStore,
+        readiness_url: str,
+    ) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._url = readiness_url
+        self._state = fleet.FleetState()
+        self._confirmed_at = float("-inf")
+        self._agent = client.Agent(reactor, connectTimeout=1.0)
+
+    @property
+    def state(self) -> fleet.FleetState:
+        """The latest fleet state known."""
+        return self._state
+
+    def fresh(self, now: float) -> bool:
+        """Whether the state was confirmed within 2.0 s of the question."""
+        return now - self._confirmed_at <= FRESH_S
+
+    async def refresh(self) -> None:
+        """Ask the store, and the entry host if the store is down."""
+        asked_at = self._reactor.seconds()
+        try:
+            stored = await self._store.read()
+        except exceptions.StoreUnavailable as error:
+            catalogue.emit(
+                logger, platform_events.StoreFailed("fleet", str(error))
+            )
+            await self._ask_entry_host()
+            return
+        if stored.state.version > self._state.version:
+            self._state = stored.state
+        if stored.state.version == self._state.version:
+            self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    async def _ask_entry_host(self) -> None:
+        asked_at = self._reactor.seconds()
+        asking = self._agent.request(b"GET", self._url.encode())
+        asking.addTimeout(1.0, self._reactor)
+        try:
+            answer = await asking
+            await client.readBody(answer)
+        except Exception as error:
+            logger.debug("Entry host gave no readiness: %r", error)
+            return
+        versions = answer.headers.getRawHeaders(VERSION_HEADER, [])
+        if answer.code == 200 and versions == [str(self._state.version)]:
+            self._confirmed_at = max(self._confirmed_at, asked_at)
+
+
+def pool_view(
+    state: fleet.FleetState, pool: str, fresh: bool
+) -> control_models.PoolView:
+    """Return the view of a pool that a fleet state gives."""
+    manifest = state.manifest
+    assert manifest is not None
+    return control_models.PoolView(
+        pool,
+        tuple(host for host in manifest.hosts if host.pool == pool),
+        manifest.teams,
+        frozenset(state.zones_out),
+        frozenset(state.draining),
+        {},
+        fresh,
+    )
--- /dev/null
+++ b/src/azurevane/_internal/daemons/inbox.py
@@ -0,0 +1,60 @@
+"""Rows that tell the controller of a pool what entry hosts wrote."""
+
+from collections.abc import Collection, Iterable
+import dataclasses
+
+from azurevane._internal.daemons import lease_service
+from azurevane._internal.models import rows as row_models
+from azurevane._internal.models import task as task_models
+from azurevane._internal.platform import table
+
+# Above this many new tasks of a queue one read of all its live tasks is
+# cheaper than a read of each.
+MOST_SINGLE_READS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One row of the inbox: ``submit`` or ``cancel``."""
+
+    row_name: str
+    kind: str
+    task_id: str
+    queue: str
+
+
+def entries_of(
+    pool: str, rows: Iterable[table.Row], done: Collection[str]
+) -> list[Entry]:
+    """Return the entries of a pool that haven't been taken yet."""
+    entries = []
+    for row in rows:
+        _, of_pool, kind, task_id = row.name.split("/", 3)
+        if of_pool == pool and row.name not in done:
+            entries.append(Entry(row.name, kind, task_id, row.value["queue"]))
+    return entries
+
+
+async def read_tasks(
+    client: lease_service.Table, entries: Iterable[Entry]
+) -> dict[str, row_models.StoredRow]:
+    """Return the records of submitted tasks by id, if they are live.
+
+    Raises:
+        StoreUnavailable: the table service gave no usable answer.
+    """
+    ids_by_queue: dict[str, list[str]] = {}
+    for entry in entries:
+        if entry.kind == "submit":
+            ids_by_queue.setdefault(entry.queue, []).append(entry.task_id)
+    found: dict[str, row_models.StoredRow] = {}
+    for queue, task_ids in ids_by_queue.items():
+        if len(task_ids) <= MOST_SINGLE_READS:
+            names = [task_models.task_row(queue, item) for item in task_ids]
+            rows = tuple([await client.read(name) for name in names])
+        else:
+            rows = await client.read_prefix(f"task/{queue}/")
+        for row in lease_service.as_stored(rows):
+            if row.value is not None:
+                found[row.name.rsplit("/", 1)[1]] = row
+    return found
--- a/src/azurevane/_internal/events/task_events.py
+++ b/src/azurevane/_internal/events/task_events.py
@@ -1,6 +1,7 @@
 """Events about tasks and maintenance: numbers 3000 to 3999."""
 
 import dataclasses
+import logging
 
 from azurevane._internal.events import catalogue
 
@@ -25,3 +26,62 @@
     task_id: str
     worker: str
     outcome: str
+
+
+@catalogue.event(3003)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStopped(catalogue.Event):
+    """Task stopped for good."""
+
+    task_id: str
+    team: str
+    phase: str
+    reason: str
+
+
+@catalogue.event(3004)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskMoved(catalogue.Event):
+    """Task asked to stop on its worker."""
+
+    task_id: str
+    worker: str
+    checkpoint: bool
+    reasons: tuple[str, ...]
+
+
+@catalogue.event(3005, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerQuarantined(catalogue.Event):
+    """Worker quarantined after failures in a row."""
+
+    worker: str
+    seconds: float
+
+
+@catalogue.event(3006)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolTaken(catalogue.Event):
+    """Controller lease of a pool taken."""
+
+    pool: str
+    epoch: int
+
+
+@catalogue.event(3007, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolLost(catalogue.Event):
+    """Controller lease of a pool lost."""
+
+    pool: str
+    reason: str
+
+
+@catalogue.event(3008)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskWaits(catalogue.Event):
+    """Task waits, and for what."""
+
+    task_id: str
+    team: str
+    reason: str
--- a/src/azurevane/_internal/models/rows.py
+++ b/src/azurevane/_internal/models/rows.py
@@ -36,3 +36,11 @@
 
     number: int
     prefix: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRows:
+    """Asks for single rows, to settle a write whose answer was lost."""
+
+    number: int
+    names: tuple[str, ...]
--- a/src/azurevane/_internal/models/worker.py
+++ b/src/azurevane/_internal/models/worker.py
@@ -93,4 +93,14 @@
     attempt_by_task: dict[str, int]
 
 
-Command: TypeAlias = StartTask | StopTask | ForgetEnded
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceWorker:
+    """Makes a worker refuse lower epochs, and other pools."""
+
+    worker: str
+    pool: str
+    epoch: int
+    assignment: int
+
+
+Command: TypeAlias = StartTask | StopTask | ForgetEnded | FenceWorker
--- /dev/null
+++ b/src/azurevane/_internal/policy/placement.py
@@ -0,0 +1,190 @@
+"""Which task goes where, and what makes room for urgent work."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import task as task_models
+
+QUARANTINE_FAILURES = 3
+QUARANTINE_S = 60.0
+QUARANTINE_MAX_S = 3600.0
+MOST_FAILED_WORKERS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Health:
+    """Failures in a row of one worker.
+
+    Attributes:
+        tasks: the tasks that failed in a row, oldest first.
+        until: monotonic seconds before which it gets no work.
+        period_s: length of the last quarantine; 0 outside of one.
+    """
+
+    tasks: tuple[str, ...] = ()
+    until: float = 0.0
+    period_s: float = 0.0
+
+    @property
+    def on_trial(self) -> bool:
+        """Whether it may run only one task at a time."""
+        return self.period_s > 0.0
+
+
+def after_failure(health: Health, now: float, task_id: str) -> Health:
+    """Return the health of a worker on which a task failed."""
+    if health.on_trial:
+        period_s = min(health.period_s * 2, QUARANTINE_MAX_S)
+        return Health((), now + period_s, period_s)
+    tasks = (*health.tasks, task_id)
+    if len(tasks) < QUARANTINE_FAILURES:
+        return Health(tasks)
+    return Health((), now + QUARANTINE_S, QUARANTINE_S)
+
+
+def failed_enough(failed_workers: tuple[str, ...], hosts: int) -> bool:
+    """Whether a task that failed on these workers is to be stopped.
+
+    A pool with fewer workers than that lets a task fail as often.
+    """
+    if hosts < MOST_FAILED_WORKERS:
+        return len(failed_workers) >= MOST_FAILED_WORKERS
+    return len(set(failed_workers)) >= MOST_FAILED_WORKERS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningTask:
+    """A task that may have to make room."""
+
+    task_id: str
+    team: str
+    size: task_models.Need
+    urgent: bool
+    at_most_once: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Victims:
+    """Tasks to checkpoint on a worker, and what that costs."""
+
+    worker: str
+    task_ids: tuple[str, ...]
+    cost: float
+    reasons: tuple[str, ...]
+
+
+def dominant(size: task_models.Need, whole: task_models.Need | None) -> float:
+    """Return the largest part of a resource that a size takes."""
+    if whole is None:
+        return 0.0
+    return max(
+        size.cores / whole.cores if whole.cores else 0.0,
+        size.memory_gb / whole.memory_gb if whole.memory_gb else 0.0,
+        size.accelerators / whole.accelerators if whole.accelerators else 0.0,
+    )
+
+
+def teams_over_share(
+    used_by_team: Mapping[str, float],
+    share_by_team: Mapping[str, float],
+    wanting: Iterable[str],
+) -> dict[str, float]:
+    """Return by how much of the pool each team is over its share.
+
+    Args:
+        used_by_team: dominant part of the pool that each team uses.
+        wanting: teams with work that runs or waits.
+    """
+    teams = set(wanting)
+    total = sum(share_by_team.get(team, 1.0) for team in teams)
+    over = {
+        team: used_by_team.get(team, 0.0)
+        - share_by_team.get(team, 1.0) / (total or 1.0)
+        for team in teams
+    }
+    return {team: part for team, part in over.items() if part > 0.0}
+
+
+def choose_victims(
+    need: task_models.Need,
+    team: str,
+    over: Mapping[str, float],
+    candidates: Iterable[
+        tuple[str, task_models.Need, task_models.Need, list[RunningTask]]
+    ],
+) -> Victims | None:
+    """Return the cheapest tasks whose checkpoint makes room for a need.
+
+    Victims are of teams over their share, or of the same team; urgent
+    and at-most-once tasks never are. The cost is the part of the worker
+    that has to be started again, and a little for each task.
+
+    Args:
+        candidates: worker, free and whole capacity, running tasks.
+    """
+    best: Victims | None = None
+    for worker, free, capacity, running in candidates:
+        if not capacity.covers(need):
+            continue
+        found = _victims_on(need, team, over, worker, free, capacity, running)
+        if found is not None and (best is None or found.cost < best.cost):
+            best = found
+    return best
+
+
+def _victims_on(
+    need: task_models.Need,
+    team: str,
+    over: Mapping[str, float],
+    worker: str,
+    free: task_models.Need,
+    capacity: task_models.Need,
+    running: list[RunningTask],
+) -> Victims | None:
+    allowed = sorted(
+        (dominant(item.size, capacity) + 0.01, item.task_id, item)
+        for item in running
+        if not item.urgent
+        and not item.at_most_once
+        and (item.team in over or item.team == team)
+    )
+    chosen: list[tuple[float, RunningTask]] = []
+    for cost, _, item in allowed:
+        if free.covers(need):
+            break
+        free = free.plus(item.size)
+        chosen.append((cost, item))
+    if not free.covers(need):
+        return None
+    for cost, item in reversed(list(chosen)):
+        without = free.minus(item.size)
+        if without.covers(need):
+            free = without
+            chosen.remove((cost, item))
+    teams = sorted({item.team for _, item in chosen})
+    return Victims(
+        worker,
+        tuple(item.task_id for _, item in chosen),
+        sum(cost for cost, _ in chosen),
+        ("urgent", f"victims={len(chosen)}", f"teams={','.join(teams)}"),
+    )
+
+
+def why_impossible(
+    need: task_models.Need, hosts: Iterable[manifest_models.Host]
+) -> str:
+    """Return why a need fits on no host of a pool, or an empty text."""
+    sizes = [
+        task_models.Need(host.cores, host.memory_gb, host.accelerators)
+        for host in hosts
+    ]
+    if not sizes or any(size.covers(need) for size in sizes):
+        return ""
+    return (
+        f"fits on no worker: needs {need.cores:g} cores,"
+        f" {need.memory_gb:g} GB, {need.accelerators:g} accelerators; the"
+        f" largest have {max(size.cores for size in sizes):g} cores,"
+        f" {max(size.memory_gb for size in sizes):g} GB,"
+        f" {max(size.accelerators for size in sizes):g} accelerators"
+    )
--- a/src/azurevane/_internal/standins/faults.py
+++ b/src/azurevane/_internal/standins/faults.py
@@ -9,6 +9,7 @@
 
     Attributes:
         down: refuse every call with 503.
+        down_prefix: refuse the calls whose path starts with it.
         delay_s: answer this much later.
         lose_answers: take effect, then drop the connection.
         fail_all: answer 500 at once.
@@ -18,6 +19,7 @@
     """
 
     down: bool = False
+    down_prefix: str = ""
     delay_s: float = 0.0
     lose_answers: bool = False
     fail_all: bool = False
--- a/src/azurevane/_internal/standins/httpserver.py
+++ b/src/azurevane/_internal/standins/httpserver.py
@@ -42,7 +42,8 @@
         if path == "/faults":
             self.faults = msgspec.convert(body, type=fault_models.Faults)
             return b"{}"
-        if self.faults.down:
+        prefix = self.faults.down_prefix
+        if self.faults.down or (prefix and path.startswith(prefix)):
             request.setResponseCode(http.SERVICE_UNAVAILABLE)
             return b'{"error": "down"}'
         args = {
--- a/src/azurevane/_internal/standins/platform.py
+++ b/src/azurevane/_internal/standins/platform.py
@@ -75,33 +75,31 @@
 
     def _answer_worker(self, parts: list[str], body: Any) -> tuple[int, Any]:
         if not parts:
-            return 200, [
+            reports = [
                 worker.report() for worker in self.worker_by_name.values()
             ]
+            return 200, [report for report in reports if report]
         name, call = parts
-        worker = self.worker_by_name.get(name)
         if call == "add":
+            size = workers.Size(**body) if body else None
             self.worker_by_name[name] = workers.MemoryWorker(
-                name, self._reactor
+                name, self._reactor, size
             )
             return 200, {}
+        worker = self.worker_by_name.get(name)
         if worker is None:
             raise LookupError(name)
-        if call == "fail":
-            worker.fail_all = body["fail_all"]
+        if call == "faults":
+            worker.faults = workers.WorkerFaults(**body)
             return 200, {}
-        if call == "renew":
-            worker.renew(body["tasks"], body["lease_s"])
+        if call == "starts":
+            return 200, worker.starts
+        if call in ("pause", "resume", "restart"):
+            getattr(worker, call)()
             return 200, {}
-        if call == "stop":
-            admitted = worker.stop(body["task"], body["epoch"])
-        elif call == "start":
-            admitted = worker.start(
-                body["task"], body["epoch"], body["lease_s"], body["run_s"]
-            )
-        else:
-            raise LookupError(call)
-        return (200 if admitted else 409), {}
+        if not worker.available:
+            return 504, {"error": f"worker {name} doesn't answer"}
+        return (200 if worker.command(call, body) else 409), {}
 
 
 def main() -> None:
--- a/src/azurevane/_internal/tasks/controller_lease.py
+++ b/src/azurevane/_internal/tasks/controller_lease.py
@@ -35,12 +35,15 @@
         fence_version: version of the epoch row, which changes only with
             the holder; writes for the pool are conditional on it.
         confirmed_until: monotonic seconds.
+        uncertain: whether an outage may lie between the last renewal of
+            the holder before and the takeover.
     """
 
     epoch: int
     row_version: int
     fence_version: int
     confirmed_until: float
+    uncertain: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
         self._must_read = True
         self._renew_due_at = 0.0
         self._last_read_at: float | None = None
+        self._gap_at = 0.0
         self._last_failure_at: float | None = None
         self._down_since: float | None = None
 
@@ -107,6 +111,16 @@
             return held
         return None
 
+    def epoch(self, pool: str) -> int | None:
+        """Return the epoch of a lease that isn't known to be lost."""
+        held = self._held_by_pool.get(pool)
+        return None if held is None else held.epoch
+
+    @property
+    def store_down(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._last_failure_at is not None
+
     def superseded(self, pool: str, epoch: int) -> None:
         """Give up a lease because a worker has seen a higher epoch."""
         held = self._held_by_pool.get(pool)
@@ -139,6 +153,10 @@
             and self._last_failure_at is not None
             and not self._held_by_pool
         )
+        # The first read of this process says nothing about the time
+        # before it.
+        if self._last_read_at is None or restarted:
+            self._gap_at = now
         self._last_read_at = now
         self._answered()
         self._must_read = False
@@ -276,7 +294,11 @@
         if sent_at is not None:
             confirmed_until = max(confirmed_until, sent_at + LEASE_S)
         self._held_by_pool[pool] = Held(
-            seen.epoch, seen.version, seen.fence_version, confirmed_until
+            seen.epoch,
+            seen.version,
+            seen.fence_version,
+            confirmed_until,
+            held.uncertain if held is not None else True,
         )
         self._renew_due_at = 0.0
 
@@ -339,8 +361,13 @@
             if taken or before is None
             else before.fence_version,
             self._operation_sent_at + LEASE_S,
+            self._taken_uncertain(pool) if taken else _uncertain(before),
         )
 
+    def _taken_uncertain(self, pool: str) -> bool:
+        seen = self._seen_by_pool[pool]
+        return seen.version > 0 and self._gap_at >= seen.since
+
     def release(self) -> row_models.WriteBatch | None:
         """Return a write that lets another daemon take over at once."""
         if not self._held_by_pool:
@@ -352,3 +379,7 @@
         }
         self._held_by_pool.clear()
         return dataclasses.replace(batch, value_by_row=values)
+
+
+def _uncertain(held: Held | None) -> bool:
+    return held is None or held.uncertain
--- a/tests/daemons/steps/whole_path_steps.py
+++ b/tests/daemons/steps/whole_path_steps.py
@@ -25,6 +25,7 @@
 
 @given('a control daemon beside "{entry}" and a worker "{worker}"')
 def start_control(context, entry, worker):
+    context.site.workers = [worker]
     context.site.platform("POST", f"/workers/{worker}/add", {})
     context.site.start_control(entry)
 
@@ -111,7 +112,14 @@
     status, _ = context.site.platform(
         "POST",
         "/table/transact",
-        {"token": "t", "checks": {}, "puts": {f"task/{task_id}": task}},
+        {
+            "token": "t",
+            "checks": {},
+            "puts": {
+                f"task/quoting/{task_id}": task,
+                f"inbox/pool-1/submit/{task_id}": {"queue": "quoting"},
+            },
+        },
     )
     assert status == 200
 
@@ -120,8 +128,8 @@
 def check_task(context, task_id, seconds):
     def finished():
         _, row = context.site.platform(
-            "GET", f"/table/row?name=task/{task_id}"
+            "GET", f"/table/row?name=ended/quoting/{task_id}"
         )
-        return row["value"].get("phase") == "finished"
+        return (row["value"] or {}).get("phase") == "finished"
 
     processes.wait_until(finished, timeout=seconds)
--- a/tests/support/manifests.py
+++ b/tests/support/manifests.py
@@ -18,6 +18,17 @@
             if name.startswith("quote-")
         )
     ]
+    hosts = [
+        {
+            "name": worker,
+            "pool": "pool-1",
+            "zone": zones[index % len(zones)],
+            "rack": "rack-1",
+            "cores": 30.0,
+            "memory_gb": 130.0,
+        }
+        for index, worker in enumerate(getattr(site, "workers", []))
+    ]
     return {
         "site": "test-site",
         "region": "test-region",
@@ -26,4 +37,5 @@
         "pools": [{"name": "pool-1"}],
         "queues": [{"name": queue, "pool": "pool-1", "teams": [team]}],
         "runners": runners,
+        "hosts": hosts,
     }
--- /dev/null
+++ b/tests/tasks/steps/placer_steps.py
@@ -0,0 +1,266 @@
+import dataclasses
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from azurevane._internal.tasks import controller_lease
+from support import task_chaos
+from support import task_world
+
+
+@given(
+    'a pool of {workers:d} workers and control daemons "{names}" with seed'
+    " {seed:d}"
+)
+def make_pool(context, workers, names, seed):
+    context.pool = task_world.TaskWorld(seed, names.split(","), None, workers)
+    context.pool.run(6)
+
+
+@step("{seconds:d} seconds pass in the pool")
+def pass_time(context, seconds):
+    context.pool.run(seconds)
+
+
+@when("{count:d} tasks of {run_s:d} seconds are submitted")
+def submit_many(context, count, run_s):
+    for number in range(count):
+        context.pool.submit(
+            f"t{number}", cores=4.0, memory_gb=8.0, run_s=float(run_s)
+        )
+
+
+@when("the controller is killed")
+def kill_controller(context):
+    context.pool.kill(context.pool.holder())
+
+
+@when("the controller is paused for {seconds:d} seconds")
+def pause_controller(context, seconds):
+    clock = context.pool.daemons[context.pool.holder()].clock
+    clock.pause()
+    context.pool.run(seconds)
+    clock.resume()
+
+
+@when("the controller is cut off from the store and another takes over")
+def cut_controller(context):
+    pool = context.pool
+    context.old = pool.holder()
+    service = pool.daemons[context.old].service
+    context.placer = service.placer_by_pool["pool-1"]
+    pool.cut_off.add(context.old)
+    pool.run(6)
+    assert context.placer.epoch < max(w._epoch for w in pool.workers.values())
+
+
+@then("the table refuses a write of the earlier controller")
+def check_write_refused(context):
+    book = context.placer.control.book
+    book.extra_by_row["sizes/pool-1"] = {}
+    batch = book.next_batch(
+        99,
+        "late",
+        controller_lease.fence_row("pool-1"),
+        context.placer._fence_version,
+    )
+    applied, _ = context.pool.table.transact(
+        batch.version_by_checked_row, batch.value_by_row
+    )
+    assert not applied
+
+
+@then("every worker refuses a start of the earlier controller")
+def check_start_refused(context):
+    for worker in context.pool.workers.values():
+        body = {
+            "pool": "pool-1",
+            "epoch": context.placer.epoch,
+            "task": "late",
+            "attempt": 1,
+        }
+        assert not worker.command("start", body)
+
+
+@then("every task is finished and none ran twice")
+def check_finished(context):
+    pool = context.pool
+    assert set(pool.phases()) == {"finished"}, pool.phases()
+    assert not pool.violations, pool.violations[:5]
+
+
+@when("tasks for {seconds:d} seconds are submitted")
+def submit_work(context, seconds):
+    # 4 workers of 30 cores run 28 tasks of 4 cores at once.
+    for number in range(28 * seconds // 90):
+        context.pool.submit(f"t{number}", cores=4.0, memory_gb=8.0, run_s=90.0)
+
+
+@when("the store is down for {seconds:d} seconds of work")
+def store_down(context, seconds):
+    pool = context.pool
+    pool.faults.down = True
+    before = len(pool.started_at)
+    pool.advance(seconds, 0.1, pool.check)
+    pool.faults.down = False
+    context.started = len(pool.started_at) - before
+
+
+@then("at least {part:f} of {seconds:d} seconds' work was done")
+def check_outage(context, part, seconds):
+    # 28 of the tasks had started before.
+    whole = 28 * seconds // 90 - 28
+    assert context.started / whole >= part, context.started / whole
+
+
+@when("half of the write answers are lost")
+def lose_answers(context):
+    context.pool.faults.lost_answer_rate = 0.5
+
+
+@when('zone "{zone}" is taken out')
+def take_zone_out(context, zone):
+    context.pool.change(zones_out=(zone,))
+
+
+@when('worker "{worker}" fails everything')
+def fail_worker(context, worker):
+    context.pool.workers[worker].faults.fail_all = True
+
+
+@then('worker "{worker}" started at most {count:d} tasks')
+def check_starts(context, worker, count):
+    starts = context.pool.workers[worker].starts
+    assert 3 <= len(starts) <= count, len(starts)
+
+
+@when('a task "{task_id}" that always fails is submitted')
+def submit_failing(context, task_id):
+    context.pool.submit(task_id, truth={"fails": True})
+
+
+@when('a task "{task_id}" of {cores:d} cores is submitted')
+def submit_sized(context, task_id, cores):
+    context.pool.submit(task_id, "shops", cores=float(cores))
+
+
+@when('a task "{task_id}" is submitted')
+def submit_one(context, task_id):
+    context.pool.submit(task_id, run_s=20.0)
+
+
+@when('an at-most-once task "{task_id}" is submitted')
+def submit_once(context, task_id):
+    context.pool.submit(task_id, run_s=20.0, at_most_once=True)
+
+
+@then('task "{task_id}" is "{phase}" because of "{reason}"')
+def check_reason(context, task_id, phase, reason):
+    pool = context.pool
+    assert pool.phase(task_id) == phase, pool.phase(task_id)
+    assert reason in pool.detail(task_id), pool.detail(task_id)
+    assert not pool.violations, pool.violations[:5]
+
+
+@then('task "{task_id}" is finished')
+def check_one(context, task_id):
+    assert context.pool.phase(task_id) == "finished"
+
+
+@when('the pool is full of tasks of team "{team}"')
+def fill_pool(context, team):
+    for number in range(60):
+        context.pool.submit(
+            f"f{number}", team, cores=7.0, memory_gb=8.0, run_s=50.0
+        )
+    context.pool.run(5)
+
+
+@when(
+    'an urgent task "{task_id}" of team "{team}" is submitted without faults'
+)
+def submit_urgent(context, task_id, team):
+    context.pool.submit(task_id, team, cores=20.0, urgent=True)
+    context.at = context.pool.clock.seconds()
+
+
+@when(
+    'an urgent task "{task_id}" of team "{team}" is submitted as the'
+    " controller is killed"
+)
+def submit_urgent_killed(context, task_id, team):
+    submit_urgent(context, task_id, team)
+    kill_controller(context)
+
+
+@then('task "{task_id}" starts within {seconds:f} seconds')
+def check_start(context, task_id, seconds):
+    context.pool.run(10)
+    waited = context.pool.started_at[task_id] - context.at
+    assert waited <= seconds, waited
+
+
+@when("all tasks are cancelled")
+def cancel_all(context):
+    context.pool.cancel(list(context.pool.submitted))
+
+
+@then("every task is cancelled")
+def check_cancelled(context):
+    assert set(context.pool.phases()) == {"cancelled"}, context.pool.phases()
+
+
+@when("every worker that runs a task is cut off")
+def cut_workers(context):
+    for worker in context.pool.workers.values():
+        if worker.running:
+            worker.faults.unreachable = True
+
+
+@when("small tasks keep coming for {seconds:d} seconds")
+def keep_coming(context, seconds):
+    for number in range(seconds):
+        for part in range(4):
+            context.pool.submit(f"s{number}-{part}", cores=2.0, run_s=30.0)
+        context.pool.run(1)
+
+
+@then('task "{task_id}" has started')
+def check_started(context, task_id):
+    assert task_id in context.pool.started_at
+
+
+@when('team "{team}" may run {count:d} tasks')
+def limit_team(context, team, count):
+    manifest = context.pool.state.manifest
+    teams = tuple(
+        dataclasses.replace(item, task_limit=count)
+        if item.name == team
+        else item
+        for item in manifest.teams
+    )
+    context.pool.change(manifest=dataclasses.replace(manifest, teams=teams))
+    context.pool.run(2)
+
+
+@when("random faults run for {seconds:d} seconds with seed {seed:d}")
+def run_chaos(context, seconds, seed):
+    teams = {"mills": (1.0, 12), "shops": (2.0, 12)}
+    context.pool = task_world.TaskWorld(seed, teams=teams)
+    context.chaos = task_chaos.Chaos(context.pool)
+    context.chaos.run(seconds)
+
+
+@then("every task has ended truthfully")
+def check_ended(context):
+    pool = context.pool
+    assert not pool.violations, pool.violations[:5]
+    for task_id, task in pool.submitted.items():
+        allowed = {"finished", "failed"}
+        if task_id in context.chaos.cancelled:
+            allowed.add("cancelled")
+        if task.at_most_once:
+            allowed.add("unknown")
+        assert pool.phase(task_id) in allowed, (task_id, pool.phase(task_id))
