Serve waiting teams by weighted max-min share and route by an index

Cause: the dispatcher served in order of arrival with a scan over all runners, had no shares, no admission and no permits. Change: policies for shares, queueing and routing; a dispatcher that takes permits for team and runner, orders teams by used slot time of all hosts, refuses by deadline, and keeps runners in a heap. Usage carries running and waiting counts, so that hosts know who waits elsewhere. Conclusion: a host must take its peers to run as many of a team's requests as itself; old counts make six hosts overshoot.

--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -22,6 +22,7 @@
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
 from azurevane._internal.tasks import dispatcher as dispatcher_module
+from azurevane._internal.tasks import permits as permits_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
 
@@ -38,7 +39,12 @@
         self._reactor = reactor
         self._settings = settings
         self._keeper = state_keeper.StateKeeper()
-        self._dispatcher = dispatcher_module.Dispatcher()
+        self._permits = permits_module.LocalPermits()
+        self._dispatcher = dispatcher_module.Dispatcher(
+            self._permits,
+            settings.text("host", "name"),
+            settings.text("host", "zone"),
+        )
         calls = transport.JsonTransport(
             reactor,
             settings.text("platform", "url"),
@@ -102,6 +108,7 @@
             logger,
             state_events.StateInForce(state.version, previous, source),
         )
+        self._permits.configure(state)
         self._service.apply(
             self._dispatcher.configure(self._reactor.seconds(), state)
         )
--- a/src/azurevane/_internal/events/request_events.py
+++ b/src/azurevane/_internal/events/request_events.py
@@ -1,6 +1,7 @@
 """Events about requests: numbers 2000 to 2999."""
 
 import dataclasses
+import logging
 
 from azurevane._internal.events import catalogue
 
@@ -39,3 +40,14 @@
     seconds: float
     status: int | None
     failure: str
+
+
+@catalogue.event(2004, logging.CRITICAL)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedToBlockedRunner(catalogue.Event):
+    """Request routed to a runner that must get no new work."""
+
+    submission_id: str
+    runner: str
+    zone: str
+    cause: str
--- a/src/azurevane/_internal/models/permit_messages.py
+++ b/src/azurevane/_internal/models/permit_messages.py
@@ -7,11 +7,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
-    """Slot seconds that one host has used for a team in a pool."""
+    """What one host has used for a team in a pool, and uses now.
+
+    Attributes:
+        slot_seconds: cumulative counter since the host started.
+        running: requests that run there.
+        waiting: requests that wait there.
+    """
 
     pool: str
     team: str
     slot_seconds: float
+    running: int = 0
+    waiting: int = 0
 
 
 @messages.message
--- a/src/azurevane/_internal/models/request.py
+++ b/src/azurevane/_internal/models/request.py
@@ -20,6 +20,10 @@
         deadline: monotonic seconds.
         idempotent: whether it may be run again after it may have run.
         size_bytes: memory that it holds while it waits.
+        avoid_runner: runner of an earlier try; another one is used if
+            the pool has any that takes work.
+        api_key_digest: key that it came with; it is refused if the key is
+            withdrawn while it waits. Empty on an open queue.
     """
 
     submission_id: str
@@ -29,6 +33,8 @@
     deadline: float
     idempotent: bool
     size_bytes: int = 0
+    avoid_runner: str = ""
+    api_key_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -78,6 +78,8 @@
   pool @0 :Text;
   team @1 :Text;
   slotSeconds @2 :Float64;
+  running @3 :UInt32;
+  waiting @4 :UInt32;
 }
 
 struct Ask {
--- /dev/null
+++ b/src/azurevane/_internal/tasks/announcer.py
@@ -0,0 +1,76 @@
+"""Tells the permit keeper what waiting work could use."""
+
+from azurevane._internal.models import effects
+from azurevane._internal.tasks import permits as permits_module
+from azurevane._internal.tasks import pool_work
+
+# Seconds after which the count of a pool's waiting work is taken anew, and
+# its rank is announced even if the same team is still the next.
+_INTERVAL_S = 0.005
+
+
+class Announcer:
+    """Announces waiting work of pools, and of teams at their limit."""
+
+    def __init__(self, permits: permits_module.Permits) -> None:
+        self._permits = permits
+        self._wanted_teams: set[str] = set()
+
+    def announce_pool(
+        self, now: float, work: pool_work.PoolWork
+    ) -> list[effects.Effect]:
+        """Say how many slots of a pool waiting work could use."""
+        turn = work.ledger.lowest(now) if work.waiting else None
+        if turn is None:
+            if not work.wanted:
+                return []
+            work.wanted = 0
+            return self._permits.want(now, "pool", work.name, 0, 0.0, 0.0)
+        rank, team = turn
+        if not work.wanted or now - work.announced_at >= _INTERVAL_S:
+            work.announced_at = now
+            work.wanted = self._count(now, work)
+        elif team == work.announced_team:
+            return []
+        work.announced_team = team
+        waited_s = now - work.queue_by_team[team].first().arrived_at
+        return self._permits.want(
+            now, "pool", work.name, work.wanted, rank, waited_s
+        )
+
+    def _count(self, now: float, work: pool_work.PoolWork) -> int:
+        """Count what could run at once if there were slots for all."""
+        count = 0
+        for team, own in work.queue_by_team.items():
+            if not own or team in work.limited:
+                continue
+            waiting = len(own)
+            if team:
+                limit_key = permits_module.team_limit_key(team)
+                waiting = min(waiting, self._permits.free(now, limit_key))
+            count += waiting
+        return max(1, count)
+
+    def announce_team(
+        self, now: float, team: str, works: list[pool_work.PoolWork]
+    ) -> list[effects.Effect]:
+        """Say how many permits a team at its limit could use.
+
+        Args:
+            works: those of the pools in which the team is set aside.
+        """
+        if not works:
+            if team not in self._wanted_teams:
+                return []
+            self._wanted_teams.discard(team)
+            return self._permits.want(now, "team", team, 0, 0.0, 0.0)
+        self._wanted_teams.add(team)
+        queues = [work.queue_by_team[team] for work in works]
+        return self._permits.want(
+            now,
+            "team",
+            team,
+            sum(len(queue) for queue in queues),
+            min(work.ledger.use_by_team[team].rank(now) for work in works),
+            now - min(queue.first().arrived_at for queue in queues),
+        )
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -1,8 +1,10 @@
 """What the dispatcher needs of the permit keeper."""
 
+import collections
 from typing import Protocol
 
 from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
 
 
 def team_limit_key(team: str) -> str:
@@ -51,3 +53,57 @@
             rank: used slot seconds by weight of the most deserving
                 waiter; the lowest is served first.
         """
+
+
+class LocalPermits:
+    """All permits of each limit at this host, for a single entry process."""
+
+    def __init__(self) -> None:
+        self._limit_by_key: dict[str, int] = {}
+        self._used_by_key: collections.Counter[str] = collections.Counter()
+        self._keys_by_holder: dict[str, list[str]] = {}
+
+    def configure(self, state: fleet.FleetState) -> None:
+        """Follow the limits of a fleet state."""
+        manifest = state.manifest
+        if manifest is None:
+            return
+        self._limit_by_key = {
+            team_limit_key(team.name): team.limit for team in manifest.teams
+        } | {
+            runner_limit_key(runner.name): runner.slots
+            for runner in manifest.runners
+        }
+
+    def free(self, now: float, limit_key: str) -> int:
+        """Return how many more permits may be used now."""
+        limit = self._limit_by_key.get(limit_key, 0)
+        return limit - self._used_by_key[limit_key]
+
+    def acquire(
+        self, now: float, limit_key: str, holder: str, not_after: float
+    ) -> bool:
+        """Use a permit until ``release``; False if none is free."""
+        if self.free(now, limit_key) <= 0:
+            return False
+        self._used_by_key[limit_key] += 1
+        self._keys_by_holder.setdefault(holder, []).append(limit_key)
+        return True
+
+    def release(self, now: float, holder: str) -> list[effects.Effect]:
+        """Free every permit of a holder."""
+        for limit_key in self._keys_by_holder.pop(holder, ()):
+            self._used_by_key[limit_key] -= 1
+        return []
+
+    def want(
+        self,
+        now: float,
+        kind: str,
+        name: str,
+        count: int,
+        rank: float,
+        waited_s: float,
+    ) -> list[effects.Effect]:
+        """Ask nobody; there are no other permits."""
+        return []
--- /dev/null
+++ b/src/azurevane/_internal/tasks/refusals.py
@@ -0,0 +1,46 @@
+"""Refusals of submissions, with the reasons that aren't admission's."""
+
+from azurevane._internal.models import request as request_models
+from azurevane._internal.policy import queueing
+
+QUEUE_GONE = queueing.Denial(404, "unknown-queue", "There is no such queue")
+KEY_WITHDRAWN = queueing.Denial(
+    401, "key-withdrawn", "The key was withdrawn while the request waited"
+)
+TEAM_NOT_ALLOWED = queueing.Denial(
+    403, "team-not-allowed", "The team may no longer use the queue"
+)
+DEADLINE_TOO_NEAR = queueing.Denial(
+    503,
+    "deadline-too-near",
+    "No slot was free in time to run before the deadline",
+    1.0,
+)
+QUEUE_TOO_LONG = queueing.Denial(
+    503,
+    "queue-too-long",
+    "What waits ahead takes longer than the deadline allows",
+    1.0,
+)
+
+
+def refuse(
+    item: request_models.Submission, denial: queueing.Denial
+) -> request_models.Refusal:
+    """Return the refusal of a submission that hasn't run."""
+    return request_models.Refusal(
+        item.submission_id,
+        denial.status,
+        denial.problem,
+        denial.detail,
+        retry_after_s=denial.retry_after_s,
+    )
+
+
+def refuse_late(
+    now: float, item: request_models.Submission
+) -> request_models.Refusal:
+    """Return the refusal of a submission that can't end in time."""
+    if item.deadline <= now:
+        return refuse(item, queueing.DEADLINE_PASSED)
+    return refuse(item, DEADLINE_TOO_NEAR)
--- /dev/null
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -0,0 +1,307 @@
+"""Slot time used by each team in a pool, and the order of service."""
+
+from collections.abc import Iterator
+import heapq
+
+from azurevane._internal.models import permit_messages
+from azurevane._internal.policy import queueing
+from azurevane._internal.policy import shares
+
+# A peer that sent no counters for so long runs and lets wait nothing here.
+_SILENT_S = 1.0
+
+
+class PeerUse:
+    """Latest counters of one peer for a team."""
+
+    __slots__ = ("rate", "received_at", "running", "slot_seconds", "waiting")
+
+    def __init__(self) -> None:
+        self.slot_seconds = 0.0
+        self.running = 0
+        self.waiting = 0
+        self.received_at = 0.0
+        # Slots in use on average since the message before.
+        self.rate = 0.0
+
+
+class TeamUse:
+    """Slot time, running and waiting requests of a team in a pool."""
+
+    __slots__ = (
+        "_peer_rate",
+        "_peer_running",
+        "_peer_settled",
+        "_peers_idle_running",
+        "_peers_waiting",
+        "_settled",
+        "changed_at",
+        "offset",
+        "peer_by_host",
+        "peer_waiting",
+        "running",
+        "service",
+        "waiting",
+        "weight",
+    )
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.offset = 0.0
+        self.running = 0
+        self.waiting = 0
+        self.peer_waiting = 0
+        self.service = queueing.ServiceTime()
+        self.changed_at = 0.0
+        self.peer_by_host: dict[str, PeerUse] = {}
+        # Sums of used time at time zero: running requests count from their
+        # start, so that used time is settled + running * now. What peers
+        # use is extrapolated from their last message in the same way.
+        self._settled = 0.0
+        self._peer_settled = 0.0
+        self._peer_rate = 0.0
+        self._peer_running = 0
+        self._peers_waiting = 0
+        self._peers_idle_running = 0
+
+    @property
+    def running_everywhere(self) -> int:
+        """Requests that run at all hosts."""
+        return self.running + self._peer_running
+
+    @property
+    def waiting_everywhere(self) -> int:
+        """Requests that wait at all hosts."""
+        return self.waiting + self.peer_waiting
+
+    def used(self, now: float) -> float:
+        """Return the slot seconds used here, with what still runs."""
+        return self._settled + self.running * now
+
+    def _used_everywhere(self, now: float) -> float:
+        used = self._settled + self.running * now
+        return used + self._peer_settled + self._peer_rate * now
+
+    def level(self, now: float) -> float:
+        """Return what the team has used by its weight."""
+        used = self._used_everywhere(now)
+        return shares.level(used, self.weight) + self.offset
+
+    def rank(self, now: float) -> float:
+        """Return the place in the order of service; lowest is next.
+
+        A peer where the team waits too is taken to run as many of its
+        requests as this host. Its own count is up to 0.1 s old, and hosts
+        that all correct the same old count overshoot together.
+        """
+        running = self.running * (1 + self._peers_waiting)
+        running += self._peers_idle_running
+        used = self._used_everywhere(now)
+        return shares.rank(used, running, self.weight) + self.offset
+
+    def started(self, now: float) -> None:
+        """Count a request that starts to run."""
+        self.running += 1
+        self._settled -= now
+        self.changed_at = now
+
+    def ended(self, now: float) -> None:
+        """Count a request that has ended."""
+        self.running -= 1
+        self._settled += now
+        self.changed_at = now
+
+    def merge(
+        self, now: float, host: str, usage: permit_messages.Usage
+    ) -> None:
+        """Take over the counters of a peer.
+
+        A counter that fell belongs to a new process of the peer; what its
+        predecessor used stays counted.
+        """
+        peer = self.peer_by_host.setdefault(host, PeerUse())
+        grown = usage.slot_seconds - peer.slot_seconds
+        if grown < 0:
+            grown = usage.slot_seconds
+        self._stop_extrapolating(peer)
+        self._peer_settled += grown
+        elapsed = now - peer.received_at
+        rate = grown / elapsed if 0 < elapsed < _SILENT_S else usage.running
+        peer.rate = rate if usage.running else 0.0
+        peer.slot_seconds = usage.slot_seconds
+        peer.running = usage.running
+        peer.waiting = usage.waiting
+        peer.received_at = now
+        self._peer_rate += peer.rate
+        self._peer_settled -= peer.rate * now
+        self._count_peers()
+
+    def _stop_extrapolating(self, peer: PeerUse) -> None:
+        """Count what a peer had used at its last message, no more."""
+        self._peer_settled += peer.rate * peer.received_at
+        self._peer_rate -= peer.rate
+        peer.rate = 0.0
+
+    def _count_peers(self) -> None:
+        peers = self.peer_by_host.values()
+        self.peer_waiting = sum(peer.waiting for peer in peers)
+        self._peer_running = sum(peer.running for peer in peers)
+        self._peers_waiting = sum(peer.waiting > 0 for peer in peers)
+        self._peers_idle_running = sum(
+            peer.running for peer in peers if not peer.waiting
+        )
+
+    def forget_silent(self, now: float) -> None:
+        """Stop to extrapolate peers that haven't been heard lately."""
+        for peer in self.peer_by_host.values():
+            if now - peer.received_at < _SILENT_S:
+                continue
+            if peer.running or peer.waiting:
+                self._stop_extrapolating(peer)
+                peer.running = peer.waiting = 0
+                self._count_peers()
+
+
+class UsageLedger:
+    """Order of service of the teams of one pool.
+
+    A heap holds a lower bound of each waiting team's rank. Ranks mostly
+    grow, so the lowest is found by correcting the top of the heap.
+    """
+
+    def __init__(self) -> None:
+        self.use_by_team: dict[str, TeamUse] = {}
+        self._heap: list[tuple[float, str]] = []
+        self._bound_by_team: dict[str, float] = {}
+        self._peer_lowest: float | None = None
+
+    def use(self, team: str) -> TeamUse:
+        """Return the record of a team, made if there is none."""
+        found = self.use_by_team.get(team)
+        if found is None:
+            found = self.use_by_team[team] = TeamUse(1.0)
+        return found
+
+    def set_weight(self, now: float, team: str, weight: float) -> None:
+        """Change a team's weight; what it used so far counts as before."""
+        use = self.use(team)
+        before = use.level(now)
+        use.weight = weight
+        use.offset += before - use.level(now)
+
+    def begin_waiting(self, now: float, team: str) -> None:
+        """Count a request that waits; a returning team starts level."""
+        use = self.use(team)
+        if not use.waiting_everywhere:
+            self._raise(now, use)
+        use.waiting += 1
+        if team not in self._bound_by_team:
+            self.list_team(now, team)
+
+    def stop_waiting(self, team: str, count: int = 1) -> None:
+        """Count requests that wait no longer."""
+        use = self.use_by_team[team]
+        use.waiting -= count
+        if not use.waiting:
+            self.unlist_team(team)
+
+    def list_team(self, now: float, team: str) -> None:
+        """Let a team take its turn, or note that its rank has fallen."""
+        rank = self.use_by_team[team].rank(now)
+        bound = self._bound_by_team.get(team)
+        if bound is not None and bound <= rank:
+            return
+        self._bound_by_team[team] = rank
+        if len(self._heap) > 4 * len(self.use_by_team) + 64:
+            self._heap = [
+                (lower, name) for name, lower in self._bound_by_team.items()
+            ]
+            heapq.heapify(self._heap)
+            return
+        heapq.heappush(self._heap, (rank, team))
+
+    def unlist_team(self, team: str) -> None:
+        """Take a team out of the order of service."""
+        self._bound_by_team.pop(team, None)
+
+    def is_listed(self, team: str) -> bool:
+        """Whether a team is in the order of service."""
+        return team in self._bound_by_team
+
+    def lowest(self, now: float) -> tuple[float, str] | None:
+        """Return the rank and name of the team whose turn it is."""
+        heap = self._heap
+        while heap:
+            bound, team = heap[0]
+            if self._bound_by_team.get(team) != bound:
+                heapq.heappop(heap)
+                continue
+            rank = self.use_by_team[team].rank(now)
+            if rank <= bound:
+                return rank, team
+            self._bound_by_team[team] = rank
+            heapq.heapreplace(heap, (rank, team))
+        return None
+
+    def started(self, now: float, team: str) -> None:
+        """Count a request that starts to run."""
+        self.use(team).started(now)
+
+    def ended(self, now: float, team: str, seconds: float | None) -> None:
+        """Count a request that has ended.
+
+        Args:
+            seconds: run time to learn from, or None.
+        """
+        use = self.use(team)
+        use.ended(now)
+        if seconds is not None:
+            use.service = use.service.observe(seconds)
+        if team in self._bound_by_team:
+            self.list_team(now, team)
+
+    def merge(
+        self, now: float, host: str, usage: permit_messages.Usage
+    ) -> None:
+        """Take over the counters of a peer for one team."""
+        use = self.use(usage.team)
+        idle = not use.waiting_everywhere
+        use.merge(now, host, usage)
+        if idle and use.peer_waiting:
+            self._raise(now, use)
+        if usage.team in self._bound_by_team:
+            self.list_team(now, usage.team)
+
+    def refresh(self, now: float) -> None:
+        """Drop silent peers and note who waits only at peers."""
+        lowest = None
+        for team, use in self.use_by_team.items():
+            if use.peer_by_host:
+                use.forget_silent(now)
+            if team in self._bound_by_team:
+                self.list_team(now, team)
+            elif use.peer_waiting:
+                level = use.level(now)
+                lowest = level if lowest is None else min(lowest, level)
+        self._peer_lowest = lowest
+
+    def _raise(self, now: float, use: TeamUse) -> None:
+        turn = self.lowest(now)
+        levels = []
+        if self._peer_lowest is not None:
+            levels.append(self._peer_lowest)
+        if turn is not None:
+            levels.append(self.use_by_team[turn[1]].level(now))
+        use.offset += shares.raise_on_return(
+            use.level(now), min(levels, default=None)
+        )
+
+    def report(
+        self, now: float, pool: str, since: float
+    ) -> Iterator[permit_messages.Usage]:
+        """Yield the own counters of teams that used the pool lately."""
+        for team, use in self.use_by_team.items():
+            if use.running or use.waiting or use.changed_at >= since:
+                yield permit_messages.Usage(
+                    pool, team, use.used(now), use.running, use.waiting
+                )
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -33,3 +33,10 @@
 
 class MessageError(AzurevaneError):
     """Raised when a peer's message is malformed or too large."""
+
+
+class InvariantViolation(AzurevaneError):
+    """Raised when a check inside the program finds a broken invariant.
+
+    The state that led to it is in the log event of the same text.
+    """
--- /dev/null
+++ b/tests/policy/queueing.feature
@@ -0,0 +1,42 @@
+Feature: Admission to the queues
+
+  Scenario Outline: A request waits, or is refused at once with the reason
+    Guards against a caller who waits for nothing, or is told a wrong cause.
+    Given <waiting> waiting and <running> running requests of the team
+    And <entitled> of 64 slots for it, a limit of <limit>, and others: <others>
+    And run times of 0.1 s that vary by 0.02 s
+    When a request that has <remaining> s left asks for admission
+    Then the admission decision is <status> <problem>
+
+    Examples:
+      | waiting | running | entitled | limit | others | remaining | status | problem         |
+      | 0       | 0       | 8        | 64    | no     | 0.01      | 0      | -               |
+      | 0       | 7       | 8        | 64    | no     | 0.15      | 0      | -               |
+      | 40      | 8       | 8        | 64    | no     | 2.0       | 0      | -               |
+      | 400     | 8       | 8        | 64    | no     | 2.0       | 503    | pool-full       |
+      | 400     | 8       | 8        | 64    | yes    | 2.0       | 429    | team-share      |
+      | 400     | 8       | 8        | 8     | yes    | 2.0       | 429    | team-limit      |
+      | 0       | 8       | 8        | 64    | no     | 0.05      | 503    | pool-full       |
+      | 0       | 0       | 8        | 64    | no     | 0         | 504    | deadline-passed |
+
+  Scenario Outline: Queues are bounded in count and bytes
+    Guards against memory that a burst exhausts.
+    When a host with <queued> requests and <bytes> MiB, <own> of the team, is asked
+    Then the admission decision is <status> <problem>
+
+    Examples:
+      | queued | bytes | own  | status | problem         |
+      | 19999  | 1     | 10   | 0      | -               |
+      | 20000  | 1     | 10   | 503    | queue-full      |
+      | 10     | 64    | 10   | 503    | queue-full      |
+      | 6000   | 1     | 5000 | 429    | team-queue-full |
+
+  Scenario: Learned run times follow what is measured
+    Guards against waits that are reckoned from a declared time.
+    When 200 runs take 0.3 s each after 50 that took 0.01 s
+    Then the learned mean is within 0.01 s of 0.3 s
+
+  Scenario: A place in the queue that comes too late is given up now
+    Guards against a request that is held back until near its deadline.
+    When 100 requests with 1.0 s left wait for 4 slots at 0.1 s each
+    Then the first 36 to 38 keep their places and the others are refused
--- /dev/null
+++ b/tests/policy/steps/routing_steps.py
@@ -0,0 +1,72 @@
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.policy import routing
+
+
+@given("these runners seen from zone az-a")
+def runners(context):
+    context.chosen = routing.choose_runner(
+        "az-a",
+        [
+            routing.Candidate(
+                row["runner"],
+                row["zone"],
+                int(row["free"]),
+                int(row["outstanding"]),
+                row["blocked"],
+            )
+            for row in context.table
+        ],
+    )
+
+
+@then("the chosen runner is {runner}")
+def check_chosen(context, runner):
+    assert context.chosen[0] == runner, context.chosen
+
+
+@when("a runner fails 5 times in a row at second 0")
+def fail_often(context):
+    context.breaker = routing.CLOSED
+    for _ in range(5):
+        assert context.breaker.allows(0.0)
+        context.breaker = context.breaker.after_failure(0.0, False)
+
+
+@when("the trial request at second {second:g} {result}")
+def try_once(context, second, result):
+    assert context.breaker.allows(second)
+    trial = context.breaker.after_dispatch()
+    context.breaker = {
+        "fails": trial.after_failure(second, False),
+        "succeeds": trial.after_success(),
+        "runs": trial,
+    }[result]
+
+
+@then("it takes work at these seconds")
+def check_breaker(context):
+    for row in context.table:
+        allowed = context.breaker.allows(float(row["second"]))
+        assert allowed == (row["takes"] == "yes"), row
+
+
+@when("6 hosts with 3 permits each for 60 runners see their zone return")
+def zone_returns(context):
+    context.part = lambda second: (
+        sum(
+            routing.usable_after_return(f"host-{h}", f"run-{r}", 3, second)
+            for h in range(6)
+            for r in range(60)
+        )
+        / (6 * 60 * 3)
+    )
+
+
+@then("the part of permits in use is near these")
+def check_return(context):
+    for row in context.table:
+        part = context.part(float(row["second"]))
+        assert abs(part - float(row["part"])) < 0.04, (row, part)
--- /dev/null
+++ b/tests/policy/steps/shares_steps.py
@@ -0,0 +1,174 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from azurevane._internal.models import permit_messages
+from azurevane._internal.policy import shares
+from azurevane._internal.tasks import usage_ledger
+
+_CLAIMS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from((0.5, 1.0, 2.0, 7.0)),
+        strategies.integers(0, 90),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@when("{slots:d} slots are divided among these claims")
+def divide(context, slots):
+    claims = [
+        shares.Claim(row["team"], float(row["weight"]), float(row["demand"]))
+        for row in context.table
+    ]
+    context.expected = {r["team"]: float(r["part"]) for r in context.table}
+    context.parts = shares.weighted_max_min(slots, claims)
+
+
+@then("each team gets its part")
+def check_parts(context):
+    assert context.parts == context.expected, context.parts
+
+
+@when("many random capacities and claims are divided")
+def divide_random(context):
+    @hypothesis.seed(7)
+    @hypothesis.settings(max_examples=300, deadline=None, database=None)
+    @hypothesis.given(strategies.integers(1, 200), _CLAIMS)
+    def run(capacity, pairs):
+        claims = [
+            shares.Claim(str(n), weight, float(demand))
+            for n, (weight, demand) in enumerate(pairs)
+        ]
+        parts = shares.weighted_max_min(capacity, claims)
+        total = sum(claim.demand for claim in claims)
+        assert abs(sum(parts.values()) - min(capacity, total)) < 1e-6
+        levels = {c.team: parts[c.team] / c.weight for c in claims}
+        for claim in claims:
+            part = parts[claim.team]
+            assert part <= claim.demand
+            if part < claim.demand - 1e-9:
+                assert levels[claim.team] >= max(levels.values()) - 1e-9
+        division = shares.Division(capacity, claims)
+        for claim in claims:
+            others = [c for c in claims if c is not claim]
+            hungry = shares.Claim(claim.team, claim.weight, 1e9)
+            exact = shares.weighted_max_min(capacity, [*others, hungry])
+            part = division.part(claim.team, claim.weight)
+            assert abs(part - exact[claim.team]) < 1e-6, (part, exact)
+
+    context.property = run
+
+
+@then("each division is exact, and the index for one team agrees with it")
+def check_property(context):
+    context.property()
+
+
+def report(team, seconds, running=0, waiting=0):
+    return permit_messages.Usage("pool", team, seconds, running, waiting)
+
+
+@given('a ledger in which team "a" has used 50 slot seconds and waits')
+def used_ledger(context):
+    context.ledger = usage_ledger.UsageLedger()
+    context.ledger.started(0.0, "a")
+    context.ledger.ended(50.0, "a", 50.0)
+    context.ledger.begin_waiting(50.0, "a")
+
+
+@when('team "b" that has used nothing begins to wait')
+def idle_waits(context):
+    context.ledger.begin_waiting(50.0, "b")
+
+
+@then('the ranks of "a" and "b" differ by less than 0.001')
+def check_level(context):
+    use = context.ledger.use_by_team
+    assert abs(use["a"].rank(50.0) - use["b"].rank(50.0)) < 0.001
+
+
+@given('a ledger in which "a" and "b" wait and one request of "a" runs')
+def running_ledger(context):
+    context.ledger = usage_ledger.UsageLedger()
+    for team in "ab":
+        context.ledger.begin_waiting(0.0, team)
+    context.ledger.started(0.0, "a")
+
+
+@when("5 seconds pass")
+def pass_time(context):
+    context.now = 5.0
+
+
+@then('it is the turn of "b" and "a" has used 5 slot seconds')
+def check_turn(context):
+    assert context.ledger.lowest(context.now)[1] == "b"
+    assert context.ledger.use_by_team["a"].used(context.now) == 5.0
+
+
+@given('a ledger that has heard 30 slot seconds of "a" from a peer')
+def peer_ledger(context):
+    context.ledger = usage_ledger.UsageLedger()
+    context.ledger.merge(1.0, "peer", report("a", 30.0))
+
+
+@when("the peer restarts and reports 2 slot seconds")
+def peer_restarts(context):
+    context.ledger.merge(2.0, "peer", report("a", 2.0))
+
+
+@then('"a" has used 32 slot seconds')
+def check_total(context):
+    assert context.ledger.use_by_team["a"].level(2.0) == 32.0
+
+
+@when("random starts, ends, waits and counters of peers reach a ledger")
+def random_ledger(context):
+    context.failures = []
+    for seed in range(20):
+        context.failures += run_random_ledger(random.Random(seed))
+
+
+def run_random_ledger(rng):
+    ledger = usage_ledger.UsageLedger()
+    now, seconds, failures = 0.0, 0.0, []
+    for _ in range(300):
+        now += rng.random() * 0.05
+        team = rng.choice("abcdef")
+        use = ledger.use(team)
+        kind = rng.randrange(5)
+        if kind == 0:
+            ledger.begin_waiting(now, team)
+        elif kind == 1 and use.waiting:
+            ledger.stop_waiting(team)
+            ledger.started(now, team)
+        elif kind == 2 and use.running:
+            ledger.ended(now, team, 0.1)
+        elif kind == 3:
+            seconds += rng.random()
+            counts = rng.randrange(4), rng.randrange(2)
+            ledger.merge(now, rng.choice("xy"), report(team, seconds, *counts))
+        else:
+            ledger.refresh(now)
+        ranks = {
+            name: use.rank(now)
+            for name, use in ledger.use_by_team.items()
+            if use.waiting
+        }
+        turn = ledger.lowest(now)
+        if (turn is None) != (not ranks) or (
+            turn and turn[0] > min(ranks.values()) + 1e-9
+        ):
+            failures.append((turn, ranks))
+    return failures
+
+
+@then("its next team always has the lowest rank of those that wait")
+def check_order(context):
+    assert not context.failures, context.failures[0]
