--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,155 @@
+"""entry.decision.us: cost of one admit-and-route decision.
+
+98 teams and 20,000 slots of 2,500 runners in one pool. Every runner is
+busy, and each step ends one request and submits another. The time of a
+step covers submit, the choice of the team and of the runner, and the end.
+"""
+
+import random
+import statistics
+import time
+
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import request as request_models
+from azurevane._internal.policy import routing
+from azurevane._internal.tasks import dispatcher as dispatcher_module
+from azurevane._internal.tasks import permits as permits_module
+
+TEAMS = 98
+RUNNERS = 2_500
+ZONES = 16
+STEPS = 20_000
+
+
+def build_state():
+    zones = tuple(f"az-{n}" for n in range(ZONES))
+    return fleet.FleetState(
+        1,
+        manifest=manifest_models.Manifest(
+            "site",
+            "region",
+            zones,
+            tuple(
+                manifest_models.Team(f"team-{n}", 1.0 + n % 7, 900)
+                for n in range(TEAMS)
+            ),
+            (manifest_models.Pool("pool"),),
+            (manifest_models.Queue("queue", "pool"),),
+            tuple(
+                manifest_models.Runner(
+                    f"runner-{n}", "pool", zones[n % ZONES], "::1", 1
+                )
+                for n in range(RUNNERS)
+            ),
+        ),
+    )
+
+
+class Load:
+    """Submits and ends requests; counts the seconds spent deciding."""
+
+    def __init__(self, outstanding):
+        self.rng = random.Random(1)
+        self.state = build_state()
+        permits = permits_module.LocalPermits()
+        permits.configure(0.0, self.state)
+        self.dispatcher = dispatcher_module.Dispatcher(permits, "az-0")
+        self.dispatcher.configure(0.0, self.state)
+        self.now = 0.0
+        self.count = 0
+        self.running = []
+        self.runner_by_id = {}
+        for _ in range(outstanding):
+            self.submit()
+
+    def submit(self):
+        self.count += 1
+        item = request_models.Submission(
+            str(self.count),
+            "queue",
+            f"team-{self.rng.randrange(TEAMS)}",
+            self.now,
+            self.now + 60.0,
+            True,
+        )
+        begun = time.perf_counter()
+        decided = self.dispatcher.submit(self.now, item)
+        spent = time.perf_counter() - begun
+        self.note(decided)
+        return spent
+
+    def note(self, decided):
+        for effect in decided:
+            if isinstance(effect, request_models.Dispatch):
+                self.running.append(effect.submission_id)
+                self.runner_by_id[effect.submission_id] = effect.runner
+
+    def end(self):
+        place = self.rng.randrange(len(self.running))
+        self.running[place], self.running[-1] = (
+            self.running[-1],
+            self.running[place],
+        )
+        name = self.running.pop()
+        result = request_models.RunResult(
+            name, self.runner_by_id.pop(name), 0.0, self.now, 200, None
+        )
+        begun = time.perf_counter()
+        decided = self.dispatcher.ended(self.now, result)
+        spent = time.perf_counter() - begun
+        self.note(decided)
+        return spent
+
+    def tick(self):
+        begun = time.perf_counter()
+        self.note(self.dispatcher.tick(self.now))
+        return time.perf_counter() - begun
+
+
+def measure(outstanding):
+    """Return microseconds per decision: median, mean with ticks."""
+    load = Load(outstanding)
+    spent = []
+    ticks = 0.0
+    for step in range(STEPS):
+        load.now += 0.00005
+        spent.append(load.end() + load.submit())
+        if step % 2_000 == 0:
+            ticks += load.tick()
+    total = (sum(spent) + ticks) / STEPS
+    return 1e6 * statistics.median(spent), 1e6 * total
+
+
+def scan_cost():
+    """Return microseconds of the rule as one scan over all runners."""
+    candidates = [
+        routing.Candidate(f"runner-{n}", f"az-{n % ZONES}", 1, n % 8)
+        for n in range(RUNNERS)
+    ]
+    begun = time.perf_counter()
+    for _ in range(50):
+        routing.choose_runner("az-0", candidates)
+    return 1e6 * (time.perf_counter() - begun) / 50
+
+
+def run():
+    full = measure(20_000 + 5_000)
+    free = measure(16_000)
+    return [
+        {
+            "name": "entry.decision.us",
+            "value": round(max(full[1], free[1]), 1),
+            "unit": "us",
+            "bound": 50,
+            "better": "lower",
+            "baseline": round(scan_cost(), 1),
+            "ideal": 0,
+            "note": f"median full {full[0]:.1f}, free {free[0]:.1f}",
+        }
+    ]
+
+
+if __name__ == "__main__":
+    for row in run():
+        print(row)
--- a/benchmarks/permit_backends.py
+++ b/benchmarks/permit_backends.py
@@ -16,7 +16,7 @@
             site.time.every(0.1, lambda host=host: site.send_usage(host))
 
     def configure(self, host: Any, state: Any) -> None:
-        host.permits.configure(state)
+        host.permits.configure(self._site.time.now, state)
 
     def tick(self, host: Any) -> None:
         pass
@@ -28,8 +28,8 @@
         self._number = number
         self._hosts = hosts
 
-    def configure(self, state: Any) -> None:
-        super().configure(state)
+    def configure(self, now: float, state: Any) -> None:
+        super().configure(now, state)
         for place, (key, limit) in enumerate(self._limit_by_key.items()):
             whole, rest = divmod(limit, self._hosts)
             extra = (self._number - place) % self._hosts < rest
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -41,9 +41,7 @@
         self._keeper = state_keeper.StateKeeper()
         self._permits = permits_module.LocalPermits()
         self._dispatcher = dispatcher_module.Dispatcher(
-            self._permits,
-            settings.text("host", "name"),
-            settings.text("host", "zone"),
+            self._permits, settings.text("host", "zone")
         )
         calls = transport.JsonTransport(
             reactor,
@@ -108,10 +106,9 @@
             logger,
             state_events.StateInForce(state.version, previous, source),
         )
-        self._permits.configure(state)
-        self._service.apply(
-            self._dispatcher.configure(self._reactor.seconds(), state)
-        )
+        now = self._reactor.seconds()
+        self._permits.configure(now, state)
+        self._service.apply(self._dispatcher.configure(now, state))
 
     async def make_change(
         self, kind: str, base_version: int | None, content: Any
--- a/src/azurevane/_internal/policy/queueing.py
+++ b/src/azurevane/_internal/policy/queueing.py
@@ -34,6 +34,9 @@
         )
 
 
+UNKNOWN = ServiceTime()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
     """Most that may wait at one entry host.
--- a/src/azurevane/_internal/policy/routing.py
+++ b/src/azurevane/_internal/policy/routing.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 import dataclasses
-import hashlib
 
 # Failures in a row after which a runner gets no more work.
 _BREAKER_FAILURES = 5
@@ -143,26 +142,6 @@
     return min(1.0, max(_RETURN_PART, grown))
 
 
-def permit_threshold(host: str, runner: str, place: int) -> float:
-    """Return the part from which a host uses one of its permits again.
-
-    Hosts hold one or two permits of a runner each, too few to take a part
-    of. A hash spreads the permits over the return of the zone so that all
-    hosts together use the part that is due.
-    """
-    digest = hashlib.blake2b(
-        f"{host}/{runner}/{place}".encode(), digest_size=4
-    )
-    return int.from_bytes(digest.digest()) / 2**32
-
-
-def usable_after_return(
-    host: str, runner: str, held: int, since_s: float
-) -> int:
-    """Return how many of the held permits are in use since the return."""
-    part = return_part(since_s)
-    if part >= 1.0:
-        return held
-    return sum(
-        permit_threshold(host, runner, place) < part for place in range(held)
-    )
+def slots_after_return(slots: int, since_s: float) -> int:
+    """Return how many slots a runner takes after its zone came back."""
+    return max(min(1, slots), int(slots * return_part(since_s)))
--- a/src/azurevane/_internal/tasks/announcer.py
+++ b/src/azurevane/_internal/tasks/announcer.py
@@ -16,6 +16,12 @@
         self._permits = permits
         self._wanted_teams: set[str] = set()
 
+    def is_due(self, now: float, work: pool_work.PoolWork) -> bool:
+        """Whether to announce although nothing was dispatched."""
+        if not work.waiting:
+            return work.wanted > 0
+        return not work.wanted or now - work.announced_at >= _INTERVAL_S
+
     def announce_pool(
         self, now: float, work: pool_work.PoolWork
     ) -> list[effects.Effect]:
--- a/src/azurevane/_internal/tasks/dispatcher.py
+++ b/src/azurevane/_internal/tasks/dispatcher.py
@@ -39,12 +39,10 @@
     def __init__(
         self,
         permits: permits_module.Permits,
-        host: str = "",
         zone: str = "",
         bounds: queueing.Bounds | None = None,
     ) -> None:
         self._permits = permits
-        self._host = host
         self._zone = zone
         self._bounds = bounds or queueing.Bounds()
         self._state = fleet.FleetState()
@@ -106,9 +104,7 @@
             records_by_pool[runner.pool].append(record)
         self._record_by_runner = records
         for pool in manifest.pools:
-            index = runner_index.RunnerIndex(
-                self._host, self._zone, self._permits
-            )
+            index = runner_index.RunnerIndex(self._zone, self._permits)
             work = self._work_by_pool.get(pool.name)
             if work is None:
                 work = pool_work.PoolWork(pool.name, pool.spare, index)
@@ -127,18 +123,10 @@
         refused: list[effects.Effect] = []
         for submission_id, (work, team) in list(self._place_by_id.items()):
             item = work.queue_by_team[team].get(submission_id)
-            queue = manifest.queue_by_name.get(item.queue)
-            digest = item.api_key_digest
-            if queue is None:
-                denial = refusals.QUEUE_GONE
-            elif digest and state.team_by_digest.get(digest) != team:
-                denial = refusals.KEY_WITHDRAWN
-            elif queue.teams and team not in queue.teams:
-                denial = refusals.TEAM_NOT_ALLOWED
-            else:
-                continue
-            self._take(work, team, submission_id)
-            refused.append(refusals.refuse(item, denial))
+            denial = refusals.find_withdrawal(item, state, manifest)
+            if denial is not None:
+                self._take(work, team, submission_id)
+                refused.append(refusals.refuse(item, denial))
         return refused
 
     def submit(
@@ -181,10 +169,7 @@
         run.work.ledger.ended(
             now, run.team, now - run.started_at if ran else None
         )
-        # A permit is lent or kept by rank, so the keeper learns the rank of
-        # what waits here before the permit is free.
-        decided = self._announcer.announce_pool(now, run.owner)
-        decided += self._permits.release(now, outcome.submission_id)
+        decided = self._permits.release(now, outcome.submission_id)
         run.owner.index.ended(
             now,
             run.record,
@@ -292,34 +277,55 @@
     ) -> list[effects.Effect]:
         """Dispatch a pool's waiting work while there are slots."""
         decided: list[effects.Effect] = []
-        aside = []
-        while turn := work.ledger.lowest(now):
-            team = turn[1]
-            item = work.queue_by_team[team].first()
-            if not queueing.can_finish(
-                item.deadline - now, work.service(team)
-            ):
-                self._take(work, team, item.submission_id)
-                decided.append(refusals.refuse_late(now, item))
-                continue
-            not_after = now + self._max_run_s(item)
-            slot = self._slots.take(now, work, self._spares, item, not_after)
-            if slot is slot_finder.Blocked.POOL:
+        aside: list[str] = []
+        while found := self._slots.find(now, work, self._spares):
+            turn = work.ledger.lowest(now)
+            if turn is None:
                 break
-            if slot is slot_finder.Blocked.LIMIT:
-                decided += self._limit(now, work, team)
-            elif slot is slot_finder.Blocked.AVOIDED:
-                work.ledger.unlist_team(team)
-                aside.append(team)
-            elif isinstance(slot, slot_finder.Slot):
-                decided.append(self._start(now, work, item, slot, not_after))
+            served = self._serve_team(now, work, turn[1], found)
+            if served is slot_finder.Blocked.POOL:
+                break
+            if served is slot_finder.Blocked.AVOIDED:
+                work.ledger.unlist_team(turn[1])
+                aside.append(turn[1])
+            elif isinstance(served, list):
+                decided += served
         for team in aside:
             work.ledger.list_team(now, team)
         if work.waiting:
             self._starved[work.name] = None
         else:
             self._starved.pop(work.name, None)
-        return decided + self._announcer.announce_pool(now, work)
+        if decided or self._announcer.is_due(now, work):
+            decided += self._announcer.announce_pool(now, work)
+        return decided
+
+    def _serve_team(
+        self,
+        now: float,
+        work: pool_work.PoolWork,
+        team: str,
+        found: slot_finder.Found,
+    ) -> list[effects.Effect] | slot_finder.Blocked:
+        """Dispatch or refuse the next submission of a team."""
+        item = work.queue_by_team[team].first()
+        if not queueing.can_finish(item.deadline - now, work.service(team)):
+            self._take(work, team, item.submission_id)
+            return [refusals.refuse_late(now, item)]
+        if found[0].name == item.avoid_runner:
+            other = self._slots.find(
+                now, work, self._spares, item.avoid_runner
+            )
+            if other is None:
+                return slot_finder.Blocked.AVOIDED
+            found = other
+        not_after = now + self._max_run_s(item)
+        slot = self._slots.take(now, work, found, item, not_after)
+        if slot is slot_finder.Blocked.LIMIT:
+            return self._limit(now, work, team)
+        if isinstance(slot, slot_finder.Slot):
+            return [self._start(now, work, item, slot, not_after)]
+        return slot
 
     def _serve_starved(
         self, now: float, spare: pool_work.PoolWork
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -5,6 +5,7 @@
 
 from azurevane._internal.models import effects
 from azurevane._internal.models import fleet
+from azurevane._internal.policy import routing
 
 
 def team_limit_key(team: str) -> str:
@@ -62,9 +63,12 @@
         self._limit_by_key: dict[str, int] = {}
         self._used_by_key: collections.Counter[str] = collections.Counter()
         self._keys_by_holder: dict[str, list[str]] = {}
+        self._zones_out: frozenset[str] = frozenset()
+        self._returned_at_by_zone: dict[str, float] = {}
+        self._returned_at_by_key: dict[str, float] = {}
 
-    def configure(self, state: fleet.FleetState) -> None:
-        """Follow the limits of a fleet state."""
+    def configure(self, now: float, state: fleet.FleetState) -> None:
+        """Follow the limits and the zones of a fleet state."""
         manifest = state.manifest
         if manifest is None:
             return
@@ -74,10 +78,22 @@
             runner_limit_key(runner.name): runner.slots
             for runner in manifest.runners
         }
+        for zone in self._zones_out.difference(state.zones_out):
+            self._returned_at_by_zone[zone] = now
+        self._zones_out = frozenset(state.zones_out)
+        self._returned_at_by_key = {
+            runner_limit_key(runner.name): back_at
+            for runner in manifest.runners
+            if (back_at := self._returned_at_by_zone.get(runner.zone))
+            is not None
+        }
 
     def free(self, now: float, limit_key: str) -> int:
         """Return how many more permits may be used now."""
         limit = self._limit_by_key.get(limit_key, 0)
+        back_at = self._returned_at_by_key.get(limit_key)
+        if back_at is not None:
+            limit = routing.slots_after_return(limit, now - back_at)
         return limit - self._used_by_key[limit_key]
 
     def acquire(
--- a/src/azurevane/_internal/tasks/pool_work.py
+++ b/src/azurevane/_internal/tasks/pool_work.py
@@ -33,6 +33,7 @@
         self.announced_team = ""
         self._limit_by_team: dict[str, int] = {}
         self._division = shares.Division(0.0, ())
+        self._part_by_team: dict[str, float] = {}
         self._contenders: frozenset[str] = frozenset()
         self._passed_at = 0.0
 
@@ -80,12 +81,20 @@
                     shares.Claim(team, use.weight, min(demand, limit))
                 )
         self._division = shares.Division(self.index.capacity, claims)
+        self._part_by_team.clear()
         self._contenders = frozenset(
             team
             for team, use in self.ledger.use_by_team.items()
             if use.waiting_everywhere
         )
 
+    def _part(self, team: str, weight: float) -> float:
+        part = self._part_by_team.get(team)
+        if part is None:
+            part = self._division.part(team, weight)
+            self._part_by_team[team] = part
+        return part
+
     def backlog(
         self, team: str, queued: int = 0, queued_bytes: int = 0
     ) -> queueing.Backlog:
@@ -97,10 +106,10 @@
         return queueing.Backlog(
             use.waiting_everywhere,
             use.running_everywhere,
-            min(self._division.part(team, use.weight), limit),
+            min(self._part(team, use.weight), limit),
             limit,
             capacity,
-            bool(self._contenders - {team}),
+            len(self._contenders) > (team in self._contenders),
             queued,
             queued_bytes,
             len(own) if own else 0,
@@ -143,9 +152,7 @@
     def service(self, team: str) -> queueing.ServiceTime:
         """Return the run time to reckon with; unknown if none corrects it."""
         use = self.ledger.use(team)
-        if not use.running_everywhere:
-            return queueing.ServiceTime()
-        return use.service
+        return use.service if use.running_everywhere else queueing.UNKNOWN
 
     def take_late(self, now: float) -> list[request_models.Submission]:
         """Remove what can't end by its deadline even if it starts now."""
--- a/src/azurevane/_internal/tasks/refusals.py
+++ b/src/azurevane/_internal/tasks/refusals.py
@@ -1,5 +1,7 @@
 """Refusals of submissions, with the reasons that aren't admission's."""
 
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.models import request as request_models
 from azurevane._internal.policy import queueing
 
@@ -24,6 +26,23 @@
 )
 
 
+def find_withdrawal(
+    item: request_models.Submission,
+    state: fleet.FleetState,
+    manifest: manifest_models.Manifest,
+) -> queueing.Denial | None:
+    """Return why a fleet state no longer lets a submission run, if so."""
+    queue = manifest.queue_by_name.get(item.queue)
+    if queue is None:
+        return QUEUE_GONE
+    digest = item.api_key_digest
+    if digest and state.team_by_digest.get(digest) != item.team:
+        return KEY_WITHDRAWN
+    if queue.teams and item.team not in queue.teams:
+        return TEAM_NOT_ALLOWED
+    return None
+
+
 def refuse(
     item: request_models.Submission, denial: queueing.Denial
 ) -> request_models.Refusal:
--- a/src/azurevane/_internal/tasks/runner_index.py
+++ b/src/azurevane/_internal/tasks/runner_index.py
@@ -41,6 +41,8 @@
 
     def blocked(self, now: float) -> str:
         """Return why the runner takes no work, or an empty text."""
+        if not (self.zone_out or self.draining or self.breaker.open_s):
+            return ""
         return routing.explain_block(
             self.zone_out, self.draining, self.breaker, now
         )
@@ -53,12 +55,9 @@
     them changes; ``relist`` puts them back.
     """
 
-    def __init__(
-        self, host: str, zone: str, permits: permits_module.Permits
-    ) -> None:
+    def __init__(self, zone: str, permits: permits_module.Permits) -> None:
         self.record_by_name: dict[str, RunnerRecord] = {}
         self.capacity = 0.0
-        self._host = host
         self._zone = zone
         self._permits = permits
         self._near: list[tuple[int, int, str]] = []
@@ -78,7 +77,10 @@
     def set_state(
         self, now: float, record: RunnerRecord, zone_out: bool, draining: bool
     ) -> None:
-        """Take a runner out, or let it return at a bounded pace."""
+        """Take a runner out, or let it return.
+
+        Its permits grow unannounced for a while after its zone came back.
+        """
         if record.zone_out and not zone_out:
             record.returned_at = now
             self._unsettled.add(record.name)
@@ -93,7 +95,7 @@
             return False
         if record.entry is not None:
             return True
-        if self._usable(now, record) <= 0:
+        if self._permits.free(now, record.limit_key) <= 0:
             return False
         heap = self._near if record.zone == self._zone else self._far
         if len(heap) > 4 * len(self.record_by_name) + _RECHECKS:
@@ -112,16 +114,6 @@
         ]
         heapq.heapify(heap)
 
-    def _usable(self, now: float, record: RunnerRecord) -> int:
-        free = self._permits.free(now, record.limit_key)
-        if free <= 0 or record.returned_at is None:
-            return free
-        held = free + record.outstanding
-        part = routing.usable_after_return(
-            self._host, record.name, held, now - record.returned_at
-        )
-        return part - record.outstanding
-
     def pick(self, now: float, avoid: str = "") -> RunnerRecord | None:
         """Return the runner for the next request, or None."""
         return self._pick(now, self._near, avoid) or self._pick(
@@ -139,7 +131,10 @@
             if record is None or record.entry != entry:
                 heapq.heappop(heap)
                 continue
-            if record.blocked(now) or self._usable(now, record) <= 0:
+            if (
+                record.blocked(now)
+                or self._permits.free(now, record.limit_key) <= 0
+            ):
                 record.entry = None
                 heapq.heappop(heap)
                 continue
--- a/src/azurevane/_internal/tasks/slot_finder.py
+++ b/src/azurevane/_internal/tasks/slot_finder.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import logging
+from typing import TypeAlias
 
 from azurevane import exceptions
 from azurevane._internal.events import catalogue
@@ -26,6 +27,9 @@
     AVOIDED = "only the runner of the earlier try is free"
 
 
+Found: TypeAlias = tuple[runner_index.RunnerRecord, pool_work.PoolWork]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slot:
     """A slot whose permits have been taken.
@@ -66,32 +70,48 @@
         self._zones_out = frozenset(state.zones_out)
         self._draining = frozenset(state.draining)
 
-    def take(
+    def find(
         self,
         now: float,
         work: pool_work.PoolWork,
         spares: Sequence[pool_work.PoolWork],
+        avoid: str = "",
+    ) -> Found | None:
+        """Return the runner for the next submission of a pool.
+
+        Args:
+            spares: pools whose idle slots serve the others.
+            avoid: name of a runner that is used only if it is the last.
+        """
+        record = work.index.pick(now, avoid)
+        if record is not None:
+            return record, work
+        for spare in spares:
+            if spare is work or spare.ledger.lowest(now) is not None:
+                continue
+            record = spare.index.pick(now, avoid)
+            if record is not None:
+                return record, spare
+        return None
+
+    def take(
+        self,
+        now: float,
+        work: pool_work.PoolWork,
+        found: Found,
         item: request_models.Submission,
         not_after: float,
     ) -> Slot | Blocked:
-        """Take a slot for the next submission of a pool.
+        """Take the permits of a submission.
 
         Args:
-            spares: pools whose idle slots serve the others.
+            found: runner with a free permit.
             not_after: monotonic seconds by which the run has ended.
         """
-        team_key = permits_module.team_limit_key(item.team)
-        if item.team and self._permits.free(now, team_key) <= 0:
-            return Blocked.LIMIT
-        found = self._find(now, work, spares, item.avoid_runner)
-        if found is None:
-            if item.avoid_runner and self._find(now, work, spares, ""):
-                return Blocked.AVOIDED
-            return Blocked.POOL
         record, owner = found
         holder = item.submission_id
         if item.team and not self._permits.acquire(
-            now, team_key, holder, not_after
+            now, permits_module.team_limit_key(item.team), holder, not_after
         ):
             return Blocked.LIMIT
         if not self._permits.acquire(now, record.limit_key, holder, not_after):
@@ -117,24 +137,6 @@
         owner.index.started(now, record)
         return Slot(record, owner, reasons)
 
-    def _find(
-        self,
-        now: float,
-        work: pool_work.PoolWork,
-        spares: Sequence[pool_work.PoolWork],
-        avoid: str,
-    ) -> tuple[runner_index.RunnerRecord, pool_work.PoolWork] | None:
-        record = work.index.pick(now, avoid)
-        if record is not None:
-            return record, work
-        for spare in spares:
-            if spare is work or spare.ledger.lowest(now) is not None:
-                continue
-            record = spare.index.pick(now, avoid)
-            if record is not None:
-                return record, spare
-        return None
-
     def _check(
         self,
         item: request_models.Submission,
@@ -145,9 +147,10 @@
             cause = "zone-out"
         elif record.name in self._draining:
             cause = "draining"
-        check(
-            not cause,
-            request_events.RoutedToBlockedRunner(
-                item.submission_id, record.name, record.zone, cause
-            ),
-        )
+        if cause:
+            check(
+                False,
+                request_events.RoutedToBlockedRunner(
+                    item.submission_id, record.name, record.zone, cause
+                ),
+            )
--- a/src/azurevane/_internal/tasks/usage_ledger.py
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -39,6 +39,8 @@
         "offset",
         "peer_by_host",
         "peer_waiting",
+        "rank_at_zero",
+        "rank_growth",
         "running",
         "service",
         "waiting",
@@ -63,6 +65,8 @@
         self._peer_running = 0
         self._peers_waiting = 0
         self._peers_idle_running = 0
+        self.rank_at_zero = 0.0
+        self.rank_growth = 0.0
 
     @property
     def running_everywhere(self) -> int:
@@ -78,17 +82,18 @@
         """Return the slot seconds used here, with what still runs."""
         return self._settled + self.running * now
 
-    def _used_everywhere(self, now: float) -> float:
-        used = self._settled + self.running * now
-        return used + self._peer_settled + self._peer_rate * now
-
     def level(self, now: float) -> float:
         """Return what the team has used by its weight."""
-        used = self._used_everywhere(now)
+        used = self._settled + self._peer_settled
+        used += (self.running + self._peer_rate) * now
         return shares.level(used, self.weight) + self.offset
 
     def rank(self, now: float) -> float:
-        """Return the place in the order of service; lowest is next.
+        """Return the place in the order of service; lowest is next."""
+        return self.rank_at_zero + self.rank_growth * now
+
+    def update_rank(self) -> None:
+        """Note the rank as a line over time, after something has changed.
 
         A peer where the team waits too is taken to run as many of its
         requests as this host. Its own count is up to 0.1 s old, and hosts
@@ -96,20 +101,27 @@
         """
         running = self.running * (1 + self._peers_waiting)
         running += self._peers_idle_running
-        used = self._used_everywhere(now)
-        return shares.rank(used, running, self.weight) + self.offset
+        used = self._settled + self._peer_settled
+        self.rank_at_zero = self.offset + shares.rank(
+            used, running, self.weight
+        )
+        self.rank_growth = shares.level(
+            self.running + self._peer_rate, self.weight
+        )
 
     def started(self, now: float) -> None:
         """Count a request that starts to run."""
         self.running += 1
         self._settled -= now
         self.changed_at = now
+        self.update_rank()
 
     def ended(self, now: float) -> None:
         """Count a request that has ended."""
         self.running -= 1
         self._settled += now
         self.changed_at = now
+        self.update_rank()
 
     def merge(
         self, now: float, host: str, usage: permit_messages.Usage
@@ -150,6 +162,7 @@
         self._peers_idle_running = sum(
             peer.running for peer in peers if not peer.waiting
         )
+        self.update_rank()
 
     def forget_silent(self, now: float) -> None:
         """Stop to extrapolate peers that haven't been heard lately."""
@@ -188,6 +201,7 @@
         before = use.level(now)
         use.weight = weight
         use.offset += before - use.level(now)
+        use.update_rank()
 
     def begin_waiting(self, now: float, team: str) -> None:
         """Count a request that waits; a returning team starts level."""
@@ -236,7 +250,8 @@
             if self._bound_by_team.get(team) != bound:
                 heapq.heappop(heap)
                 continue
-            rank = self.use_by_team[team].rank(now)
+            use = self.use_by_team[team]
+            rank = use.rank_at_zero + use.rank_growth * now
             if rank <= bound:
                 return rank, team
             self._bound_by_team[team] = rank
@@ -295,6 +310,7 @@
         use.offset += shares.raise_on_return(
             use.level(now), min(levels, default=None)
         )
+        use.update_rank()
 
     def report(
         self, now: float, pool: str, since: float
