--- a/src/azurevane/_internal/policy/routing.py
+++ b/src/azurevane/_internal/policy/routing.py
@@ -8,10 +8,6 @@
 # Seconds for which a circuit breaker opens; doubled with each failed trial.
 _BREAKER_LOW_S = 1.0
 _BREAKER_HIGH_S = 30.0
-# Part of its slots that a runner of a zone that came back takes at once,
-# and the seconds until it takes all.
-_RETURN_PART = 0.25
-RETURN_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,14 +130,3 @@
         f"outstanding={outstanding}",
     )
     return (*reasons, f"spare-pool={lent_by}") if lent_by else reasons
-
-
-def return_part(since_s: float) -> float:
-    """Return the part of its slots in use after a zone came back."""
-    grown = _RETURN_PART + (1 - _RETURN_PART) * since_s / RETURN_S
-    return min(1.0, max(_RETURN_PART, grown))
-
-
-def slots_after_return(slots: int, since_s: float) -> int:
-    """Return how many slots a runner takes after its zone came back."""
-    return max(min(1, slots), int(slots * return_part(since_s)))
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -5,7 +5,7 @@
 
 from azurevane._internal.models import effects
 from azurevane._internal.models import fleet
-from azurevane._internal.policy import routing
+from azurevane._internal.policy import limits
 
 
 def team_limit_key(team: str) -> str:
@@ -96,7 +96,7 @@
         limit = self._limit_by_key.get(limit_key, 0)
         back_at = self._returned_at_by_key.get(limit_key)
         if back_at is not None:
-            limit = routing.slots_after_return(limit, now - back_at)
+            limit = limits.ramped_limit(limit, now - back_at)
         return limit - self._used_by_key[limit_key]
 
     def acquire(
--- a/src/azurevane/_internal/tasks/runner_index.py
+++ b/src/azurevane/_internal/tasks/runner_index.py
@@ -4,6 +4,7 @@
 import itertools
 
 from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.policy import limits
 from azurevane._internal.policy import routing
 from azurevane._internal.tasks import permits as permits_module
 
@@ -183,7 +184,7 @@
                 continue
             if (
                 record.returned_at is not None
-                and now - record.returned_at >= routing.RETURN_S
+                and now - record.returned_at >= limits.RAMP_S
             ):
                 record.returned_at = None
             if record.returned_at is None and not record.breaker.open_s:
@@ -199,11 +200,8 @@
         """Add up the slots of runners that take work."""
         self.capacity = sum(
             record.slots
-            * (
-                1.0
-                if record.returned_at is None
-                else routing.return_part(now - record.returned_at)
-            )
+            if record.returned_at is None
+            else limits.ramped_limit(record.slots, now - record.returned_at)
             for record in self.record_by_name.values()
             if not record.blocked(now)
         )
