Ask for the slots that a host is due, in place of all that could run

Cause: with real permit keepers the host with the most deserving waiter got every freed slot until its peers heard its next rank, up to 0.1 s later, and each such host asked for its whole queue. Change: a host asks for the slots that its teams are due (entitlement, plus what they are behind, by its part of their requests) less what it uses; beyond that it ranks behind all work that is due. A host reckons what a team runs everywhere from its own part.

--- a/src/azurevane/_internal/policy/shares.py
+++ b/src/azurevane/_internal/policy/shares.py
@@ -1,7 +1,7 @@
 """Weighted max-min fairness: who gets the next slot of a pool."""
 
 import bisect
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 import dataclasses
 import itertools
 
@@ -10,7 +10,7 @@
 # every team and is given back when the run ends, so it favours nobody. It
 # must exceed the 0.1 s after which counters of other hosts arrive, or the
 # hosts overshoot together.
-HORIZON_S = 0.25
+HORIZON_S = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +103,7 @@
     return used_s / weight
 
 
-def rank(used_s: float, running: int, weight: float) -> float:
+def rank(used_s: float, running: float, weight: float) -> float:
     """Return a team's place in the order of service; the lowest is next.
 
     Args:
@@ -122,3 +122,39 @@
     if level_waiting is None:
         return 0.0
     return max(0.0, level_waiting - own_level)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contender:
+    """A team that waits for a pool.
+
+    Attributes:
+        entitled: slots that it is entitled to on all hosts.
+        level: what it has used by its weight.
+        part: part of its requests that is at this host.
+    """
+
+    weight: float
+    entitled: float
+    level: float
+    part: float
+
+
+def slots_due(contenders: Sequence[Contender]) -> float:
+    """Return how many slots a host is due for the teams that wait.
+
+    A team that is behind the others is due more than it is entitled to,
+    so that it catches up within the horizon.
+    """
+    weight = sum(item.weight for item in contenders)
+    if not weight:
+        return 0.0
+    mean = sum(item.weight * item.level for item in contenders) / weight
+    return sum(
+        item.part
+        * max(
+            0.0,
+            item.entitled + (mean - item.level) * item.weight / HORIZON_S,
+        )
+        for item in contenders
+    )
--- a/src/azurevane/_internal/tasks/announcer.py
+++ b/src/azurevane/_internal/tasks/announcer.py
@@ -8,6 +8,12 @@
 # its rank is announced even if the same team is still the next.
 _INTERVAL_S = 0.005
 
+# Added to the rank of work that waits at a host which uses all the slots it
+# is due: it gets what would idle, and nothing that others are due.
+_EXCESS_RANK = 1e6
+# Most slots asked for beyond what is due.
+_EXCESS_COUNT = 4
+
 
 class Announcer:
     """Announces waiting work of pools, and of teams at their limit."""
@@ -35,17 +41,24 @@
         rank, team = turn
         if not work.wanted or now - work.announced_at >= _INTERVAL_S:
             work.announced_at = now
+            work.missing = work.slots_missing(now)
             work.wanted = self._count(now, work)
         elif team == work.announced_team:
             return []
         work.announced_team = team
         waited_s = now - work.queue_by_team[team].first().arrived_at
+        if work.missing <= 0:
+            rank += _EXCESS_RANK
         return self._permits.want(
             now, "pool", work.name, work.wanted, rank, waited_s
         )
 
     def _count(self, now: float, work: pool_work.PoolWork) -> int:
-        """Count what could run at once if there were slots for all."""
+        """Count what could run at once, up to what is due here.
+
+        Without a bound, the host whose waiter is the most deserving would
+        get every slot until its peers hear its next rank.
+        """
         count = 0
         for team, own in work.queue_by_team.items():
             if not own or team in work.limited:
@@ -55,7 +68,7 @@
                 limit_key = permits_module.team_limit_key(team)
                 waiting = min(waiting, self._permits.free(now, limit_key))
             count += waiting
-        return max(1, count)
+        return max(1, min(count, max(work.missing, _EXCESS_COUNT)))
 
     def announce_team(
         self, now: float, team: str, works: list[pool_work.PoolWork]
--- a/src/azurevane/_internal/tasks/dispatcher.py
+++ b/src/azurevane/_internal/tasks/dispatcher.py
@@ -240,7 +240,7 @@
         for work in self._work_by_pool.values():
             work.ledger.refresh(now)
             work.index.refresh(now, bool(work.waiting))
-            work.divide()
+            work.divide(now)
             if work.waiting:
                 decided += self._expire(now, work)
                 decided += self._serve(now, work)
--- a/src/azurevane/_internal/tasks/pool_work.py
+++ b/src/azurevane/_internal/tasks/pool_work.py
@@ -13,6 +13,9 @@
 # time in proportion to what waits.
 _PASS_INTERVAL_S = 0.5
 
+# Least seconds between two divisions of a pool because a team returned.
+_DIVIDE_INTERVAL_S = 0.01
+
 
 class PoolWork:
     """Owns what waits for a pool and what is known of its use."""
@@ -29,6 +32,7 @@
         # Teams that wait for a permit of their own upper limit.
         self.limited: set[str] = set()
         self.wanted = 0
+        self.missing = 0
         self.announced_at = 0.0
         self.announced_team = ""
         self._limit_by_team: dict[str, int] = {}
@@ -36,6 +40,7 @@
         self._part_by_team: dict[str, float] = {}
         self._contenders: frozenset[str] = frozenset()
         self._passed_at = 0.0
+        self._divided_at = 0.0
 
     def configure(
         self, now: float, manifest: manifest_models.Manifest
@@ -68,10 +73,11 @@
                 now, record, record.zone in zones_out, record.name in draining
             )
         index.measure(now)
-        self.divide()
+        self.divide(now)
 
-    def divide(self) -> None:
+    def divide(self, now: float) -> None:
         """Work out anew what each team is entitled to."""
+        self._divided_at = now
         claims = []
         for team, use in self.ledger.use_by_team.items():
             demand = use.running_everywhere + use.waiting_everywhere
@@ -95,6 +101,23 @@
             self._part_by_team[team] = part
         return part
 
+    def slots_missing(self, now: float) -> int:
+        """Return how many more slots this host is due than it uses."""
+        contenders = []
+        running = 0
+        for team, use in self.ledger.use_by_team.items():
+            if use.waiting_everywhere and team not in self.limited:
+                running += use.running
+                contenders.append(
+                    shares.Contender(
+                        use.weight,
+                        self._part(team, use.weight),
+                        use.level(now),
+                        use.part,
+                    )
+                )
+        return round(shares.slots_due(contenders)) - running
+
     def backlog(
         self, team: str, queued: int = 0, queued_bytes: int = 0
     ) -> queueing.Backlog:
@@ -129,10 +152,13 @@
             self.queue_by_team[item.team] = own
         own.add(item, queue.max_wait_s)
         self.waiting += 1
+        returning = not self.ledger.use(item.team).waiting_everywhere
         if item.team in self.limited:
             self.ledger.use(item.team).waiting += 1
         else:
             self.ledger.begin_waiting(now, item.team)
+        if returning and now - self._divided_at >= _DIVIDE_INTERVAL_S:
+            self.divide(now)
 
     def take(
         self, team: str, submission_id: str
--- a/src/azurevane/_internal/tasks/usage_ledger.py
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -32,8 +32,6 @@
         "_peer_rate",
         "_peer_running",
         "_peer_settled",
-        "_peers_idle_running",
-        "_peers_waiting",
         "_settled",
         "changed_at",
         "offset",
@@ -63,11 +61,16 @@
         self._peer_settled = 0.0
         self._peer_rate = 0.0
         self._peer_running = 0
-        self._peers_waiting = 0
-        self._peers_idle_running = 0
         self.rank_at_zero = 0.0
         self.rank_growth = 0.0
 
+    @property
+    def part(self) -> float:
+        """Part of the team's waiting and running requests that is here."""
+        here = self.waiting + self.running
+        everywhere = here + self.peer_waiting + self._peer_running
+        return here / everywhere if everywhere else 1.0
+
     @property
     def running_everywhere(self) -> int:
         """Requests that run at all hosts."""
@@ -95,12 +98,12 @@
     def update_rank(self) -> None:
         """Note the rank as a line over time, after something has changed.
 
-        A peer where the team waits too is taken to run as many of its
-        requests as this host. Its own count is up to 0.1 s old, and hosts
-        that all correct the same old count overshoot together.
+        The count of peers is up to 0.1 s old, and hosts that all correct
+        the same old count overshoot together. So each host takes its own
+        count for its part of the team's requests, and reckons the whole
+        from that.
         """
-        running = self.running * (1 + self._peers_waiting)
-        running += self._peers_idle_running
+        running = self.running / self.part if self.running else 0.0
         used = self._settled + self._peer_settled
         self.rank_at_zero = self.offset + shares.rank(
             used, running, self.weight
@@ -158,10 +161,6 @@
         peers = self.peer_by_host.values()
         self.peer_waiting = sum(peer.waiting for peer in peers)
         self._peer_running = sum(peer.running for peer in peers)
-        self._peers_waiting = sum(peer.waiting > 0 for peer in peers)
-        self._peers_idle_running = sum(
-            peer.running for peer in peers if not peer.waiting
-        )
         self.update_rank()
 
     def forget_silent(self, now: float) -> None:
