Compare ranks between hosts by their distance from the mean

Cause: a returning team is raised at different moments at different hosts, so that hosts' ranks drifted apart while teams came and went, and some hosts lost every comparison (p99 wait 14 ms at one host, 49 ms at another). Change: a host announces by how much its team is behind or ahead of the mean of the teams that wait, in steps of what the pool serves in 0.1 s; the longest waiter goes first among equals.

--- a/src/azurevane/_internal/policy/shares.py
+++ b/src/azurevane/_internal/policy/shares.py
@@ -140,16 +140,21 @@
     part: float
 
 
+def mean_level(contenders: Sequence[Contender]) -> float:
+    """Return the mean of the teams' levels by weight."""
+    weight = sum(item.weight for item in contenders)
+    if not weight:
+        return 0.0
+    return sum(item.weight * item.level for item in contenders) / weight
+
+
 def slots_due(contenders: Sequence[Contender]) -> float:
     """Return how many slots a host is due for the teams that wait.
 
     A team that is behind the others is due more than it is entitled to,
     so that it catches up within the horizon.
     """
-    weight = sum(item.weight for item in contenders)
-    if not weight:
-        return 0.0
-    mean = sum(item.weight * item.level for item in contenders) / weight
+    mean = mean_level(contenders)
     return sum(
         item.part
         * max(
--- a/src/azurevane/_internal/tasks/announcer.py
+++ b/src/azurevane/_internal/tasks/announcer.py
@@ -47,6 +47,12 @@
             return []
         work.announced_team = team
         waited_s = now - work.queue_by_team[team].first().arrived_at
+        # Hosts see teams return at different moments, so that only the
+        # distance from the mean of the teams compares between hosts.
+        rank -= work.mean_level
+        if work.rank_step:
+            # Among about equal ranks the keeper serves the longest waiter.
+            rank -= rank % work.rank_step
         if work.missing <= 0:
             rank += _EXCESS_RANK
         return self._permits.want(
--- a/src/azurevane/_internal/tasks/pool_work.py
+++ b/src/azurevane/_internal/tasks/pool_work.py
@@ -13,6 +13,8 @@
 # time in proportion to what waits.
 _PASS_INTERVAL_S = 0.5
 
+# Age of the counters of peers, on which ranks rest.
+_COUNTER_AGE_S = 0.1
 # Least seconds between two divisions of a pool because a team returned.
 _DIVIDE_INTERVAL_S = 0.01
 
@@ -33,6 +35,9 @@
         self.limited: set[str] = set()
         self.wanted = 0
         self.missing = 0
+        self.mean_level = 0.0
+        # Ranks at different hosts that differ by less say nothing.
+        self.rank_step = 0.0
         self.announced_at = 0.0
         self.announced_team = ""
         self._limit_by_team: dict[str, int] = {}
@@ -88,10 +93,15 @@
                 )
         self._division = shares.Division(self.index.capacity, claims)
         self._part_by_team.clear()
-        self._contenders = frozenset(
-            team
+        contenders = {
+            team: use.weight
             for team, use in self.ledger.use_by_team.items()
             if use.waiting_everywhere
+        }
+        self._contenders = frozenset(contenders)
+        weight = sum(contenders.values())
+        self.rank_step = (
+            _COUNTER_AGE_S * self.index.capacity / weight if weight else 0.0
         )
 
     def _part(self, team: str, weight: float) -> float:
@@ -116,6 +126,7 @@
                         use.part,
                     )
                 )
+        self.mean_level = shares.mean_level(contenders)
         return round(shares.slots_due(contenders)) - running
 
     def backlog(
