--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -9,6 +9,7 @@
 from azurevane import exceptions
 from azurevane._internal.callers import channel
 from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import program_events
@@ -19,13 +20,11 @@
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
-from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
 
 logger = logging.getLogger(__name__)
 
-_DISPATCHER_TICK_S = 0.1
 _STOP_CHECK_S = 0.05
 # The outcomes of claims are written before the process ends, unless the
 # table doesn't answer.
@@ -41,12 +40,11 @@
         settings: loader.Settings,
         network: connections.PeerNetwork,
         keeper: state_keeper.StateKeeper,
-        dispatcher: dispatcher_module.Dispatcher,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._network = network
-        self._dispatcher = dispatcher
+        self._permits = entry_permits.EntryPermits(reactor, network, keeper)
         self._runners = upstream_client.RunnerClient(reactor)
         calls = transport.JsonTransport(
             reactor,
@@ -61,7 +59,12 @@
             network.send,
         )
         self.service = entry_service.EntryService(
-            reactor, keeper, dispatcher, self._runners, self.claims
+            reactor,
+            keeper,
+            self._permits.dispatcher,
+            self._runners,
+            self.claims,
+            permits=self._permits,
         )
         self._factory = channel.CallersFactory(reactor, self.service)
         self._port: Any = None
@@ -76,8 +79,10 @@
         )
         for message_type in entry_claims.MESSAGE_TYPES:
             self._network.register(message_type, self._claim_message)
+        self._permits.start(self.service.apply)
         for call, interval_s in (
-            (self.service.tick, _DISPATCHER_TICK_S),
+            (self._permits.tick, entry_permits.TICK_S),
+            (self.service.tick, entry_permits.TICK_S),
             (self.claims.tick, entry_claims.TICK_S),
         ):
             loop = task.LoopingCall(call)
@@ -98,9 +103,7 @@
     def configure(self, state: fleet.FleetState) -> None:
         """Follow the effective fleet state."""
         self.claims.configure(state)
-        self.service.apply(
-            self._dispatcher.configure(self._reactor.seconds(), state)
-        )
+        self._permits.configure(state)
 
     async def stop(self) -> None:
         """End gracefully; returns when the process may exit.
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -15,6 +15,7 @@
 from azurevane._internal.daemons import entry_admission
 from azurevane._internal.daemons import entry_answering
 from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_running
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
@@ -40,6 +41,7 @@
         runners: upstream_client.RunnerClient,
         claims: entry_claims.EntryClaims,
         rng: random.Random | None = None,
+        permits: entry_permits.EntryPermits | None = None,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
@@ -48,6 +50,7 @@
             reactor, runners, rng or random.Random()
         )
         self._claims = claims
+        self._permits = permits
         self._next_id = 0
         self._active_by_id: dict[str, active_request.ActiveRequest] = {}
         self.stopping = False
@@ -202,6 +205,10 @@
                 if active is not None:
                     self._end(active)
                     entry_answering.refuse(active, effect)
+            elif self._permits is not None:
+                self._permits.carry_out(effect)
+        if self._permits is not None:
+            self._permits.schedule()
 
     @staticmethod
     def _log_fault(reason: twisted_failure.Failure) -> None:
--- a/src/azurevane/_internal/operators/change_maker.py
+++ b/src/azurevane/_internal/operators/change_maker.py
@@ -129,6 +129,11 @@
             return self._conflict(state.token, current)
         taken = restriction_policy.restrictions_between(current, state)
         if not await self._prepare(state, taken):
+            if self._keeper.in_force.version >= state.version:
+                # The peers don't obey a change of a version that another
+                # maker has won meanwhile.
+                self._abort(state, Result.CONFLICT, current.version, "version")
+                return self._conflict(state.token, current)
             return self._refuse(state)
         return await self._decide(stored, state)
 
--- a/src/azurevane/_internal/peers/connections.py
+++ b/src/azurevane/_internal/peers/connections.py
@@ -325,11 +325,15 @@
     def _learn_address(self, hello: messages.Hello) -> None:
         place = hello.address, hello.port
         known = self._address_by_peer.get(hello.host)
-        if not hello.address or not hello.port or known == place:
+        if not hello.address or not hello.port:
+            return
+        if known == place and hello.host in self._outgoing_by_peer:
             return
         if known is None and len(self._address_by_peer) >= MAX_PEERS:
             return
         self._address_by_peer[hello.host] = place
+        # Also where the address is known: a host that was just started
+        # must not wait for the end of a back-off until it can borrow.
         if hello.host in self._service_by_peer:
             self._service_by_peer[hello.host].stopService()
         self._connect(hello.host)
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -1,8 +1,11 @@
 """What the dispatcher needs of the permit keeper."""
 
+import collections
 from typing import Protocol
 
 from azurevane._internal.models import effects
+from azurevane._internal.models import fleet
+from azurevane._internal.policy import limits
 
 
 def team_limit_key(team: str) -> str:
@@ -54,3 +57,72 @@
             rank: used slot seconds by weight of the most deserving
                 waiter; the lowest is served first.
         """
+
+
+class LocalPermits:
+    """All permits of each limit at this host, for a single entry process."""
+
+    def __init__(self) -> None:
+        self._limit_by_key: dict[str, int] = {}
+        self._used_by_key: collections.Counter[str] = collections.Counter()
+        self._keys_by_holder: dict[str, list[str]] = {}
+        self._zones_out: frozenset[str] = frozenset()
+        self._returned_at_by_zone: dict[str, float] = {}
+        self._returned_at_by_key: dict[str, float] = {}
+
+    def configure(self, now: float, state: fleet.FleetState) -> None:
+        """Follow the limits and the zones of a fleet state."""
+        manifest = state.manifest
+        if manifest is None:
+            return
+        self._limit_by_key = {
+            team_limit_key(team.name): team.limit for team in manifest.teams
+        } | {
+            runner_limit_key(runner.name): runner.slots
+            for runner in manifest.runners
+        }
+        for zone in self._zones_out.difference(state.zones_out):
+            self._returned_at_by_zone[zone] = now
+        self._zones_out = frozenset(state.zones_out)
+        self._returned_at_by_key = {
+            runner_limit_key(runner.name): back_at
+            for runner in manifest.runners
+            if (back_at := self._returned_at_by_zone.get(runner.zone))
+            is not None
+        }
+
+    def free(self, now: float, limit_key: str) -> int:
+        """Return how many more permits may be used now."""
+        limit = self._limit_by_key.get(limit_key, 0)
+        back_at = self._returned_at_by_key.get(limit_key)
+        if back_at is not None:
+            limit = limits.ramped_limit(limit, now - back_at)
+        return limit - self._used_by_key[limit_key]
+
+    def acquire(
+        self, now: float, limit_key: str, holder: str, not_after: float
+    ) -> bool:
+        """Use a permit until ``release``; False if none is free."""
+        if self.free(now, limit_key) <= 0:
+            return False
+        self._used_by_key[limit_key] += 1
+        self._keys_by_holder.setdefault(holder, []).append(limit_key)
+        return True
+
+    def release(self, now: float, holder: str) -> list[effects.Effect]:
+        """Free every permit of a holder."""
+        for limit_key in self._keys_by_holder.pop(holder, ()):
+            self._used_by_key[limit_key] -= 1
+        return []
+
+    def want(
+        self,
+        now: float,
+        kind: str,
+        name: str,
+        count: int,
+        rank: float,
+        waited_s: float,
+    ) -> list[effects.Effect]:
+        """Ask nobody; there are no other permits."""
+        return []
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -161,6 +161,8 @@
             f"members = {members}",
             "[platform]",
             f"url = http://127.0.0.1:{self.port_by_name['platform']}",
+            "[invariants]",
+            "check = yes",
         ]
         for section, options in extra.items():
             lines.append(f"[{section}]")
