--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -75,7 +75,7 @@
         self._changed = changed
         self._chance = chance or random.Random()
         self._maker = change_maker.ChangeMaker(
-            reactor, keeper, store, self.apply
+            reactor, keeper, store, self.apply, self._chance
         )
         self._announced = keeper.effective
         self._was_fresh = False
@@ -277,7 +277,7 @@
         kind: str,
         base_version: int | None,
         content: Any,
-        change_id: str,
+        change_id: str = "",
     ) -> tuple[int, dict[str, Any]]:
         """Make a change for an operator; return HTTP status and body.
 
--- a/src/azurevane/_internal/tasks/state_history.py
+++ b/src/azurevane/_internal/tasks/state_history.py
@@ -30,6 +30,10 @@
         ) from error
 
 
+# Fields that every change touches; they tell an operator nothing.
+_BOOKKEEPING = frozenset(("version", "token", "content_version"))
+
+
 class StateHistory:
     """Remembers how each version came from the one before it."""
 
@@ -103,4 +107,10 @@
                 decode(step.difference, dict)
             )
         }
-        return tuple(sorted(paths - {"version", "token", "content_version"}))
+        return tuple(
+            sorted(path for path in paths if not _is_bookkeeping(path))
+        )
+
+
+def _is_bookkeeping(path: str) -> bool:
+    return path in _BOOKKEEPING or path.startswith("history")
