Check a request again after it waited for its claim or a retry

Cause: the key, the queue and freshness were checked only on arrival, but a request may wait up to 5 s for its claim and then be dispatched, later than the 3 s within which a withdrawn key must stop working.

Change: the check is repeated before such a request is submitted. A dispatch whose caller has left in between frees its slot. An early answer unregisters the runner's answer from the caller's connection.

Conclusion: waiting doesn't let work pass that would be refused on arrival.

--- a/src/azurevane/_internal/callers/exchange.py
+++ b/src/azurevane/_internal/callers/exchange.py
@@ -249,6 +249,9 @@
             return
         self.answered = True
         self._cancel_stall_call()
+        if self.producer is not None:
+            # An early answer ends while the runner's isn't read whole.
+            self.unregisterProducer()
         if self.body.complete:
             self.finish()
             return
--- a/src/azurevane/_internal/daemons/entry_admission.py
+++ b/src/azurevane/_internal/daemons/entry_admission.py
@@ -62,6 +62,38 @@
     )
 
 
+def check_again(
+    state: fleet.FleetState, active: active_request.ActiveRequest
+) -> request_models.Refusal | None:
+    """Return why a request that was admitted before may not go on.
+
+    It may have waited for its claim or for a retry while the state
+    changed.
+    """
+    submission = active.submission
+    queue = (
+        state.manifest.queue_by_name.get(submission.queue)
+        if state.manifest is not None
+        else None
+    )
+    if queue is None:
+        return request_models.Refusal(
+            submission.submission_id,
+            404,
+            "unknown-queue",
+            "There is no such queue any more",
+        )
+    team = authentication.authenticate(
+        state, queue, active.exchange.head.headers
+    )
+    if pipeline.is_successful(team):
+        return None
+    denied = team.failure()
+    return request_models.Refusal(
+        submission.submission_id, denied.status, denied.problem, denied.detail
+    )
+
+
 def split_path(path: str) -> tuple[str, str]:
     """Return the queue and the runner's path of ``/q/<queue>/<path>``."""
     parts = path.split("/", 3)
--- a/src/azurevane/_internal/daemons/entry_answering.py
+++ b/src/azurevane/_internal/daemons/entry_answering.py
@@ -111,6 +111,17 @@
     )
 
 
+def build_stale_refusal(submission_id: str) -> request_models.Refusal:
+    """Return what a caller is told while the configuration may be old."""
+    return request_models.Refusal(
+        submission_id,
+        503,
+        "not-fresh",
+        "This entry host can't confirm its configuration",
+        retry_after_s=1.0,
+    )
+
+
 def build_deadline_refusal(
     active: active_request.ActiveRequest,
 ) -> request_models.Refusal:
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -25,6 +25,7 @@
 from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.upstreams import verdicts
 
 logger = logging.getLogger(__name__)
 
@@ -71,13 +72,7 @@
             return
         submission_id = self._new_id()
         if not fresh:
-            refused = request_models.Refusal(
-                submission_id,
-                503,
-                "not-fresh",
-                "This entry host can't confirm its configuration",
-                retry_after_s=1.0,
-            )
+            refused = entry_answering.build_stale_refusal(submission_id)
             entry_answering.log_refusal(refused, refused.verdict)
             exchange.refuse(refused)
             return
@@ -128,12 +123,25 @@
         decided: claim_records.ClaimDecided,
     ) -> None:
         if decided.outcome is claim_records.Outcome.FIRST:
-            self._submit(active)
+            self._submit_again(active)
             return
         active.claim_seq = None
         self._end(active)
         entry_answering.answer_repeat(active, decided)
 
+    def _submit_again(self, active: active_request.ActiveRequest) -> None:
+        """Submit a request that has waited since it was admitted."""
+        refused = entry_admission.check_again(self._keeper.state, active)
+        if not self._keeper.fresh(self._reactor.seconds()):
+            refused = entry_answering.build_stale_refusal(
+                active.submission.submission_id
+            )
+        if refused is None:
+            self._submit(active)
+            return
+        self._end(active)
+        entry_answering.refuse(active, refused)
+
     def _submit(self, active: active_request.ActiveRequest) -> None:
         self._active_by_id[active.submission.submission_id] = active
         self.apply(
@@ -208,9 +216,19 @@
         logger.error("Run failed: %s", reason.getTraceback())
 
     async def _run(self, dispatch: request_models.Dispatch) -> None:
-        active = self._active_by_id[dispatch.submission_id]
+        active = self._active_by_id.get(dispatch.submission_id)
+        if active is None:
+            # Its caller left while the dispatch was on its way here.
+            self._free_slot(
+                dispatch,
+                self._reactor.seconds(),
+                entry_running.AttemptResult(
+                    None, verdicts.build_failure("not-wanted")
+                ),
+            )
+            return
         manifest = self._keeper.state.manifest
-        assert manifest is not None
+        assert manifest is not None, "dispatched without a manifest"
         assert not active.running, "one attempt at a time"
         active.running = True
         catalogue.emit(
@@ -269,6 +287,15 @@
             self._schedule_retry(active, dispatch.runner, attempt.retry_at)
         else:
             self._conclude(active, attempt)
+        self._free_slot(dispatch, started_at, attempt)
+
+    def _free_slot(
+        self,
+        dispatch: request_models.Dispatch,
+        started_at: float,
+        attempt: entry_running.AttemptResult,
+    ) -> None:
+        now = self._reactor.seconds()
         self.apply(
             self._dispatcher.ended(
                 now,
@@ -278,7 +305,7 @@
                     started_at,
                     now,
                     attempt.status,
-                    failure,
+                    attempt.failure,
                 ),
             )
         )
@@ -301,7 +328,7 @@
 
     def _retry(self, active: active_request.ActiveRequest) -> None:
         if active.submission.submission_id in self._active_by_id:
-            self._submit(active)
+            self._submit_again(active)
 
     def _conclude(
         self,
--- a/tests/callers/retries.feature
+++ b/tests/callers/retries.feature
@@ -49,6 +49,12 @@
     When an order "o-1" of 100 bytes comes from a caller
     Then the order is answered 200 "mine" with verdict "none" and has run 2 times
 
+  Scenario: A key that is withdrawn while a claim waits
+    Guards against work for a withdrawn key after its claim was decided.
+    Given an entry host with a full retry budget whose runner answers
+    When an order "o-1" comes, its key is withdrawn, and then its claim is decided
+    Then the order is answered 401 "unauthorized" with verdict "not-run" and has run 0 times
+
   Scenario: Random faults of runners
     Guards against crossed or cut answers, a false "not run", and a second
     run, by comparing what callers are told with what the runners record.
--- a/tests/callers/steps/retry_steps.py
+++ b/tests/callers/steps/retry_steps.py
@@ -1,5 +1,6 @@
 import functools
 import re
+import time
 
 from behave import given
 from behave import then
@@ -7,6 +8,7 @@
 
 from support import entry_harness
 from support import raw_runner
+from support import reactor_thread
 
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 SENT_BY_BEHAVIOUR = {
@@ -54,6 +56,21 @@
     context.answer = context.caller.read_answer()
 
 
+@when(
+    'an order "{key}" comes, its key is withdrawn, and then its claim is'
+    " decided"
+)
+def withdraw(context, key):
+    entry = context.entry
+    entry.site.fault = "down"
+    caller = entry_harness.Caller(entry)
+    caller.send(entry_harness.build_request(Idempotency_Key=key))
+    time.sleep(0.3)
+    reactor_thread.call(entry.withdraw_keys)
+    entry.site.fault = ""
+    context.answer = caller.read_answer()
+
+
 @then(
     'the order is answered {status:d} "{problem}" with verdict "{verdict}"'
     " and has run {count:d} times"
--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -62,7 +62,9 @@
 
     def _start(self, state):
         now = reactor.seconds()
-        keeper = state_keeper.StateKeeper("entry-1", "i", (), now)
+        self.keeper = keeper = state_keeper.StateKeeper(
+            "entry-1", "i", (), now
+        )
         keeper.offer(now, state, 1, "store")
         self._confirming = task.LoopingCall(
             lambda: keeper.store_confirmed(reactor.seconds(), state.version, 1)
@@ -71,14 +73,13 @@
         self.dispatcher = dispatcher.Dispatcher()
         self.dispatcher.configure(reactor.seconds(), state)
         self.client = client.RunnerClient(reactor)
-        self.table = claim_site.FaultyTable(
-            claim_site.TableSite(reactor), claim_site.AlwaysOn()
-        )
+        self.site = claim_site.TableSite(reactor)
+        table = claim_site.FaultyTable(self.site, claim_site.AlwaysOn())
         self.claims = entry_claims.EntryClaims(
             reactor,
             "entry-1",
             "i",
-            claim_journal.ClaimJournal(self.table),
+            claim_journal.ClaimJournal(table),
             lambda peer, message: None,
         )
         self.claims.configure(state)
@@ -91,6 +92,11 @@
         self._port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.port = self._port.getHost().port
 
+    def withdraw_keys(self):
+        state = dataclasses.replace(self.keeper.state, version=2, api_keys=())
+        self.keeper.offer(reactor.seconds(), state, 2, "store")
+        self.keeper.store_confirmed(reactor.seconds(), 2, 2)
+
     def fill_budget(self):
         budget = self.service._running._budget
 
