--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -63,7 +63,9 @@
 
     def _start(self, state):
         now = reactor.seconds()
-        keeper = state_keeper.StateKeeper("entry-1", "i", (), now)
+        self.keeper = keeper = state_keeper.StateKeeper(
+            "entry-1", "i", (), now
+        )
         keeper.offer(now, state, 1, "store")
         self._confirming = task.LoopingCall(
             lambda: keeper.store_confirmed(reactor.seconds(), state.version, 1)
@@ -74,14 +76,13 @@
         self.dispatcher = dispatcher.Dispatcher(local, "z")
         self.dispatcher.configure(reactor.seconds(), state)
         self.client = client.RunnerClient(reactor)
-        self.table = claim_site.FaultyTable(
-            claim_site.TableSite(reactor), claim_site.AlwaysOn()
-        )
+        self.site = claim_site.TableSite(reactor)
+        table = claim_site.FaultyTable(self.site, claim_site.AlwaysOn())
         self.claims = entry_claims.EntryClaims(
             reactor,
             "entry-1",
             "i",
-            claim_journal.ClaimJournal(self.table),
+            claim_journal.ClaimJournal(table),
             lambda peer, message: None,
         )
         self.claims.configure(state)
@@ -98,12 +99,22 @@
         self.claims.tick()
         self.service.tick()
 
-    @property
     def requests(self):
-        """Requests that reached any runner."""
-        return [
-            request for runner in self.runners for request in runner.requests
-        ]
+        return [item for runner in self.runners for item in runner.requests]
+
+    def withdraw_keys(self):
+        state = dataclasses.replace(self.keeper.state, version=2, api_keys=())
+        self.keeper.offer(reactor.seconds(), state, 2, "store")
+        self.keeper.store_confirmed(reactor.seconds(), 2, 2)
+
+    def fill_budget(self):
+        budget = self.service._running._budget
+
+        def fill():
+            for _ in range(100):
+                budget.note_success(reactor.seconds())
+
+        reactor_thread.call(fill)
 
     def running(self):
         return reactor_thread.call(lambda: self.dispatcher.running)
