Check freshness, peer connections and the platform's clients

Change: features for freshness and restrictions, connections and platform clients. They showed and fixed: a peer that doesn't read was never dropped, because each write restarted the count of waiting bytes; a token bucket with rate 0 granted without bound; a failed name look-up escaped as another exception. With an odd number of seats, majorities before and after a handover can be disjoint, so a seat that changes hands confirms nothing. A late store answer and an older state have scenarios.

--- a/src/azurevane/_internal/peers/connections.py
+++ b/src/azurevane/_internal/peers/connections.py
@@ -123,9 +123,10 @@
         self.sendString(data)
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Count what waits from now on."""
-        self._paused = True
-        self._waiting_bytes = 0
+        """Count what waits from now on; called at each further write."""
+        if not self._paused:
+            self._paused = True
+            self._waiting_bytes = 0
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Stop counting."""
--- a/src/azurevane/_internal/platform/transport.py
+++ b/src/azurevane/_internal/platform/transport.py
@@ -87,6 +87,7 @@
         except (
             error.ConnectError,
             error.ConnectionClosed,
+            error.DNSLookupError,
             defer.TimeoutError,
             defer.CancelledError,
             client.ResponseFailed,
--- a/src/azurevane/_internal/standins/httpserver.py
+++ b/src/azurevane/_internal/standins/httpserver.py
@@ -15,6 +15,8 @@
 from azurevane._internal.standins import faults as fault_models
 from azurevane._internal.utils import token_bucket
 
+_TOO_MANY_REQUESTS = 429  # twisted.web.http has no name for it
+
 
 class JsonResource(resource.Resource):
     """Answers JSON, showing the faults that it is told to show.
@@ -77,12 +79,15 @@
         bucket = self._bucket
         if bucket is None or bucket.rate != self.faults.calls_per_s:
             bucket = token_bucket.TokenBucket(
-                self.faults.calls_per_s, max(self.faults.calls_per_s, 1.0)
+                self.faults.calls_per_s,
+                max(self.faults.calls_per_s, 1.0)
+                if self.faults.calls_per_s
+                else 0.0,
             )
             self._bucket = bucket
         if bucket.take(self._reactor.seconds()):
             return None
-        return int(http.TOO_MANY_REQUESTS)
+        return _TOO_MANY_REQUESTS
 
     def _answer_later(
         self, call: "_Call", faults: fault_models.Faults
--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -97,7 +97,9 @@
     @property
     def fresh_until(self) -> float:
         """Monotonic seconds at which the known confirmations end."""
-        return self._probes.fresh_until(self._in_force)
+        # A seat that changes hands confirms nothing: majorities before
+        # and after the change need not share a holder otherwise.
+        return self._probes.fresh_until(self._effective)
 
     def fresh(self, now: float) -> bool:
         """Whether new work may be admitted under the effective state."""
@@ -266,10 +268,8 @@
         self._prepared.forget_acknowledgements(state.token)
         decided = self.offer(now, state, row_version, self.host)
         step = self._history.last(state.version)
-        if step is not None:
-            decided += self._to_all(step)
-        # The answers to this probe tell who has the version.
-        return decided + self.tick(now)
+        # The answers to the probe tell who has the version.
+        return decided + (self._to_all(step) if step else []) + self.tick(now)
 
     def abort(self, now: float, token: str) -> list[effects.Effect]:
         """Lift the restrictions of a change that can't be accepted."""
@@ -305,12 +305,9 @@
         self, message: state_messages.Prepare, sender: str, *, ok: bool
     ) -> list[effects.Effect]:
         maker = message.maker or sender
-        if maker == self.host:
-            # A peer passed a change back to its maker.
-            return []
-        return [
-            effects.Send(maker, state_messages.PrepareAck(message.token, ok))
-        ]
+        reply = state_messages.PrepareAck(message.token, ok)
+        # A peer may pass a change back to its maker.
+        return [] if maker == self.host else [effects.Send(maker, reply)]
 
     def _obey(self, change: prepared_changes.PreparedChange) -> None:
         self._prepared.obey(change)
--- a/src/azurevane/_internal/utils/token_bucket.py
+++ b/src/azurevane/_internal/utils/token_bucket.py
@@ -13,7 +13,7 @@
         self.rate = rate
         self._burst = burst
         self._level = burst
-        self._filled_at = float("-inf")
+        self._filled_at: float | None = None
 
     def take(self, now: float) -> bool:
         """Take one grant; False if there is none.
@@ -21,7 +21,7 @@
         Args:
             now: monotonic seconds.
         """
-        passed = max(now - self._filled_at, 0.0)
+        passed = 0.0 if self._filled_at is None else now - self._filled_at
         self._level = min(self._level + passed * self.rate, self._burst)
         self._filled_at = now
         if self._level < 1.0:
--- /dev/null
+++ b/tests/peers/connections.feature
@@ -0,0 +1,45 @@
+Feature: Connections between entry hosts
+
+  Scenario: Messages reach the handler of their type, with their sender
+    Guards against messages that are lost or taken for another host's.
+    Given entry hosts "a" and "b" that know each other
+    When "a" sends a probe with version 7 to "b"
+    Then "b" receives a probe with version 7 from "a"
+    And "a" has counted what "b" received
+
+  Scenario: A host that nobody listed is answered
+    Guards against a replacement host that others can't reach.
+    Given entry hosts "a" and "c" of which only "c" knows the other
+    When "c" has connected
+    Then "a" can send a probe to "c"
+
+  Scenario: A host that starts again is connected again
+    Guards against a connection that stays lost, and against an earlier
+    process that still speaks for the name.
+    Given entry hosts "a" and "b" that know each other
+    When "b" stops and starts again
+    Then "a" receives a probe from the new "b" within 5 seconds
+    And a connection of the old "b" is refused
+
+  Scenario Outline: Bad input closes the connection with an event
+    Guards against a peer that crashes this host or is half understood.
+    Given entry host "a"
+    When a connection sends <input>
+    Then it is closed and event 1007 says "<detail>"
+    And "a" still accepts a Hello
+
+    Examples:
+      | input                      | detail                     |
+      | text instead of a frame    | announced a message of     |
+      | a frame that isn't Capnp   | isn't a valid envelope     |
+      | a message before its Hello | First message isn't        |
+      | a Hello in the name of "a" | can't be used              |
+      | a Hello and a bad restriction | Damaged data            |
+      | half a frame and no Hello  | sent no Hello in time      |
+
+  Scenario: A peer that doesn't read is dropped
+    Guards against memory that grows without bound.
+    Given entry host "a" that knows a host that never reads
+    When "a" sends it 24 MiB
+    Then it is closed and event 1007 says "doesn't read"
+    And at most 9 MiB waited
--- /dev/null
+++ b/tests/peers/steps/connections_steps.py
@@ -0,0 +1,245 @@
+import logging
+import socket
+import struct
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from twisted.internet import reactor
+
+from azurevane._internal.models import messages
+from azurevane._internal.models import state_messages
+from azurevane._internal.peers import codec
+from azurevane._internal.peers import connections
+from azurevane._internal.tasks import state_keeper
+from support import processes
+
+
+class Recorder(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.events = []
+
+    def emit(self, record):
+        entry = getattr(record, "event", None)
+        if entry is not None:
+            self.events.append((entry.number, record.fields))
+
+
+def spin(until, seconds=5.0):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        reactor.iterate(0.005)
+        if until():
+            return
+    raise AssertionError("not reached in time")
+
+
+def start(context, name, members, incarnation="1", port=None):
+    if not hasattr(context, "networks"):
+        context.networks, context.received = {}, []
+        context.recorder = Recorder()
+        logging.getLogger().addHandler(context.recorder)
+        context.add_cleanup(
+            logging.getLogger().removeHandler, context.recorder
+        )
+    port = port or processes.free_ports(1)[0]
+    hello = messages.Hello(name, incarnation, "az", 1, "127.0.0.1", port)
+    network = connections.PeerNetwork(reactor, hello, members)
+    keeper = state_keeper.StateKeeper(name, incarnation)
+
+    def receive(sender, message):
+        context.received.append((name, sender, message))
+        keeper.received(0.0, sender, message)
+
+    for message_type in state_keeper.handler_by_type:
+        network.register(message_type, receive)
+    network.start()
+    context.add_cleanup(lambda: (network.stop(), reactor.iterate(0.01)))
+    context.networks[name] = network
+    return network
+
+
+def place(context, name):
+    hello = context.networks[name].hello
+    return {name: (hello.address, hello.port)}
+
+
+@given('entry hosts "{one}" and "{two}" that know each other')
+def start_pair(context, one, two):
+    first, second = processes.free_ports(2)
+    start(context, one, {two: ("127.0.0.1", second)}, port=first)
+    start(context, two, {one: ("127.0.0.1", first)}, port=second)
+    networks = [context.networks[one], context.networks[two]]
+    spin(lambda: all(item.connected_peers for item in networks))
+
+
+@given(
+    'entry hosts "{one}" and "{two}" of which only "{knows}" knows the other'
+)
+def start_unlisted(context, one, two, knows):
+    start(context, one, {})
+    start(context, two, place(context, one))
+
+
+@given('entry host "{name}"')
+def start_one(context, name):
+    start(context, name, {})
+
+
+@when('"{one}" sends a probe with version {version:d} to "{two}"')
+def send_probe(context, one, version, two):
+    context.networks[one].send(two, messages.Probe(1, version))
+
+
+@then('"{two}" receives a probe with version {version:d} from "{one}"')
+def check_probe(context, two, version, one):
+    spin(lambda: context.received)
+    receiver, sender, message = context.received[0]
+    assert (receiver, sender.host) == (two, one)
+    assert message == messages.Probe(1, version)
+
+
+@then('"{one}" has counted what "{two}" received')
+def check_counts(context, one, two):
+    data = codec.encode_message(messages.Probe(1, 7))
+    sent = context.networks[one].traffic
+    assert (sent.messages_sent, sent.bytes_sent) == (1, len(data) + 4)
+    # The receiver counts the Hello as well.
+    assert context.networks[two].traffic.messages_received == 2
+
+
+@when('"{name}" has connected')
+def wait_connected(context, name):
+    spin(lambda: context.networks[name].connected_peers)
+
+
+@then('"{one}" can send a probe to "{two}"')
+def check_reached(context, one, two):
+    spin(lambda: two in context.networks[one].connected_peers)
+    send_probe(context, one, 3, two)
+    check_probe(context, two, 3, one)
+
+
+@when('"{name}" stops and starts again')
+def restart(context, name):
+    old = context.networks[name]
+    context.old_hello = old.hello
+    old.stop()
+    spin(lambda: not old.connected_peers)
+    start(context, name, old._address_by_peer, "2", port=old.hello.port)
+
+
+@then(
+    '"{one}" receives a probe from the new "{two}" within {seconds:d} seconds'
+)
+def check_again(context, one, two, seconds):
+    network = context.networks[two]
+    spin(lambda: network.connected_peers, seconds)
+    network.send(one, messages.Probe(1, 5))
+    spin(lambda: context.received, seconds)
+    assert context.received[0][1].incarnation == "2"
+
+
+def connect(context, name):
+    hello = context.networks[name].hello
+    raw = socket.create_connection((hello.address, hello.port))
+    raw.setblocking(False)
+    context.add_cleanup(raw.close)
+    return raw
+
+
+def frame(message):
+    data = (
+        message
+        if isinstance(message, bytes)
+        else (codec.encode_message(message))
+    )
+    return struct.pack("!I", len(data)) + data
+
+
+def closed(raw):
+    try:
+        return raw.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except ConnectionError:
+        return True
+
+
+@then('a connection of the old "{name}" is refused')
+def check_old(context, name):
+    raw = connect(context, "a")
+    raw.sendall(frame(context.old_hello))
+    spin(lambda: closed(raw))
+
+
+def hello(name, incarnation="9"):
+    return messages.Hello(name, incarnation, "az")
+
+
+INPUTS = {
+    "text instead of a frame": b"GET / HTTP/1.1\r\n\r\n",
+    "a frame that isn't Capnp": frame(b"\xff" * 64),
+    "a message before its Hello": frame(messages.Probe(1, 1)),
+    'a Hello in the name of "a"': frame(hello("a")),
+    "a Hello and a bad restriction": frame(hello("z"))
+    + frame(state_messages.Prepare(1, "t", b"no zlib")),
+    "half a frame and no Hello": b"\x00\x00\x00\x40half",
+}
+
+
+@when("a connection sends {name}")
+def send_input(context, name):
+    context.raw = connect(context, "a")
+    context.raw.sendall(INPUTS[name])
+    wait = connections.HELLO_WITHIN_S + 2
+    spin(lambda: closed(context.raw), wait)
+
+
+@then('it is closed and event {number:d} says "{detail}"')
+def check_event(context, number, detail):
+    def logged():
+        return any(
+            number == found and detail in fields["detail"]
+            for found, fields in context.recorder.events
+        )
+
+    spin(logged)
+
+
+@then('"{name}" still accepts a Hello')
+def check_accepts(context, name):
+    raw = connect(context, name)
+    raw.sendall(frame(hello("y")) + frame(messages.Probe(1, 1)))
+    spin(lambda: [item for item in context.received if item[1].host == "y"])
+
+
+@given('entry host "{name}" that knows a host that never reads')
+def start_deaf(context, name):
+    listening = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listening.close)
+    start(context, name, {"deaf": listening.getsockname()})
+    spin(lambda: context.networks[name].connected_peers)
+
+
+@when('"{name}" sends it {size:d} MiB')
+def flood(context, name, size):
+    network = context.networks[name]
+    message = state_messages.Commit(b"x" * (512 * 1024))
+    context.most_waiting = 0
+    for _ in range(size * 2):
+        network.send("deaf", message)
+        connection = network._outgoing_by_peer.get("deaf")
+        if connection is None:
+            break
+        context.most_waiting = max(
+            context.most_waiting, connection._waiting_bytes
+        )
+        reactor.iterate(0.001)
+
+
+@then("at most {size:d} MiB waited")
+def check_waiting(context, size):
+    assert 0 < context.most_waiting <= size * 1024 * 1024
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -59,6 +59,7 @@
 class StoreFaults:
     down: bool = False
     slow_s: float = 0.0
+    late_s: float = 0.0
     lose_answers: float = 0.0
     lose_written: bool = False
 
@@ -116,7 +117,7 @@
         ):
             return
         site.clock.callLater(
-            site.chance.uniform(0.001, 0.004),
+            site.chance.uniform(0.001, 0.004) + site.store.late_s,
             self.deliver,
             answered,
             status,
--- a/tests/tasks/state_keeper.feature
+++ b/tests/tasks/state_keeper.feature
@@ -55,12 +55,34 @@
     And the trouble ends after 30 seconds
     Then no host admits the key "mills-key" after 3.0 seconds
 
+  Scenario Outline: Late answers of the store refresh from their question, <phase>
+    Guards against freshness counted from when the store's answer arrives.
+    Given every message to "entry-6" is lost
+    And the store answers reads 1.9 seconds late
+    And <phase> seconds pass
+    When "entry-2" withdraws the key "mills-key"
+    Then no host admits the key "mills-key" after 3.0 seconds
+
+    Examples:
+      | phase |
+      | 0.1   |
+      | 0.5   |
+      | 0.9   |
+      | 1.3   |
+      | 1.7   |
+
   Scenario: A prepared restriction is obeyed before the change is written
     Guards against freshness by peers that haven't heard of the change.
     Given every message to "entry-6" is lost
     When "entry-2" withdraws the key "mills-key" while the store answers after 1.5 seconds
     Then no host but "entry-6" admits the key "mills-key" after 0.3 seconds
 
+  Scenario: An older state is never put in force
+    Guards against a late answer that takes back an accepted change.
+    Given "entry-2" withdraws the key "mills-key"
+    When "entry-3" is given the state before by a peer and by the store
+    Then all hosts have the stored state within 0.5 seconds
+
   Scenario: A lost answer is settled by the token in the row
     Guards against guessing what became of a write.
     Given the store loses every answer to a write
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -6,6 +6,8 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.models import fleet as fleet_models
+from azurevane._internal.models import state_messages
 from azurevane._internal.platform import state_store
 from support import virtual_fleet
 
@@ -126,6 +128,16 @@
     context.fleet.store.down = False
 
 
+@given("the store answers reads {seconds:f} seconds late")
+def answer_late(context, seconds):
+    context.fleet.store.late_s = seconds
+
+
+@given("{seconds:f} seconds pass")
+def pass_time(context, seconds):
+    context.fleet.run(seconds)
+
+
 @given("the store loses every answer to a write")
 def lose_answers(context):
     context.fleet.store.lose_written = True
@@ -137,10 +149,10 @@
         context.fleet.kill(name)
 
 
-@when('"{name}" withdraws the key "{key}"')
+@step('"{name}" withdraws the key "{key}"')
 def withdraw(context, name, key):
     context.version = context.fleet.stored.version
-    context.began_at = context.fleet.clock.seconds()
+    context.before = context.fleet.stored
     digest = virtual_fleet.digest_of(key)
     fleet = context.fleet
     maker = fleet.host_by_name[name]
@@ -161,12 +173,26 @@
 def withdraw_slowly(context, name, key, seconds):
     context.fleet.store.slow_s = seconds / 3
     context.fleet.run(1)
-    context.began_at = context.fleet.clock.seconds()
     digest = virtual_fleet.digest_of(key)
     context.fleet.change(name, "key-withdraw", {"digest": digest})
     context.fleet.run(seconds / 3)
 
 
+@when('"{name}" is given the state before by a peer and by the store')
+def give_older(context, name):
+    fleet = context.fleet
+    host = fleet.host_by_name[name]
+    packed = fleet_models.pack(fleet_models.encode_state(context.before))
+    for message in (
+        state_messages.Commit(packed, 1),
+        state_messages.StateReply(packed, 1),
+    ):
+        host.follower.received(fleet.host_by_name["entry-1"].hello, message)
+    now = fleet.clock.seconds()
+    host.follower.apply(host.keeper.offer(now, context.before, 1, "store"))
+    fleet.check()
+
+
 @then("the answer has status {status:d} and says {has:d} of {known:d} hosts")
 def check_answer(context, status, has, known):
     code, body = context.answer
