Write the manifest and the change tokens to rows of their own

Change: rows fleet/state, fleet/manifest and fleet/token/NN in one transaction; a change builds on the state in force when the row version confirms it; peers pass on the difference they got instead of computing it again.

--- a/src/azurevane/_internal/models/state_difference.py
+++ b/src/azurevane/_internal/models/state_difference.py
@@ -4,6 +4,8 @@
 so hosts send each other differences instead of states.
 """
 
+import dataclasses
+import typing
 from typing import Any
 
 import msgspec
@@ -16,7 +18,15 @@
 
 def difference(old: fleet.FleetState, new: fleet.FleetState) -> Any:
     """Return what turns an old state into a new one, as plain values."""
-    return _difference(msgspec.to_builtins(old), msgspec.to_builtins(new))
+    members: dict[str, Any] = {}
+    for field in dataclasses.fields(new):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        # The manifest is the same object unless the change is one of it.
+        if before is not after and before != after:
+            members[field.name] = _difference(
+                msgspec.to_builtins(before), msgspec.to_builtins(after)
+            )
+    return {"members": members, "absent": []}
 
 
 def apply(old: fleet.FleetState, changes: Any) -> fleet.FleetState:
@@ -25,13 +35,20 @@
     Raises:
         MessageError: the difference doesn't fit the state.
     """
+    types = typing.get_type_hints(fleet.FleetState)
     try:
-        plain = _apply(msgspec.to_builtins(old), changes)
-        return msgspec.convert(plain, type=fleet.FleetState)
+        changed = {
+            name: msgspec.convert(
+                _apply(msgspec.to_builtins(getattr(old, name)), member),
+                type=types[name],
+            )
+            for name, member in changes["members"].items()
+        }
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise exceptions.MessageError(
             f"Difference doesn't fit version {old.version}: {error!r}"
         ) from error
+    return dataclasses.replace(old, **changed)
 
 
 def changed_paths(changes: Any, path: str = "") -> tuple[str, ...]:
--- a/src/azurevane/_internal/operators/change_maker.py
+++ b/src/azurevane/_internal/operators/change_maker.py
@@ -121,8 +121,7 @@
     async def _attempt(
         self, base_version: int | None, build: Builder
     ) -> Outcome:
-        stored = await self._store.read()
-        self._offer(stored)
+        stored = await self._current()
         current = stored.state
         if base_version is not None and not (
             current.content_version <= base_version <= current.version
@@ -138,6 +137,16 @@
             return self._refuse(state)
         return await self._decide(stored, state)
 
+    async def _current(self) -> state_store.StoredState:
+        known = state_store.StoredState(
+            self._keeper.in_force, self._keeper.row_version
+        )
+        changed = await self._store.read_if_changed(known.row_version)
+        if changed is None:
+            return known
+        self._offer(changed)
+        return changed
+
     def _remember(self, state: fleet.FleetState) -> None:
         self._version_by_token[state.token] = state.version
         while len(self._version_by_token) > _REMEMBERED_CHANGES:
--- a/src/azurevane/_internal/platform/state_store.py
+++ b/src/azurevane/_internal/platform/state_store.py
@@ -1,15 +1,27 @@
-"""The fleet state's row in the table."""
+"""The fleet state's rows in the table.
+
+One transaction writes the state's row, the row of the manifest if that
+changed, and a small row that names the token of the version. So a change
+of a key doesn't carry a manifest of hundreds of kilobytes.
+"""
 
 import base64
 import dataclasses
 from typing import Any
 
+import msgspec
+
 from azurevane import exceptions
 from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.platform import table
 
 ROW = "fleet/state"
 
+_PREFIX = "fleet/"
+_MANIFEST_ROW = "fleet/manifest"
+_TOKEN_ROW = "fleet/token/{:02d}"
+
 # A write whose answer was lost is looked for among this many versions.
 _REMEMBERED_TOKENS = 64
 
@@ -19,7 +31,7 @@
     """A fleet state and the version of the row that holds it.
 
     Attributes:
-        token_by_version: who made the last versions.
+        token_by_version: who made the last versions, as far as read.
     """
 
     state: fleet.FleetState
@@ -39,7 +51,7 @@
         Raises:
             StoreUnavailable: the table service gave no usable answer.
         """
-        return _decode(await self._client.read(ROW))
+        return decode(await self._client.read_prefix(_PREFIX))
 
     async def read_if_changed(self, row_version: int) -> StoredState | None:
         """Return the stored state, or None if the row is unchanged.
@@ -48,7 +60,7 @@
             StoreUnavailable: the table service gave no usable answer.
         """
         row = await self._client.read_if_changed(ROW, row_version)
-        return None if row is None else _decode(row)
+        return None if row is None else await self.read()
 
     async def replace(
         self, current: StoredState, state: fleet.FleetState
@@ -58,42 +70,63 @@
         Raises:
             StoreUnavailable: no usable answer; it may have been written.
         """
-        tokens = {**current.token_by_version, state.version: state.token}
-        kept = dict(sorted(tokens.items())[-_REMEMBERED_TOKENS:])
+        token_row = _TOKEN_ROW.format(state.version % _REMEMBERED_TOKENS)
+        values: dict[str, Any] = {
+            ROW: _pack(dataclasses.replace(state, manifest=None)),
+            token_row: {"version": state.version, "token": state.token},
+        }
+        if state.manifest != current.state.manifest:
+            values[_MANIFEST_ROW] = _pack(state.manifest)
         applied = await self._client.transact(
             table.Transaction(
                 token=state.token,
                 version_by_checked_row={ROW: current.row_version},
-                value_by_row={ROW: _encode(state, kept)},
+                value_by_row=values,
             )
         )
         if not applied.applied:
             return None
-        return StoredState(state, applied.version_by_row[ROW], kept)
+        return StoredState(
+            state,
+            applied.version_by_row[ROW],
+            {state.version: state.token},
+        )
+
 
+def _pack(value: Any) -> dict[str, str]:
+    packed = fleet.pack(msgspec.json.encode(value))
+    return {"packed": base64.b64encode(packed).decode()}
 
-def _encode(
-    state: fleet.FleetState, token_by_version: dict[int, str]
-) -> dict[str, Any]:
-    # Compressed, because each change writes the whole row and a large
-    # site's manifest has hundreds of kilobytes.
-    packed = fleet.pack(fleet.encode_state(state))
-    return {
-        "version": state.version,
-        "tokens": {str(key): item for key, item in token_by_version.items()},
-        "packed": base64.b64encode(packed).decode(),
-    }
 
+def _unpack(value: Any) -> bytes:
+    return fleet.unpack(base64.b64decode(value["packed"], validate=True))
 
-def _decode(row: table.Row) -> StoredState:
-    if row.value is None:
-        return StoredState(fleet.FleetState(), row.version)
+
+def decode(rows: tuple[table.Row, ...]) -> StoredState:
+    """Return the state in rows that were read together.
+
+    Raises:
+        StoreUnavailable: the rows can't be read.
+    """
+    row_by_name = {row.name: row for row in rows}
+    row = row_by_name.get(ROW)
+    if row is None:
+        return StoredState(fleet.FleetState(), 0)
     try:
-        packed = base64.b64decode(row.value["packed"], validate=True)
-        state = fleet.decode_state(fleet.unpack(packed))
-        tokens = {int(key): t for key, t in row.value["tokens"].items()}
+        state = fleet.decode_state(_unpack(row.value))
+        if _MANIFEST_ROW in row_by_name:
+            manifest = msgspec.json.decode(
+                _unpack(row_by_name[_MANIFEST_ROW].value),
+                type=manifest_models.Manifest | None,
+            )
+            state = dataclasses.replace(state, manifest=manifest)
+        tokens = {
+            item.value["version"]: item.value["token"]
+            for item in rows
+            if item.name.startswith(_TOKEN_ROW.split("{", maxsplit=1)[0])
+        }
     except (KeyError, ValueError, exceptions.MessageError) as error:
         raise exceptions.StoreUnavailable(
-            f"Row {ROW} can't be read: {error!r}"
+            f"Rows {_PREFIX} can't be read: {error!r}"
         ) from error
     return StoredState(state, row.version, tokens)
--- a/src/azurevane/_internal/tasks/state_history.py
+++ b/src/azurevane/_internal/tasks/state_history.py
@@ -39,16 +39,22 @@
         ] = collections.OrderedDict()
 
     def add(
-        self, old: fleet.FleetState, new: fleet.FleetState, row_version: int
+        self,
+        old: fleet.FleetState,
+        new: fleet.FleetState,
+        row_version: int,
+        step: state_messages.Commit | None,
     ) -> None:
-        """Remember a step from one version to a later one."""
-        changes = state_difference.difference(old, new)
-        self._step_by_version[new.version] = state_messages.Commit(
-            b"",
-            row_version,
-            old.version,
-            fleet.pack(msgspec.json.encode(changes)),
-        )
+        """Remember a step from one version to a later one.
+
+        Args:
+            step: the step, if a peer sent it.
+        """
+        if step is None or not step.difference:
+            changes = state_difference.difference(old, new)
+            packed = fleet.pack(msgspec.json.encode(changes))
+            step = state_messages.Commit(b"", row_version, old.version, packed)
+        self._step_by_version[new.version] = step
         while len(self._step_by_version) > _REMEMBERED_VERSIONS:
             self._step_by_version.popitem(last=False)
 
--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -340,7 +340,7 @@
         ):
             return self._catch_up(now, sender, message.base_version + 1)
         state = self._history.read(self._in_force, message)
-        return self.offer(now, state, message.row_version, sender)
+        return self.offer(now, state, message.row_version, sender, message)
 
     @_handles(state_messages.StateRequest)
     def _state_request(
@@ -372,12 +372,13 @@
         state: fleet.FleetState,
         row_version: int,
         source: str,
+        step: state_messages.Commit | None = None,
     ) -> list[effects.Effect]:
         """Put an accepted state in force if its version is higher."""
         previous = self._in_force
         if state.version <= previous.version:
             return []
-        self._history.add(previous, state, row_version)
+        self._history.add(previous, state, row_version, step)
         self._in_force = state
         self.row_version = row_version
         decided: list[effects.Effect] = [
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import urllib.parse
 
 import msgspec
 from twisted.internet import defer
@@ -105,7 +106,7 @@
             site.clock.callLater(0.001, self.deliver, answered, 503, b"{}")
             return
         path, _, query = uri.removeprefix("http://platform").partition("?")
-        args = {"name": "fleet/state"} if query else {}
+        args = dict(urllib.parse.parse_qsl(query))
         status, answer = site.platform.answer(method, path, args, body)
         if path == "/table/transact" and status == 200:
             site.accepted()
@@ -266,8 +267,8 @@
         host.run(lambda: host.receive(sender.hello, data))
 
     def read_state(self):
-        row = self.platform.table.row_by_name.get("fleet/state", (0, None))
-        return state_store._decode(table.Row("fleet/state", *row)).state
+        rows = self.platform.table.read_prefix("fleet/")
+        return state_store.decode([table.Row(*row) for row in rows]).state
 
     def accepted(self):
         """Note what a write to the table has taken away or given back."""
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -8,7 +8,6 @@
 
 from azurevane._internal.models import fleet as fleet_models
 from azurevane._internal.models import state_messages
-from azurevane._internal.platform import state_store
 from support import virtual_fleet
 
 MILLS = virtual_fleet.digest_of("mills-key")
@@ -308,14 +307,10 @@
 def die_prepared(context, name, key):
     fleet = context.fleet
     host = fleet.host_by_name[name]
-    read, maker = host.store.read, host.follower._maker
+    read = host.store.read_if_changed
 
-    async def read_in_outage():
-        # The row was read before the outage began.
-        row = fleet.platform.table.row_by_name["fleet/state"]
-        return state_store._decode(
-            virtual_fleet.table.Row("fleet/state", *row)
-        )
+    async def read_in_outage(row_version):
+        return None  # The row was read before the outage began.
 
     async def write(stored, state):
         context.late_write = lambda: fleet.platform.table.transact(
@@ -324,9 +319,8 @@
         fleet.kill(name)
         return None
 
-    host.store.read = read_in_outage if fleet.store.down else read
+    host.store.read_if_changed = read_in_outage if fleet.store.down else read
     host.store.replace = write
-    assert maker is not None
     digest = virtual_fleet.digest_of(key)
     fleet.change(name, "key-withdraw", {"digest": digest})
     fleet.run(3, lambda: not host.alive)
