Check that prepared changes are passed on and behind hosts wait

Cause: broken code on purpose went unnoticed in three places: forwarding of prepared changes, acknowledging while behind, and taking a seat that others hear.

Change: a scenario for each.

--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -140,8 +140,6 @@
         """Return the places changed since; None if no longer known."""
         return self._history.changed_since(version, self._in_force.version)
 
-    # Probes.
-
     def tick(self, now: float) -> list[effects.Effect]:
         """Probe every peer; call every ``PROBE_INTERVAL_S``."""
         seq = self._probes.next_round(now)
--- a/tests/tasks/state_keeper.feature
+++ b/tests/tasks/state_keeper.feature
@@ -77,6 +77,17 @@
     When "entry-2" withdraws the key "mills-key" while the store answers after 1.5 seconds
     Then no host but "entry-6" admits the key "mills-key" after 0.3 seconds
 
+  Scenario: A prepared restriction is passed on
+    Guards against a host that waits for the one connection that is lost.
+    Given "entry-6" hears nothing of "entry-2"
+    When "entry-2" withdraws the key "mills-key" while the store answers after 3.0 seconds
+    Then no host admits the key "mills-key" before the change is written
+
+  Scenario: A host that is behind acknowledges only after it has caught up
+    Guards against a majority that can still confirm two versions back.
+    When "entry-3" gets a prepared change two versions ahead
+    Then it acknowledges only once it has the version between
+
   Scenario: An older state is never put in force
     Guards against a late answer that takes back an accepted change.
     Given "entry-2" withdraws the key "mills-key"
@@ -145,6 +156,12 @@
     When "entry-6" is paused for 8 seconds while "entry-7" starts
     Then "entry-6" still holds its seat
 
+  Scenario: A holder that others hear keeps its seat
+    Guards against taking a seat because one connection is lost.
+    Given the host list names nobody
+    When "entry-7" starts and can't hear "entry-6" for 15 seconds
+    Then "entry-6" still holds its seat
+
   Scenario: All hosts are started again at once
     Guards against seats that no majority is left to hand over.
     When every host is started again
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -1,4 +1,5 @@
 import copy
+import dataclasses
 import random
 
 from behave import given
@@ -220,6 +221,42 @@
     assert admitting(context, key) <= {name}
 
 
+@given('"{name}" hears nothing of "{other}"')
+def cut_one(context, name, other):
+    context.fleet.cuts.add((other, name))
+
+
+@then('no host admits the key "{key}" before the change is written')
+def check_early(context, key):
+    context.fleet.run(0.7)
+    assert not context.fleet.accepted_at, "written too early for this test"
+    assert not admitting(context, key)
+
+
+@when('"{name}" gets a prepared change two versions ahead')
+def prepare_ahead(context, name):
+    fleet = context.fleet
+    host = context.host = fleet.host_by_name[name]
+    context.sent = []
+    host.send = lambda peer, message: context.sent.append(message)
+    packed = fleet_models.pack(b"{}")
+    version = fleet.stored.version + 2
+    host.follower.received(
+        fleet.host_by_name["entry-1"].hello,
+        state_messages.Prepare(version, "ahead", packed, "entry-1"),
+    )
+
+
+@then("it acknowledges only once it has the version between")
+def check_ahead(context):
+    acknowledged = state_messages.PrepareAck("ahead", True)
+    assert acknowledged not in context.sent
+    host, stored = context.host, context.fleet.stored
+    between = dataclasses.replace(stored, version=stored.version + 1)
+    host.follower.apply(host.keeper.offer(0, between, 1, "store"))
+    assert acknowledged in context.sent
+
+
 @then("all hosts have the stored state within {seconds:g} seconds")
 def check_everywhere(context, seconds):
     context.fleet.run(seconds + 0.001, context.fleet.everywhere)
@@ -428,6 +465,14 @@
     assert context.fleet.host_by_name[name].keeper.seat is not None
 
 
+@when('"{new}" starts and can\'t hear "{old}" for {seconds:d} seconds')
+def start_and_cut(context, new, old, seconds):
+    context.fleet.cuts.add((old, new))
+    context.fleet.names.append(new)
+    context.fleet.start(new)
+    context.fleet.run(seconds)
+
+
 @when("every host is started again")
 def start_all_again(context):
     for name in context.fleet.names:
