--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -2,14 +2,11 @@
 
 from typing import Any
 
-from twisted.internet import task
 from twisted.web import server
 
-from azurevane._internal.callers import exchange as exchange_module
-from azurevane._internal.daemons import entry_service
+from azurevane._internal.daemons import callers_side
 from azurevane._internal.daemons import fleet_follower
 from azurevane._internal.daemons import program
-from azurevane._internal.models import fleet
 from azurevane._internal.models import messages
 from azurevane._internal.operators import api
 from azurevane._internal.peers import connections
@@ -20,11 +17,9 @@
 from azurevane._internal.settings import loader
 from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
-from azurevane._internal.upstreams import client as upstream_client
 from azurevane._internal.utils import token_bucket
 from azurevane._internal.utils import tokens
 
-_DISPATCHER_TICK_S = 0.1
 # Changes and tasks of 12 hosts share 30 writes a second (design, 14.2).
 _WRITES_PER_S = 2.0
 _WRITE_BURST = 10.0
@@ -53,11 +48,8 @@
             reactor.seconds(),
         )
         self._dispatcher = dispatcher_module.Dispatcher()
-        self._service = entry_service.EntryService(
-            reactor,
-            self._keeper,
-            self._dispatcher,
-            upstream_client.RunnerClient(reactor),
+        self._callers = callers_side.CallersSide(
+            reactor, settings, self._network, self._keeper, self._dispatcher
         )
         self._follower = self._build_follower()
 
@@ -78,16 +70,12 @@
             state_store.StateStore(client),
             hosts.HostList(calls),
             self._network,
-            self._configure,
+            self._callers.configure,
         )
 
     def start(self) -> None:
         """Listen and start the periodic work."""
-        self._reactor.listenTCP(
-            self._settings.integer("callers", "port"),
-            exchange_module.CallersFactory(self._reactor, self._service),
-            interface=self._hello.address,
-        )
+        self._callers.start()
         operators = api.OperatorsResource(
             self._settings.text("operators", "token_digest"), self._follower
         )
@@ -99,17 +87,8 @@
         for message_type in state_keeper.handler_by_type:
             self._network.register(message_type, self._follower.received)
         self._network.start()
-        loop = task.LoopingCall(self._service.tick)
-        loop.clock = self._reactor
-        loop.start(_DISPATCHER_TICK_S)
         self._follower.start()
 
-    def _configure(self, state: fleet.FleetState) -> None:
-        """Make the dispatcher follow the effective state."""
-        self._service.apply(
-            self._dispatcher.configure(self._reactor.seconds(), state)
-        )
-
 
 def main() -> None:
     """Run the entry daemon."""
--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -4,8 +4,10 @@
 import dataclasses
 import logging
 import random
+import time
 from typing import Any, Protocol
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -271,10 +273,17 @@
     # Operators.
 
     async def make_change(
-        self, kind: str, base_version: int | None, content: Any
+        self,
+        kind: str,
+        base_version: int | None,
+        content: Any,
+        change_id: str = "",
     ) -> tuple[int, dict[str, Any]]:
         """Make a change for an operator; return HTTP status and body.
 
+        Args:
+            change_id: chosen by the client for a later look-up, or empty.
+
         Raises:
             ManifestError: the change is invalid.
             StoreUnavailable: the store can't be read; nothing was done.
@@ -284,7 +293,12 @@
         outcome = await self._maker.make(
             base_version,
             lambda state: changes.build_state(
-                state, kind, content, tokens.new_token()
+                state,
+                kind,
+                content,
+                changes.ChangeOrigin(
+                    tokens.new_token(), change_id, time.time()
+                ),
             ),
         )
         body = self._describe(outcome)
@@ -312,16 +326,19 @@
             body["reason"] = outcome.reason
         return body
 
-    async def find_change(self, token: str) -> tuple[int, dict[str, Any]]:
-        """Return what became of an earlier change, for an operator.
+    async def find_change(self, change_id: str) -> tuple[int, dict[str, Any]]:
+        """Return an accepted change that operators look up.
 
         Raises:
             StoreUnavailable: the table can't be read.
         """
-        outcome = await self._maker.find(token)
-        if outcome is None:
-            return 404, {"error": f"No change {token} is known here"}
-        return 200, self._describe(outcome)
+        state = await self._maker.read_current()
+        for record in state.history:
+            if record.change_id == change_id:
+                return 200, msgspec.to_builtins(record)
+        return 404, {
+            "problems": [f"No accepted change has the id {change_id!r}"]
+        }
 
     def status(self) -> dict[str, Any]:
         """Return what this host knows, for operators."""
--- a/src/azurevane/_internal/models/fleet.py
+++ b/src/azurevane/_internal/models/fleet.py
@@ -65,6 +65,21 @@
     slots_by_runner: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class ChangeRecord:
+    """A change that an operator made, as the history remembers it.
+
+    Attributes:
+        change_id: chosen by the operator's client, for a later look-up.
+        made_at: seconds since the epoch.
+    """
+
+    version: int
+    change_id: str
+    kind: str
+    made_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class FleetState:
     """The versioned configuration that the whole site follows.
@@ -83,6 +98,7 @@
     draining: tuple[str, ...] = ()
     seats: tuple[Seat, ...] = ()
     content_version: int = 0
+    history: tuple[ChangeRecord, ...] = ()
 
     @property
     def entry_seats(self) -> int:
--- a/src/azurevane/_internal/models/state_difference.py
+++ b/src/azurevane/_internal/models/state_difference.py
@@ -13,7 +13,7 @@
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 
-_IDENTITY_FIELDS = ("name", "digest", "number")
+_IDENTITY_FIELDS = ("name", "digest", "number", "change_id")
 
 
 def difference(old: fleet.FleetState, new: fleet.FleetState) -> Any:
--- a/src/azurevane/_internal/operators/api.py
+++ b/src/azurevane/_internal/operators/api.py
@@ -4,6 +4,7 @@
 import hmac
 import logging
 from typing import Any, Protocol
+import urllib.parse
 
 import msgspec
 from twisted.internet import defer
@@ -12,6 +13,8 @@
 from twisted.web import server
 
 from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import recent
 from azurevane._internal.models import fleet
 
 logger = logging.getLogger(__name__)
@@ -25,11 +28,19 @@
         """The fleet state in force."""
 
     async def make_change(
-        self, kind: str, base_version: int | None, content: Any
+        self,
+        kind: str,
+        base_version: int | None,
+        content: Any,
+        change_id: str,
     ) -> tuple[int, dict[str, Any]]:
-        """Make a change and return an HTTP status and a body."""
+        """Make a change and return an HTTP status and a body.
 
-    async def find_change(self, token: str) -> tuple[int, dict[str, Any]]:
+        Args:
+            change_id: chosen by the client for a later look-up, or empty.
+        """
+
+    async def find_change(self, change_id: str) -> tuple[int, dict[str, Any]]:
         """Return what became of a change, as HTTP status and body."""
 
     def status(self) -> dict[str, Any]:
@@ -45,6 +56,8 @@
         super().__init__()
         self._token_digest = token_digest
         self._maker = maker
+        self._recent = recent.RecentEvents()
+        catalogue.listeners.append(self._recent.record)
 
     def render(self, request: server.Request) -> Any:
         """Answer one call."""
@@ -59,10 +72,15 @@
             return _answer_later(request, self._change(request))
         prefix = b"/v1/changes/"
         if request.method == b"GET" and request.path.startswith(prefix):
-            token = request.path.removeprefix(prefix).decode(
+            change_id = request.path.removeprefix(prefix).decode(
                 "ascii", "replace"
             )
-            return _answer_later(request, self._maker.find_change(token))
+            return _answer_later(request, self._maker.find_change(change_id))
+        prefix = b"/v1/explain/"
+        if request.method == b"GET" and request.path.startswith(prefix):
+            name = request.path.removeprefix(prefix).decode("ascii", "replace")
+            about = self._recent.about(urllib.parse.unquote(name))
+            return _write(request, 200, about)
         return _write(request, 404, {"error": "no such call"})
 
     def _authorized(self, request: server.Request) -> bool:
@@ -76,7 +94,10 @@
     ) -> tuple[int, dict[str, Any]]:
         body = msgspec.json.decode(request.content.read())
         return await self._maker.make_change(
-            body["kind"], body.get("base_version"), body["content"]
+            body["kind"],
+            body.get("base_version"),
+            body["content"],
+            str(body.get("change_id", "")),
         )
 
 
@@ -110,9 +131,7 @@
     request.finish()
 
 
-def _write(
-    request: server.Request, status: int, body: dict[str, Any]
-) -> bytes:
+def _write(request: server.Request, status: int, body: Any) -> bytes:
     request.setResponseCode(status, http.RESPONSES.get(status, b""))
     request.setHeader(b"Content-Type", b"application/json")
     return msgspec.json.encode(body)
--- a/src/azurevane/_internal/operators/change_maker.py
+++ b/src/azurevane/_internal/operators/change_maker.py
@@ -1,6 +1,5 @@
 """Makes changes to the fleet state: prepare, compare-and-set, commit."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import enum
@@ -33,7 +32,6 @@
 
 _REPORT_POLL_S = 0.02
 _MAX_ATTEMPTS = 5
-_REMEMBERED_CHANGES = 1024
 
 Builder = Callable[[fleet.FleetState], fleet.FleetState]
 
@@ -85,9 +83,6 @@
         self._chance = chance
         self._lock = defer.DeferredLock()
         self._prepared_by_token: dict[str, defer.Deferred[None]] = {}
-        self._version_by_token: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
-        )
 
     def prepared(self, token: str) -> None:
         """Note that a majority of seats obeys a change."""
@@ -131,7 +126,6 @@
         if self._keeper.in_force.version != current.version:
             # A peer committed a version after the row was read.
             return self._conflict(state.token, current)
-        self._remember(state)
         taken = restriction_policy.restrictions_between(current, state)
         if not await self._prepare(state, taken):
             return self._refuse(state)
@@ -147,11 +141,6 @@
         self._offer(changed)
         return changed
 
-    def _remember(self, state: fleet.FleetState) -> None:
-        self._version_by_token[state.token] = state.version
-        while len(self._version_by_token) > _REMEMBERED_CHANGES:
-            self._version_by_token.popitem(last=False)
-
     async def _prepare(
         self, state: fleet.FleetState, taken: fleet.Restrictions
     ) -> bool:
@@ -300,26 +289,15 @@
                 return has, known
             await self._sleep(_REPORT_POLL_S)
 
-    async def find(self, token: str) -> Outcome | None:
-        """Return what became of an earlier change, from the table.
+    async def read_current(self) -> fleet.FleetState:
+        """Return the accepted state, from the table.
 
         Raises:
             StoreUnavailable: the table can't be read.
         """
         stored = await self._store.read()
-        for version, found in stored.token_by_version.items():
-            if found == token:
-                return Outcome(Result.ACCEPTED, token, version)
-        attempted = self._version_by_token.get(token)
-        if attempted is None:
-            return None
-        if attempted in stored.token_by_version:
-            return Outcome(Result.CONFLICT, token, stored.state.version)
-        if token in self._keeper.prepared:
-            return Outcome(Result.UNKNOWN, token, attempted)
-        if attempted <= stored.state.version:
-            return None
-        return Outcome(Result.REFUSED, token, stored.state.version)
+        self._offer(stored)
+        return stored.state
 
     async def settle(self) -> None:
         """Settle a prepared change whose maker seems to be dead.
--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -1,16 +1,20 @@
 """Changes that operators make to the fleet state."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
+import difflib
 from typing import Any
 
 from azurevane import exceptions
 from azurevane._internal.models import fleet
-from azurevane._internal.models import manifest as manifest_models
-from azurevane._internal.operators import validation
+from azurevane._internal.operators import manifest_check
 
 _Builder = Callable[[fleet.FleetState, Any], fleet.FleetState]
 
+# Changes that the state remembers, so that an operator whose answer was
+# lost can look up what became of the change.
+REMEMBERED_CHANGES = 50
+
 builder_by_kind: dict[str, _Builder] = {}
 
 
@@ -24,18 +28,40 @@
     return register
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeOrigin:
+    """Who made a change and when.
+
+    Attributes:
+        token: identifies this attempt to make the change.
+        change_id: chosen by the operator's client, for a later look-up.
+        made_at: seconds since the epoch, for the history.
+    """
+
+    token: str
+    change_id: str = ""
+    made_at: float = 0.0
+
+
 def build_state(
-    state: fleet.FleetState, kind: str, content: Any, token: str
+    state: fleet.FleetState, kind: str, content: Any, origin: ChangeOrigin
 ) -> fleet.FleetState:
     """Return the state that a change makes of the current one.
 
     Raises:
-        ManifestError: the content is invalid; names every problem.
+        ManifestError: the change is invalid; names every problem.
     """
     changed = _build(state, kind, content)
     version = state.version + 1
+    record = fleet.ChangeRecord(
+        version, origin.change_id or origin.token, kind, origin.made_at
+    )
     return dataclasses.replace(
-        changed, version=version, content_version=version, token=token
+        changed,
+        version=version,
+        content_version=version,
+        token=origin.token,
+        history=(*state.history, record)[-REMEMBERED_CHANGES:],
     )
 
 
@@ -44,42 +70,88 @@
 ) -> fleet.FleetState:
     builder = builder_by_kind.get(kind)
     if builder is None:
-        kinds = ", ".join(sorted(builder_by_kind))
-        raise exceptions.ManifestError(
-            (f"There is no change of kind {kind!r}; known are {kinds}",)
-        )
+        raise _invalid("kind", kind, builder_by_kind)
     return builder(state, content)
 
 
-def _text(content: Any, name: str) -> str:
+def _invalid(
+    place: str, value: object, allowed: Iterable[str]
+) -> exceptions.ManifestError:
+    names = sorted(allowed)
+    close = difflib.get_close_matches(str(value), names, n=1)
+    hint = (
+        f"did you mean {close[0]!r}?"
+        if close
+        else f"allowed: {', '.join(names) or 'none'}"
+    )
+    return exceptions.ManifestError(
+        (f"{place}: {value!r} isn't known; {hint}",)
+    )
+
+
+def _field(content: Any, name: str) -> str:
     value = content.get(name) if isinstance(content, dict) else None
     if not isinstance(value, str) or not value:
-        raise exceptions.ManifestError((f"$.{name}: a text is required",))
+        raise exceptions.ManifestError(
+            (f"content.{name}: a non-empty text is required",)
+        )
     return value
 
 
-def _check_zone(state: fleet.FleetState, zone: str) -> str:
-    if state.manifest is None or zone not in state.manifest.zones:
-        raise exceptions.ManifestError((f"$.zone: there is no zone {zone}",))
-    return zone
+def _known(state: fleet.FleetState, content: Any, name: str, kind: str) -> str:
+    value = _field(content, name)
+    manifest = state.manifest
+    allowed: Iterable[str] = ()
+    if manifest is not None and kind == "zone":
+        allowed = manifest.zones
+    elif manifest is not None and kind == "team":
+        allowed = manifest.team_by_name
+    elif manifest is not None:
+        allowed = {*manifest.runner_by_name, *manifest.host_by_name}
+    if value not in allowed:
+        raise _invalid(f"content.{name}", value, allowed)
+    return value
 
 
 @change_kind("manifest")
 def _replace_manifest(
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
-    manifest = validation.convert(content, manifest_models.Manifest)
-    validation.check_manifest(manifest, state)
-    return dataclasses.replace(state, manifest=manifest)
+    manifest = manifest_check.parse_manifest(content)
+    if state.seats and manifest.entry_seats != state.entry_seats:
+        # A majority of the new seats might miss every host that makes up
+        # a majority of the old ones.
+        raise exceptions.ManifestError(
+            (
+                f"$.entry_seats: can't change from {state.entry_seats} while"
+                " entry hosts hold seats",
+            )
+        )
+    names = {*manifest.runner_by_name, *manifest.host_by_name}
+    return dataclasses.replace(
+        state,
+        manifest=manifest,
+        api_keys=tuple(
+            key for key in state.api_keys if key.team in manifest.team_by_name
+        ),
+        zones_out=tuple(
+            zone for zone in state.zones_out if zone in manifest.zones
+        ),
+        draining=tuple(name for name in state.draining if name in names),
+    )
 
 
 @change_kind("batch")
 def _apply_several(state: fleet.FleetState, content: Any) -> fleet.FleetState:
     """Make several changes one version, all or none of them."""
+    if not isinstance(content, list):
+        raise exceptions.ManifestError(("content: a list is required",))
     problems: list[str] = []
     for index, change in enumerate(content):
         try:
-            state = _build(state, change["kind"], change["content"])
+            state = _build(
+                state, _field(change, "kind"), change.get("content")
+            )
         except exceptions.ManifestError as error:
             problems += [f"change {index}: {item}" for item in error.problems]
     if problems:
@@ -89,56 +161,47 @@
 
 @change_kind("key-grant")
 def _grant_api_key(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    key = validation.convert(content, fleet.ApiKey)
-    problems = []
-    if len(key.digest) != 64 or not set(key.digest) <= set("0123456789abcdef"):
-        problems.append("$.digest: must be a SHA-256 digest in lower-case hex")
-    if state.manifest is None or key.team not in state.manifest.team_by_name:
-        problems.append(f"$.team: there is no team {key.team}")
-    if problems:
-        raise exceptions.ManifestError(tuple(problems))
-    others = tuple(
-        item for item in state.api_keys if item.digest != key.digest
+    team = _known(state, content, "team", "team")
+    digest = _field(content, "digest")
+    if len(digest) != 64 or set(digest) - set("0123456789abcdef"):
+        raise exceptions.ManifestError(
+            ("content.digest: must be a hex SHA-256 digest",)
+        )
+    kept = tuple(key for key in state.api_keys if key.digest != digest)
+    return dataclasses.replace(
+        state, api_keys=(*kept, fleet.ApiKey(digest, team))
     )
-    return dataclasses.replace(state, api_keys=(*others, key))
 
 
 @change_kind("key-withdraw")
 def _withdraw_api_key(
     state: fleet.FleetState, content: Any
 ) -> fleet.FleetState:
-    digest = _text(content, "digest")
+    # Not an error if it is gone: two operators may withdraw it at once.
+    digest = _field(content, "digest")
     kept = tuple(key for key in state.api_keys if key.digest != digest)
     return dataclasses.replace(state, api_keys=kept)
 
 
 @change_kind("zone-out")
 def _take_zone_out(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    zones = {*state.zones_out, _check_zone(state, _text(content, "zone"))}
+    zones = {*state.zones_out, _known(state, content, "zone", "zone")}
     return dataclasses.replace(state, zones_out=tuple(sorted(zones)))
 
 
 @change_kind("zone-in")
 def _bring_zone_in(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    zones = set(state.zones_out) - {_text(content, "zone")}
+    zones = set(state.zones_out) - {_known(state, content, "zone", "zone")}
     return dataclasses.replace(state, zones_out=tuple(sorted(zones)))
 
 
 @change_kind("drain")
 def _drain(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    name = _text(content, "name")
-    manifest = state.manifest
-    if manifest is None or not (
-        name in manifest.runner_by_name or name in manifest.host_by_name
-    ):
-        raise exceptions.ManifestError(
-            (f"$.name: there is no runner or host {name}",)
-        )
-    names = {*state.draining, name}
+    names = {*state.draining, _known(state, content, "name", "host")}
     return dataclasses.replace(state, draining=tuple(sorted(names)))
 
 
 @change_kind("return")
 def _return(state: fleet.FleetState, content: Any) -> fleet.FleetState:
-    names = set(state.draining) - {_text(content, "name")}
+    names = set(state.draining) - {_known(state, content, "name", "host")}
     return dataclasses.replace(state, draining=tuple(sorted(names)))
--- a/src/azurevane/_internal/peers/messages.capnp
+++ b/src/azurevane/_internal/peers/messages.capnp
@@ -104,6 +104,9 @@
   askId @1 :UInt64;
   limitKey @2 :Text;
   count @3 :UInt32;
+  maxRunMs @4 :UInt32;
+  version @5 :UInt64;
+  limit @6 :UInt32;
 }
 
 struct Renew {
@@ -126,6 +129,7 @@
   team @1 :Text;
   requestId @2 :Text;
   digest @3 :Text;
+  runMs @4 :UInt32;
 }
 
 struct ClaimAck {
@@ -140,6 +144,7 @@
   requestId @1 :Text;
   verdict @2 :Text;
   status @3 :UInt16;
+  seq @4 :UInt64;
 }
 
 struct AnswerRequest {
@@ -159,4 +164,5 @@
   status @2 :UInt16;
   headers @3 :List(Header);
   body @4 :Data;
+  outcome @5 :Text;
 }
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -40,3 +40,14 @@
 
 class MessageError(AzurevaneError):
     """Raised when a peer's message is malformed or too large."""
+
+
+class NotFound(AzurevaneError):
+    """Raised when a name that an operator gave doesn't exist."""
+
+
+class InvariantViolation(AzurevaneError):
+    """Raised when a check inside the program finds a broken invariant.
+
+    The state that led to it is in the log event of the same text.
+    """
