Measure configuration and control traffic

Cause: config.in_force and control.bytes had no figure.

Change: benchmarks/configuration.py in virtual time at the two-year size; /v1/status reports peer traffic; a scenario measures it on real hosts.

--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,211 @@
+"""Figures of the fleet state's changes, in virtual time.
+
+The two-year target: 40,000 changes a day reach five regions, and a region
+that was cut off for an hour has every change in force 17 s after its link
+is back. Regions share nothing, so one that stays in touch and the one that
+returns stand for the five. The operators' pipeline makes what a cut region
+has missed as one batch.
+
+``control.bytes`` counts per entry host what it sends to its peers, frames
+included, and what its calls to the table carry both ways. The HTTP heads
+have the sizes of real calls on loopback (HEAD_BYTES).
+
+The baseline is the simplest policy: every host reads the whole state from
+the table once a second, and a change is a compare-and-set. Processor time
+isn't counted; tests/daemons/configuration.feature uses real processes.
+"""
+
+import pathlib
+import random
+import sys
+
+import msgspec
+from twisted.internet import defer
+
+TESTS = pathlib.Path(__file__).resolve().parents[1] / "tests"
+if str(TESTS) not in sys.path:
+    sys.path.insert(0, str(TESTS))
+
+from support import virtual_fleet  # noqa: E402
+
+CHANGES_A_DAY = 40_000
+REGIONS = 5
+WORKERS = 20_000
+TEAMS = 98
+CUT_S = 3600.0
+BOUND_S = 17.0
+BYTES_BOUND = 3000
+MEASURED_S = 300.0
+POLL_S = 1.0
+
+# Sent and received with one call: a request's head, and an answer's.
+HEAD_BYTES = {"GET": 121 + 156, "POST": 109 + 136}
+
+
+def two_year_manifest():
+    """A region of the two-year target: 4,000 workers, 98 teams."""
+    manifest = virtual_fleet.site_manifest()
+    manifest["teams"] += [
+        {"name": f"team-{index}", "share": 1.0, "limit": 40}
+        for index in range(TEAMS - len(manifest["teams"]))
+    ]
+    manifest["hosts"] = [
+        {
+            "name": f"host-{index}",
+            "pool": "pool-1",
+            "zone": manifest["zones"][index % 3],
+            "rack": f"rack-{index // 4}",
+            "cores": 30.0,
+            "memory_gb": 130.0,
+        }
+        for index in range(WORKERS // REGIONS)
+    ]
+    return manifest
+
+
+class Region(virtual_fleet.VirtualFleet):
+    """A site that counts bytes, and when changes are in force."""
+
+    def __init__(self, seed, manifest):
+        self.peer_bytes = self.store_bytes = 0
+        self.in_force_at = []
+        self.in_force_s = []
+        super().__init__(seed)
+        self.run(1)
+        self.settle(manifest)
+
+    def carry(self, sender, peer, data):
+        self.peer_bytes += len(data) + 4
+        super().carry(sender, peer, data)
+
+    def answered(self, method, body, answer):
+        self.store_bytes += HEAD_BYTES[method]
+        for value in (body, answer):
+            if value is not None:
+                self.store_bytes += len(msgspec.json.encode(value))
+
+    def state_changed(self):
+        lowest = min(
+            host.keeper.in_force.version for host in self.host_by_name.values()
+        )
+        while len(self.in_force_at) < lowest:
+            self.in_force_at.append(self.clock.seconds())
+
+    def make_timed(self, chance, kind, content, began=None):
+        """Make a change, again if another won; time it until in force."""
+        began = self.clock.seconds() if began is None else began
+        host = self.host_by_name[chance.choice(self.names)]
+        running = defer.ensureDeferred(
+            host.follower.make_change(kind, None, content)
+        )
+
+        def answered(answer):
+            status, body = answer
+            if status == 409:
+                self.make_timed(chance, kind, content, began)
+                return
+            assert status == 200, body
+            in_force_at = self.in_force_at[body["version"] - 1]
+            self.in_force_s.append(in_force_at - began)
+
+        running.addCallback(answered)
+
+
+def some_change(chance):
+    """A change as pipelines make them: mostly drains, returns and keys."""
+    host = {"name": f"host-{chance.randrange(WORKERS // REGIONS)}"}
+    digest = virtual_fleet.digest_of(f"key-{chance.randrange(500)}")
+    return chance.choices(
+        [
+            ("drain", host),
+            ("return", host),
+            ("key-grant", {"digest": digest, "team": "mills"}),
+            ("key-withdraw", {"digest": digest}),
+        ],
+        (4, 4, 1, 1),
+    )[0]
+
+
+def change_steadily(region, chance, seconds):
+    """Make changes at the fleet's rate, all of which reach the region."""
+    end = region.clock.seconds() + seconds
+    while region.clock.seconds() < end:
+        wait = chance.expovariate(CHANGES_A_DAY / 86400)
+        region.run(min(wait, end - region.clock.seconds()))
+        if region.clock.seconds() < end:
+            region.make_timed(chance, *some_change(chance))
+    region.run(5)
+
+
+def bytes_per_host(region, seconds, work):
+    peers, store = region.peer_bytes, region.store_bytes
+    began = region.clock.seconds()
+    work(seconds)
+    took = region.clock.seconds() - began
+    sent = region.peer_bytes - peers + region.store_bytes - store
+    return sent / took / len(region.names)
+
+
+def state_bytes(region):
+    return sum(
+        len(msgspec.json.encode(value))
+        for _, _, value in region.platform.table.read_prefix("fleet/")
+    )
+
+
+def polled_in_force(seed, changes):
+    """Longest time until all six hosts have polled a change."""
+    chance = random.Random(seed)
+    phases = [chance.random() * POLL_S for _ in range(6)]
+    return max(
+        max((phase - at) % POLL_S for phase in phases)
+        for at in (chance.random() * POLL_S for _ in range(changes))
+    )
+
+
+def run(seed=1):
+    """Return the figures; takes about a minute."""
+    chance = random.Random(seed)
+    manifest = two_year_manifest()
+    region = Region(seed, manifest)
+    at_rest = bytes_per_host(region, MEASURED_S, region.run)
+    busy = bytes_per_host(
+        region,
+        MEASURED_S,
+        lambda seconds: change_steadily(region, chance, seconds),
+    )
+    returned = Region(seed + 1, manifest)
+    missed = int(CHANGES_A_DAY / 86400 * CUT_S)
+    batch = [
+        {"kind": kind, "content": content}
+        for kind, content in (some_change(chance) for _ in range(missed))
+    ]
+    returned.make_timed(chance, "batch", batch)
+    change_steadily(returned, chance, 10)
+    changes = len(region.in_force_s)
+    polled = polled_in_force(seed, max(changes, 1))
+    polled_bytes = (state_bytes(region) + HEAD_BYTES["GET"]) / POLL_S
+    return [
+        figure("config.in_force", max(region.in_force_s), "s", polled),
+        figure(
+            "config.in_force.returned", max(returned.in_force_s), "s", polled
+        ),
+        figure("control.bytes.rest", at_rest, "B/s", polled_bytes),
+        figure("control.bytes.changes", busy, "B/s", polled_bytes),
+    ]
+
+
+def figure(name, value, unit, baseline):
+    return {
+        "name": name,
+        "value": round(value, 3),
+        "unit": unit,
+        "bound": BOUND_S if unit == "s" else BYTES_BOUND,
+        "better": "lower",
+        "baseline": round(baseline, 3),
+    }
+
+
+if __name__ == "__main__":
+    for item in run():
+        print(item)
--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -20,6 +20,7 @@
 from azurevane._internal.models import messages
 from azurevane._internal.operators import change_maker
 from azurevane._internal.operators import changes
+from azurevane._internal.peers import connections
 from azurevane._internal.platform import hosts
 from azurevane._internal.platform import state_store
 from azurevane._internal.policy import seats as seat_policy
@@ -45,6 +46,8 @@
 class Network(Protocol):
     """Sends messages to peers; may lose them."""
 
+    traffic: connections.Traffic
+
     def send(self, peer: str, message: messages.Message) -> None:
         """Send a message to a peer by its entry host name."""
 
@@ -351,6 +354,7 @@
             "prepared": keeper.prepared,
             "store": "confirmed" if keeper.store_seen(now) else "not-seen",
             "version_by_peer": keeper.version_by_peer(),
+            "traffic": dataclasses.asdict(self._network.traffic),
             "seat": keeper.seat.number if keeper.seat else None,
             "seats": {
                 seat.number: {"holder": seat.holder, "epoch": seat.epoch}
--- a/tests/daemons/configuration.feature
+++ b/tests/daemons/configuration.feature
@@ -57,3 +57,8 @@
     Given the store is down
     When every entry host but "entry-1" is stopped
     Then "entry-1" is unready within 3 seconds and refuses the key "mills-key"
+
+  Scenario: Control traffic at rest
+    Guards against probes that cost more than the budget of a host.
+    When 10 seconds pass at rest
+    Then every entry host has sent its peers 500 to 3000 bytes a second
--- a/tests/daemons/steps/configuration_steps.py
+++ b/tests/daemons/steps/configuration_steps.py
@@ -240,3 +240,27 @@
         timeout=context.stopped_at + seconds - time.monotonic(),
     )
     assert request(context, name, key)[0] == 503
+
+
+def sent_bytes(context):
+    return [
+        context.site.status(name)["traffic"]["bytes_sent"] for name in NAMES
+    ]
+
+
+@when("{seconds:d} seconds pass at rest")
+def pass_time(context, seconds):
+    before, began = sent_bytes(context), time.monotonic()
+    time.sleep(seconds)
+    took = time.monotonic() - began
+    context.rates = [
+        (after - earlier) / took
+        for after, earlier in zip(sent_bytes(context), before, strict=True)
+    ]
+
+
+@then(
+    "every entry host has sent its peers {least:d} to {most:d} bytes a second"
+)
+def check_rates(context, least, most):
+    assert all(least <= rate <= most for rate in context.rates), context.rates
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -16,6 +16,7 @@
 from azurevane._internal.models import messages
 from azurevane._internal.models import state_messages
 from azurevane._internal.peers import codec
+from azurevane._internal.peers import connections
 from azurevane._internal.platform import breaker
 from azurevane._internal.platform import hosts
 from azurevane._internal.platform import state_store
@@ -113,6 +114,7 @@
         tag = headers.getRawHeaders("If-None-Match", [None])[0]
         if tag is not None and tag == f'"{answer["version"]}"':
             status, answer = 304, None
+        site.answered(method, body, answer)
         if site.chance.random() < site.store.lose_answers or (
             site.store.lose_written and method == "POST"
         ):
@@ -140,6 +142,7 @@
         self.site = site
         self.alive = True
         self.paused = False
+        self.traffic = connections.Traffic()
         self.pause_after_probe = False
         self.timers, self.arrived = collections.deque(), collections.deque()
         self.last_version = 0
@@ -164,7 +167,7 @@
             self.store,
             hosts.HostList(calls),
             self,
-            lambda state: None,
+            lambda state: site.state_changed(),
             site.chance,
         )
         self.follower.start()
@@ -243,6 +246,12 @@
     def live(self):
         return [host for host in self.host_by_name.values() if host.alive]
 
+    def state_changed(self):
+        """Called when a host puts a state in force; for benchmarks."""
+
+    def answered(self, method, body, answer):
+        """Called for each call of the platform; for benchmarks."""
+
     def drops(self, peer, message):
         """Whether a message is news that never reaches its receiver."""
         return peer in self.without_news and isinstance(
