Forget replaced hosts that hold no seat

Cause: every host that ever said Hello was probed and connected to for ever.

Change: a host outside the settings is forgotten 60 s after it was last heard unless it holds a seat; the network drops unreachable learned addresses when its table is full.

--- a/src/azurevane/_internal/peers/connections.py
+++ b/src/azurevane/_internal/peers/connections.py
@@ -214,6 +214,7 @@
         self.incoming: set[IncomingConnection] = set()
         self._chance = chance or random.Random()
         self._handler_by_type: dict[type, Handler] = {}
+        self._listed = frozenset(address_by_peer)
         self._address_by_peer = dict(address_by_peer)
         self._service_by_peer: dict[str, internet.ClientService] = {}
         self._outgoing_by_peer: dict[str, OutgoingConnection] = {}
@@ -329,12 +330,22 @@
         if not hello.address or not hello.port or known == place:
             return
         if known is None and len(self._address_by_peer) >= MAX_PEERS:
-            return
+            self._forget_unreachable()
+            if len(self._address_by_peer) >= MAX_PEERS:
+                return
         self._address_by_peer[hello.host] = place
         if hello.host in self._service_by_peer:
             self._service_by_peer[hello.host].stopService()
         self._connect(hello.host)
 
+    def _forget_unreachable(self) -> None:
+        """Forget hosts that weren't in the settings and are gone."""
+        for name in [*self._address_by_peer]:
+            if name in self._listed or name in self._outgoing_by_peer:
+                continue
+            del self._address_by_peer[name]
+            self._service_by_peer.pop(name).stopService()
+
     def dispatch(
         self, sender: messages.Hello, message: messages.Message
     ) -> None:
--- a/src/azurevane/_internal/tasks/peer_probes.py
+++ b/src/azurevane/_internal/tasks/peer_probes.py
@@ -9,6 +9,9 @@
 
 SILENT_AFTER_S = 10.0
 
+# A host that isn't in the settings and holds no seat is forgotten.
+_FORGET_AFTER_S = 60.0
+
 # Questions older than the freshness period are of no use any more.
 _REMEMBERED_ROUNDS = 8
 _REQUEST_INTERVAL_S = 0.2
@@ -41,7 +44,8 @@
     ) -> None:
         self._host = host
         self._incarnation = incarnation
-        self._peer_by_name = {name: Peer(now) for name in peers}
+        self._listed = frozenset(peers)
+        self._peer_by_name = {name: Peer(now) for name in self._listed}
         self._asked_at_by_seq: dict[int, float] = {}
         self._seq = 0
         self._store_asked_at = float("-inf")
@@ -74,14 +78,22 @@
                 behind += 1
         return has, behind
 
-    def next_round(self, now: float) -> int:
+    def next_round(self, now: float, state: fleet.FleetState) -> int:
         """Return the number of a new round of questions."""
+        self._forget_gone(now, state)
         self._seq += 1
         self._asked_at_by_seq[self._seq] = now
         while len(self._asked_at_by_seq) > _REMEMBERED_ROUNDS:
             del self._asked_at_by_seq[min(self._asked_at_by_seq)]
         return self._seq
 
+    def _forget_gone(self, now: float, state: fleet.FleetState) -> None:
+        """Forget replaced hosts, which would be probed for ever."""
+        kept = self._listed | {seat.holder for seat in state.seats}
+        for name, peer in [*self._peer_by_name.items()]:
+            if name not in kept and now - peer.heard_at > _FORGET_AFTER_S:
+                del self._peer_by_name[name]
+
     def heard(self, now: float, sender: messages.Hello) -> None:
         """Note that a peer is alive in an incarnation."""
         peer = self._peer_by_name.get(sender.host)
--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -142,7 +142,7 @@
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Probe every peer; call every ``PROBE_INTERVAL_S``."""
-        seq = self._probes.next_round(now)
+        seq = self._probes.next_round(now, self._in_force)
         return self._to_all(
             messages.Probe(seq, self._in_force.version, self.prepared)
         )
--- a/tests/peers/connections.feature
+++ b/tests/peers/connections.feature
@@ -43,3 +43,9 @@
     When "a" sends it 24 MiB
     Then it is closed and event 1007 says "doesn't read"
     And at most 9 MiB waited
+
+  Scenario: Hosts that are replaced again and again are forgotten
+    Guards against connecting to every address that a host ever had.
+    Given entry host "a"
+    When 100 hosts say Hello one after another and leave
+    Then "a" keeps at most 64 addresses and accepts one more
--- a/tests/peers/steps/connections_steps.py
+++ b/tests/peers/steps/connections_steps.py
@@ -243,3 +243,24 @@
 @then("at most {size:d} MiB waited")
 def check_waiting(context, size):
     assert 0 < context.most_waiting <= size * 1024 * 1024
+
+
+@when("{count:d} hosts say Hello one after another and leave")
+def say_hello(context, count):
+    network = context.networks["a"]
+    closed_port = processes.free_ports(1)[0]
+    for index in range(count):
+        raw = connect(context, "a")
+        name = f"host-{index}"
+        raw.sendall(
+            frame(messages.Hello(name, "1", "az", 1, "127.0.0.1", closed_port))
+        )
+        spin(lambda: name in network._incarnation_by_peer)  # noqa: B023
+        raw.close()
+
+
+@then('"{name}" keeps at most {count:d} addresses and accepts one more')
+def check_addresses(context, name, count):
+    network = context.networks[name]
+    assert len(network._address_by_peer) <= count
+    assert "host-99" in network._address_by_peer
--- a/tests/tasks/state_keeper.feature
+++ b/tests/tasks/state_keeper.feature
@@ -150,6 +150,11 @@
     Then "entry-7" holds the seat of "entry-6" with epoch 2 within 15 seconds
     And it may use its base 34 seconds after that
 
+  Scenario: A host that came and went is forgotten
+    Guards against probing every host that there ever was.
+    When "entry-7" starts and leaves after 5 seconds
+    Then no other host counts "entry-7" any more 70 seconds later
+
   Scenario: A paused holder keeps its seat from a host that lists it as live
     Guards against taking a seat on the word of the host list alone.
     Given the host list names nobody
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -444,6 +444,25 @@
     assert seconds - 1 < wait <= seconds, wait
 
 
+@when('"{name}" starts and leaves after {seconds:d} seconds')
+def come_and_go(context, name, seconds):
+    fleet = context.fleet
+    fleet.names.append(name)
+    fleet.start(name)
+    fleet.run(seconds)
+    for host in fleet.live():
+        known = host.keeper.version_by_peer()
+        assert name in known or host.hello.host == name
+    fleet.kill(name)
+
+
+@then('no other host counts "{name}" any more {seconds:d} seconds later')
+def check_forgotten(context, name, seconds):
+    context.fleet.run(seconds)
+    for host in context.fleet.live():
+        assert name not in host.keeper.version_by_peer()
+
+
 @given("the host list names nobody")
 def empty_host_list(context):
     context.fleet.platform.hosts = []
