--- a/tests/tasks/state_keeper.feature
+++ b/tests/tasks/state_keeper.feature
@@ -55,12 +55,45 @@
     And the trouble ends after 30 seconds
     Then no host admits the key "mills-key" after 3.0 seconds
 
+  Scenario Outline: Late answers of the store refresh from their question, <phase>
+    Guards against freshness counted from when the store's answer arrives.
+    Given every message to "entry-6" is lost
+    And the store answers reads 1.9 seconds late
+    And <phase> seconds pass
+    When "entry-2" withdraws the key "mills-key"
+    Then no host admits the key "mills-key" after 3.0 seconds
+
+    Examples:
+      | phase |
+      | 0.1   |
+      | 0.5   |
+      | 0.9   |
+      | 1.3   |
+      | 1.7   |
+
   Scenario: A prepared restriction is obeyed before the change is written
     Guards against freshness by peers that haven't heard of the change.
     Given every message to "entry-6" is lost
     When "entry-2" withdraws the key "mills-key" while the store answers after 1.5 seconds
     Then no host but "entry-6" admits the key "mills-key" after 0.3 seconds
 
+  Scenario: A prepared restriction is passed on
+    Guards against a host that waits for the one connection that is lost.
+    Given "entry-6" hears nothing of "entry-2"
+    When "entry-2" withdraws the key "mills-key" while the store answers after 3.0 seconds
+    Then no host admits the key "mills-key" before the change is written
+
+  Scenario: A host that is behind acknowledges only after it has caught up
+    Guards against a majority that can still confirm two versions back.
+    When "entry-3" gets a prepared change two versions ahead
+    Then it acknowledges only once it has the version between
+
+  Scenario: An older state is never put in force
+    Guards against a late answer that takes back an accepted change.
+    Given "entry-2" withdraws the key "mills-key"
+    When "entry-3" is given the state before by a peer and by the store
+    Then all hosts have the stored state within 0.5 seconds
+
   Scenario: A lost answer is settled by the token in the row
     Guards against guessing what became of a write.
     Given the store loses every answer to a write
@@ -117,12 +150,23 @@
     Then "entry-7" holds the seat of "entry-6" with epoch 2 within 15 seconds
     And it may use its base 34 seconds after that
 
+  Scenario: A host that came and went is forgotten
+    Guards against probing every host that there ever was.
+    When "entry-7" starts and leaves after 5 seconds
+    Then no other host counts "entry-7" any more 70 seconds later
+
   Scenario: A paused holder keeps its seat from a host that lists it as live
     Guards against taking a seat on the word of the host list alone.
     Given the host list names nobody
     When "entry-6" is paused for 8 seconds while "entry-7" starts
     Then "entry-6" still holds its seat
 
+  Scenario: A holder that others hear keeps its seat
+    Guards against taking a seat because one connection is lost.
+    Given the host list names nobody
+    When "entry-7" starts and can't hear "entry-6" for 15 seconds
+    Then "entry-6" still holds its seat
+
   Scenario: All hosts are started again at once
     Guards against seats that no majority is left to hand over.
     When every host is started again
