Count a missing report from when a prepared change is in force

Cause: a host that missed a prepare may follow the higher limit until the change is accepted and it loses its freshness, but its peers counted the end of its work from the prepare. A seat whose change is prepared also sent no report, which held a lowered limit at 0.

Change: the end is counted anew when the next version is in force; the holder reports while it alone has the seat, though it may not use it.

Before, a prepared limit of 24 with one changing seat left 0 of 20 permits usable.

--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -55,7 +55,6 @@
         self._restrictions: tuple[fleet.Restrictions, ...] = ()
         self._topology: permit_topology.Topology | None = None
         self._seat: tuple[int, int] | None = None
-        self._seat_from = math.inf
         self._returned_at: dict[str, float] = {}
         self._connected: tuple[str, ...] | None = None
         self._longest_run_s = 0.0
@@ -244,19 +243,21 @@
         self._follow_limits(now, self._topology, seat)
         if seat is None:
             self._seat = None
-            self._ledger.base_from = math.inf
+            self._ledger.base_from = self._ledger.seat_from = math.inf
             return
         if self._seat != (seat.number, seat.epoch):
             self._seat = (seat.number, seat.epoch)
-            self._seat_from = limits.base_usable_at(
+            self._ledger.seat_from = limits.base_usable_at(
                 now, seat.epoch, self._longest_run_s
             )
-            if self._seat_from > now:
-                self._due.add(self._seat_from, self._serve_all)
+            if self._ledger.seat_from > now:
+                self._due.add(self._ledger.seat_from, self._serve_all)
         changing = any(
             seat.number in item.seats for item in self._restrictions
         )
-        self._ledger.base_from = math.inf if changing else self._seat_from
+        self._ledger.base_from = (
+            math.inf if changing else self._ledger.seat_from
+        )
 
     def _own_seat(self) -> fleet.Seat | None:
         for seat in self._state.seats:
--- a/src/azurevane/_internal/tasks/permit_ledger.py
+++ b/src/azurevane/_internal/tasks/permit_ledger.py
@@ -103,13 +103,23 @@
 
 
 class Ledger:
-    """Owns the accounts, the loans and the permits in use of one host."""
+    """Owns the accounts, the loans and the permits in use of one host.
+
+    Attributes:
+        fresh_until: monotonic seconds until which permits may be used.
+        seat_from: from when this holder alone has the base parts of its
+            seat; infinite without a seat.
+        base_from: from when it may use them; infinite while a change
+            that takes the seat away is prepared.
+        max_run_s: longest run that may start under a base part.
+    """
 
     def __init__(self) -> None:
         self.account_by_key: dict[str, Account] = {}
         self.given_by_id: dict[int, GivenLoan] = {}
         self.taken_by_id: dict[int, TakenLoan] = {}
         self.fresh_until = -math.inf
+        self.seat_from = math.inf
         self.base_from = math.inf
         self.max_run_s = 0.0
         self._permits_by_holder: dict[str, list[Permit]] = {}
--- a/src/azurevane/_internal/tasks/permit_lowering.py
+++ b/src/azurevane/_internal/tasks/permit_lowering.py
@@ -74,14 +74,14 @@
             when ``expire`` has to be called; None if it needn't be.
         """
         until = now + limits.FRESH_S + limits.LOAN_S + longest_run_s
-        lowered = False
+        lowered = self._extend(state.version, until)
         for key, limit in self._limit_by_key.items():
             if limit_by_key.get(key, 0) < limit:
                 lowered = True
                 self._ledger.withdraw(key)
-                known = self._lowered_by_key.get(key)
+                earlier = self._lowered_by_key.get(key)
                 self._lowered_by_key[key] = _Lowered(
-                    max(limit, known.lowered_from if known else 0),
+                    max(limit, earlier.lowered_from if earlier else 0),
                     state.version,
                     until,
                 )
@@ -92,6 +92,21 @@
             self._reserve(key)
         return until if lowered else None
 
+    def _extend(self, version: int, until: float) -> bool:
+        """Prolong what was lowered by a change that was only prepared.
+
+        A host that missed the prepare may have followed the higher limit
+        until the change was in force.
+        """
+        prepared = [
+            lowered
+            for lowered in self._lowered_by_key.values()
+            if lowered.version + 1 == version
+        ]
+        for lowered in prepared:
+            lowered.until = until
+        return bool(prepared)
+
     def expire(self, now: float) -> list[str]:
         """Forget limits under which all older work has ended."""
         ended = [
@@ -177,7 +192,7 @@
         account = self._ledger.account_by_key.get(limit_key)
         return (
             account is not None
-            and self._ledger.base_from <= now
+            and self._ledger.seat_from <= now
             and not account.overdrawn
         )
 
--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -198,6 +198,35 @@
     And work for 9 permits waits at "e1"
     Then "e1" may use 14 permits
 
+  Scenario: A prepared restriction binds at once and can be lifted
+    Guards against base parts used while a change takes them away, and
+    against a refused change that lowers a limit for good.
+    Given a team with a limit of 60
+    When a limit of 24 and a new holder for the seat of "e1" are prepared
+    Then "e1" may use 0 permits
+    And all hosts together may use 20 permits
+    When the prepared change is lifted
+    Then all hosts together may use 60 permits
+
+  Scenario: A missing report counts from when the change is in force
+    Guards against a host that missed the prepare and goes on for longer.
+    Given a team with a limit of 60
+    When "e0" is cut off from its peers but stays fresh
+    And a limit of 54 and a new holder for the seat of "e5" are prepared
+    And 10 s pass
+    And the limit is lowered to 54
+    And 33.9 s pass
+    Then "e1" may use 8 permits
+    When 0.2 s pass
+    Then "e1" may use 9 permits
+
+  Scenario: Slots of a draining runner aren't lent
+    Guards against permits lent that nobody may use.
+    Given a spare pool with 6 free slots
+    When its runner drains
+    And work for 6 slots waits for the main pool at "e0"
+    Then "e0" may use 1 spare slots
+
   Scenario: A loan of before a lowered limit starts no new work
     Guards against loans that raise a team above its lowered limit.
     Given a team with a limit of 60
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -20,6 +20,11 @@
 from azurevane._internal.tasks import permit_ledger
 
 TEAM = "team:t"
+KEY_BY_KIND = {
+    "permits": TEAM,
+    "slots": "runner:main-0",
+    "spare slots": "runner:spare-0",
+}
 SEATS = [f"e{number}" for number in range(6)]
 
 
@@ -56,11 +61,13 @@
         self.state = dataclasses.replace(
             self.state, version=self.state.version + 1, **changes
         )
-        for name in names or self.keeper_by_name:
-            self.run(
-                name,
-                self.keeper_by_name[name].configure(self.now, self.state),
-            )
+        self.configure(names or self.keeper_by_name)
+
+    def configure(self, names, restrictions=()):
+        for name in names:
+            keeper = self.keeper_by_name[name]
+            decided = keeper.configure(self.now, self.state, restrictions)
+            self.run(name, decided)
 
     def run(self, sender, decided):
         queue = collections.deque((sender, effect) for effect in decided)
@@ -253,24 +260,45 @@
     context.hosts.change(manifest=permit_site.build_manifest(plan))
 
 
+@when(
+    'a limit of {limit:d} and a new holder for the seat of "{name}"'
+    " are prepared"
+)
+def prepare(context, limit, name):
+    restrictions = fleet.Restrictions(
+        limit_by_team={"t": limit}, seats=(SEATS.index(name),)
+    )
+    context.hosts.configure(SEATS, (restrictions,))
+
+
+@when("the prepared change is lifted")
+def lift(context):
+    context.hosts.configure(SEATS)
+
+
+@when("its runner drains")
+def drain(context):
+    context.hosts.change(draining=("spare-0",))
+
+
 @when('"{name}" learns that runs last {seconds:d} s')
 def lengthen(context, name, seconds):
     plan = dataclasses.replace(context.hosts.plan, max_run_s=seconds)
     context.hosts.change([name], manifest=permit_site.build_manifest(plan))
 
 
-@then('"{name}" may use {count:d} permits')
-def check_free(context, name, count):
+@then('"{name}" may use {count:d} {kind}')
+def check_free(context, name, count, kind):
     keeper = context.hosts.keeper_by_name[name]
-    free = keeper.free(context.hosts.now, TEAM)
+    free = keeper.free(context.hosts.now, KEY_BY_KIND[kind])
     assert free == count, free
 
 
 @then("all hosts together may use {count:d} {kind}")
 def check_all_free(context, count, kind):
-    key = TEAM if kind == "permits" else "runner:main-0"
     keepers = context.hosts.keeper_by_name.values()
-    free = sum(keeper.free(context.hosts.now, key) for keeper in keepers)
+    now = context.hosts.now
+    free = sum(keeper.free(now, KEY_BY_KIND[kind]) for keeper in keepers)
     assert free == count, free
 
 
@@ -348,13 +376,6 @@
     context.hosts.want(name, ("pool", "main"), count, rank=1.0)
 
 
-@then('"{name}" may use {count:d} spare slots')
-def check_spare(context, name, count):
-    keeper = context.hosts.keeper_by_name[name]
-    free = keeper.free(context.hosts.now, "runner:spare-0")
-    assert free == count, free
-
-
 @when("a site runs for {seconds:d} s with seed {seed:d}")
 def run_site(context, seconds, seed):
     context.site = permit_runs.randomised_run(seed, seconds)
