--- a/benchmarks/permit_runs.py
+++ b/benchmarks/permit_runs.py
@@ -9,7 +9,7 @@
 PAUSE_S = 30.0
 MEAN_RUN_S = 0.3
 LONG_RUN_PART = 0.02
-LIMITS = (7, 12, 20, 26)
+LIMITS = (6, 9, 13)
 
 
 def send_calls(site, team, per_s, hosts, until, mean_run_s=None):
