--- /dev/null
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -0,0 +1,132 @@
+"""The callers' side of an entry process: wiring, start and stop."""
+
+import logging
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from azurevane import exceptions
+from azurevane._internal.callers import channel
+from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_service
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import program_events
+from azurevane._internal.models import fleet
+from azurevane._internal.models import messages
+from azurevane._internal.peers import connections
+from azurevane._internal.platform import claim_journal
+from azurevane._internal.platform import table
+from azurevane._internal.platform import transport
+from azurevane._internal.settings import loader
+from azurevane._internal.tasks import dispatcher as dispatcher_module
+from azurevane._internal.tasks import state_keeper
+from azurevane._internal.upstreams import client as upstream_client
+
+logger = logging.getLogger(__name__)
+
+_DISPATCHER_TICK_S = 0.1
+_STOP_CHECK_S = 0.05
+# The outcomes of claims are written before the process ends, unless the
+# table doesn't answer.
+_CLAIMS_WAIT_S = 2.0
+
+
+class CallersSide:
+    """Serves callers, and ends without cutting a request."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: loader.Settings,
+        network: connections.PeerNetwork,
+        keeper: state_keeper.StateKeeper,
+        dispatcher: dispatcher_module.Dispatcher,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._network = network
+        self._dispatcher = dispatcher
+        self._runners = upstream_client.RunnerClient(reactor)
+        calls = transport.JsonTransport(
+            reactor,
+            settings.text("platform", "url"),
+            settings.number("platform", "timeout"),
+        )
+        self.claims = entry_claims.EntryClaims(
+            reactor,
+            network.hello.host,
+            network.hello.incarnation,
+            claim_journal.ClaimJournal(table.TableClient(calls)),
+            network.send,
+        )
+        self.service = entry_service.EntryService(
+            reactor, keeper, dispatcher, self._runners, self.claims
+        )
+        self._factory = channel.CallersFactory(reactor, self.service)
+        self._port: Any = None
+        self._loops: list[task.LoopingCall] = []
+
+    def start(self) -> None:
+        """Listen and start the periodic work."""
+        self._port = self._reactor.listenTCP(
+            self._settings.integer("callers", "port"),
+            self._factory,
+            interface=self._settings.text("host", "address"),
+        )
+        for message_type in entry_claims.MESSAGE_TYPES:
+            self._network.register(message_type, self._claim_message)
+        for call, interval_s in (
+            (self.service.tick, _DISPATCHER_TICK_S),
+            (self.claims.tick, entry_claims.TICK_S),
+        ):
+            loop = task.LoopingCall(call)
+            loop.clock = self._reactor
+            loop.start(interval_s)
+        self._reactor.addSystemEventTrigger(
+            "before", "shutdown", lambda: defer.ensureDeferred(self.stop())
+        )
+
+    def _claim_message(
+        self, sender: messages.Hello, message: messages.Message
+    ) -> None:
+        try:
+            self.claims.received(sender.host, sender.incarnation, message)
+        except ValueError as error:
+            raise exceptions.MessageError(str(error)) from error
+
+    def configure(self, state: fleet.FleetState) -> None:
+        """Follow the effective fleet state."""
+        self.claims.configure(state)
+        self.service.apply(
+            self._dispatcher.configure(self._reactor.seconds(), state)
+        )
+
+    async def stop(self) -> None:
+        """End gracefully; returns when the process may exit.
+
+        The balancer sees the process unready while new connections are
+        still accepted, so that none is refused. Then what runs is
+        finished and every answer announces the close.
+        """
+        self.service.stopping = True
+        catalogue.emit(
+            logger,
+            program_events.ProgramStopping(
+                "azurevane-entry", self.service.active
+            ),
+        )
+        self._factory.begin_closing()
+        await task.deferLater(
+            self._reactor, self._settings.number("callers", "drain_seconds")
+        )
+        await self._port.stopListening()
+        while self.service.active or self._factory.busy:
+            self._factory.close_idle()
+            await task.deferLater(self._reactor, _STOP_CHECK_S)
+        self._factory.close_idle()
+        self.claims.flush()
+        give_up_at = self._reactor.seconds() + _CLAIMS_WAIT_S
+        while self.claims.writing and self._reactor.seconds() < give_up_at:
+            await task.deferLater(self._reactor, _STOP_CHECK_S)
+        self._runners.close()
