Let teams submit, list, show and cancel tasks over HTTP

Cause: tasks could only be written into the table by hand.

Change: callers/tasks.py answers /t/<queue> and /t/<queue>/<id>. A task is accepted only after its record and its inbox row are in the table, in one transaction; a lost answer is settled by sending the same transaction again and reading the record back. An Idempotency-Key names the task, so a repeat at any entry host finds the same record. The entry service routes /t/ to it, and /readyz names the fleet version, by which the control daemon beside stays fresh while the store is down.

--- /dev/null
+++ b/src/azurevane/_internal/callers/tasks.py
@@ -0,0 +1,328 @@
+"""Tasks over HTTP: submit, list, show and cancel."""
+
+from collections.abc import Callable
+import hashlib
+import logging
+from typing import Any, Protocol
+
+import msgspec
+from twisted.internet import defer
+
+from azurevane import exceptions
+from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import request as request_models
+from azurevane._internal.models import task as task_models
+from azurevane._internal.models import verdict as verdict_models
+from azurevane._internal.platform import table
+
+logger = logging.getLogger(__name__)
+
+BODY_LIMIT_BYTES = 64 * 1024
+SETTLE_TRIES = 3
+
+
+class Table(Protocol):
+    """What the task calls need of the table service's client."""
+
+    async def read(self, name: str) -> table.Row:
+        """Return a row."""
+
+    async def read_prefix(self, prefix: str) -> tuple[table.Row, ...]:
+        """Return the rows whose names start with a prefix."""
+
+    async def transact(self, transaction: table.Transaction) -> table.Applied:
+        """Apply a transaction, or nothing of it."""
+
+
+class Submitted(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /t/<queue>``; sizes are those of ``Task``."""
+
+    run_s: float
+    cores: float = 1.0
+    memory_gb: float = 1.0
+    accelerators: int = 0
+    urgent: bool = False
+    at_most_once: bool = False
+    kind: str = ""
+    payload: str = ""
+
+
+class _Refused(Exception):
+    """Ends a call with a problem document."""
+
+    def __init__(
+        self,
+        status: int,
+        problem: str,
+        detail: str,
+        verdict: verdict_models.Verdict = verdict_models.Verdict.NOT_RUN,
+    ) -> None:
+        super().__init__(detail)
+        self.refusal = request_models.Refusal(
+            "",
+            status,
+            problem,
+            detail,
+            verdict,
+            1.0 if status == 503 else None,
+        )
+
+
+class _Collector:
+    """Collects a body up to a limit."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+
+    def write(self, data: bytes) -> None:
+        """Take a chunk; what is over the limit is dropped."""
+        if len(self.data) <= BODY_LIMIT_BYTES:
+            self.data += data
+
+    def registerProducer(  # noqa: N802 (name of the interface)
+        self, producer: Any, streaming: bool
+    ) -> None:
+        """Accept a producer."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Let a producer go."""
+
+
+class TasksResource:
+    """Answers ``/t/<queue>`` and ``/t/<queue>/<id>`` for a team.
+
+    A task is accepted (202) only after its record is in the table. The
+    pool's controller learns of it from an inbox row that is written in
+    the same transaction.
+    """
+
+    def __init__(
+        self,
+        client: Table,
+        wall_clock: Callable[[], float],
+        new_token: Callable[[], str],
+    ) -> None:
+        self._client = client
+        self._wall_clock = wall_clock
+        self._new_token = new_token
+
+    def handle(
+        self,
+        exchange: exchange_module.CallerRequest,
+        queue: manifest_models.Queue,
+        team: str,
+        task_id: str,
+    ) -> "defer.Deferred[None]":
+        """Answer a call of a team that may use the queue.
+
+        Args:
+            task_id: rest of the path; empty for the whole queue.
+        """
+        answering = defer.ensureDeferred(
+            self._answer(exchange, queue, team, task_id)
+        )
+        answering.addErrback(
+            lambda reason: logger.error(
+                "Task call failed: %s", reason.getTraceback()
+            )
+        )
+        return answering
+
+    async def _answer(
+        self,
+        exchange: exchange_module.CallerRequest,
+        queue: manifest_models.Queue,
+        team: str,
+        task_id: str,
+    ) -> None:
+        try:
+            status, body = await self._call(exchange, queue, team, task_id)
+        except _Refused as refused:
+            exchange.refuse(refused.refusal)
+            return
+        except exceptions.StoreUnavailable:
+            exchange.refuse(
+                _Refused(
+                    503, "store-unavailable", "The table gives no answer"
+                ).refusal
+            )
+            return
+        if exchange.answered:
+            return
+        exchange.setResponseCode(status)
+        exchange.setHeader(b"Content-Type", b"application/json")
+        exchange.answer_bytes(msgspec.json.encode(body))
+
+    async def _call(
+        self,
+        exchange: exchange_module.CallerRequest,
+        queue: manifest_models.Queue,
+        team: str,
+        task_id: str,
+    ) -> tuple[int, Any]:
+        if not team:
+            raise _Refused(401, "unauthorized", "Tasks belong to a team's key")
+        method = exchange.head.method
+        if method == "POST" and not task_id:
+            return await self._submit(exchange, queue, team)
+        if method == "GET" and not task_id:
+            return 200, await self._list(queue, team)
+        if method == "GET":
+            return 200, _shown(await self._find(queue, team, task_id))
+        if method == "DELETE" and task_id:
+            return await self._cancel(queue, team, task_id)
+        raise _Refused(405, "method-not-allowed", f"{method} isn't served")
+
+    async def _list(
+        self, queue: manifest_models.Queue, team: str
+    ) -> list[dict[str, Any]]:
+        live = await self._client.read_prefix(f"task/{queue.name}/")
+        ended = await self._client.read_prefix(f"ended/{queue.name}/")
+        return [
+            _shown(row.value)
+            for row in (*live, *ended)
+            if row.value["team"] == team
+        ]
+
+    async def _read(
+        self, queue: manifest_models.Queue, task_id: str
+    ) -> dict[str, Any] | None:
+        # A record moves from the live rows to the ended ones, so the
+        # ended ones are read last.
+        for row_name in (task_models.task_row, task_models.ended_row):
+            row = await self._client.read(row_name(queue.name, task_id))
+            if row.value is not None:
+                value: dict[str, Any] = row.value
+                return value
+        return None
+
+    async def _find(
+        self, queue: manifest_models.Queue, team: str, task_id: str
+    ) -> dict[str, Any]:
+        value = await self._read(queue, task_id)
+        if value is None or value["team"] != team:
+            raise _Refused(404, "unknown-task", "There is no such task")
+        return value
+
+    async def _cancel(
+        self, queue: manifest_models.Queue, team: str, task_id: str
+    ) -> tuple[int, Any]:
+        value = await self._find(queue, team, task_id)
+        if value["phase"] not in task_models.LIVE_PHASES:
+            return 200, _shown(value)
+        row = task_models.inbox_row(queue.pool, task_id, "cancel")
+        await self._client.transact(
+            table.Transaction(
+                self._new_token(), {}, {row: {"queue": queue.name}}
+            )
+        )
+        return 202, _shown(value)
+
+    async def _submit(
+        self,
+        exchange: exchange_module.CallerRequest,
+        queue: manifest_models.Queue,
+        team: str,
+    ) -> tuple[int, Any]:
+        data = await self._body(exchange)
+        keys = exchange.head.headers.getRawHeaders("Idempotency-Key", [])
+        task = self._parse(data, queue, team, keys[0] if keys else "")
+        # Nothing has been written before this read succeeds, so a store
+        # that is down is reported as not run.
+        known = await self._read(queue, task.task_id)
+        if known is not None:
+            return self._repeated(known, task)
+        token = self._new_token()
+        value = {**msgspec.to_builtins(task), "token": token}
+        return await self._write(queue, task, value, token)
+
+    async def _write(
+        self,
+        queue: manifest_models.Queue,
+        task: task_models.Task,
+        value: dict[str, Any],
+        token: str,
+    ) -> tuple[int, Any]:
+        live = task_models.task_row(queue.name, task.task_id)
+        ended = task_models.ended_row(queue.name, task.task_id)
+        inbox = task_models.inbox_row(queue.pool, task.task_id, "submit")
+        transaction = table.Transaction(
+            token, {live: 0, ended: 0}, {live: value, inbox: _of(queue)}
+        )
+        for _ in range(SETTLE_TRIES):
+            try:
+                applied = await self._client.transact(transaction)
+                if applied.applied:
+                    return 202, _shown(value)
+                # An earlier try whose answer was lost, or a repeat of
+                # the caller at another entry host.
+                known = await self._read(queue, task.task_id)
+                if known is not None:
+                    return self._repeated(known, task)
+            except exceptions.StoreUnavailable:
+                continue
+        raise _Refused(
+            503,
+            "store-unavailable",
+            f"Task {task.task_id} may have been accepted",
+            verdict_models.Verdict.MAY_HAVE_RUN,
+        )
+
+    def _repeated(
+        self, known: dict[str, Any], task: task_models.Task
+    ) -> tuple[int, Any]:
+        given = msgspec.to_builtins(task)
+        same = ("team", "run_s", "cores", "memory_gb", "payload", "kind")
+        if any(known[name] != given[name] for name in same):
+            raise _Refused(
+                422, "digest-mismatch", "Another task has this request id"
+            )
+        return 202, _shown(known)
+
+    async def _body(self, exchange: exchange_module.CallerRequest) -> bytes:
+        length = exchange.head.length
+        if length is not None and length > BODY_LIMIT_BYTES:
+            raise _Refused(413, "body-too-large", "The task is too large")
+        collector = _Collector()
+        if length != 0:
+            await exchange.body.startProducing(collector)
+        if len(collector.data) > BODY_LIMIT_BYTES:
+            raise _Refused(413, "body-too-large", "The task is too large")
+        return bytes(collector.data)
+
+    def _parse(
+        self,
+        data: bytes,
+        queue: manifest_models.Queue,
+        team: str,
+        request_id: str,
+    ) -> task_models.Task:
+        try:
+            given = msgspec.json.decode(data, type=Submitted)
+        except msgspec.DecodeError as error:
+            raise _Refused(400, "malformed", str(error)) from error
+        sizes = (given.run_s, given.cores, given.memory_gb)
+        if min(sizes) <= 0 or given.accelerators < 0:
+            raise _Refused(400, "malformed", "Sizes must be above zero")
+        task_id = self._new_token()
+        if request_id:
+            named = f"{team}\n{queue.name}\n{request_id}".encode()
+            task_id = hashlib.sha256(named).hexdigest()[:32]
+        return task_models.Task(
+            task_id,
+            queue.name,
+            team,
+            submitted_at=self._wall_clock(),
+            **msgspec.structs.asdict(given),
+        )
+
+
+def _of(queue: manifest_models.Queue) -> dict[str, str]:
+    return {"queue": queue.name}
+
+
+def _shown(value: dict[str, Any]) -> dict[str, Any]:
+    """Return what a caller sees of a record."""
+    names = ("task_id", "queue", "phase", "attempts", "detail", "kind")
+    return {name: value.get(name) for name in names}
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -1,6 +1,7 @@
 """The entry daemon: serves callers and operators on an entry host."""
 
 import logging
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -9,6 +10,7 @@
 
 from azurevane import exceptions
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.daemons import program
 from azurevane._internal.events import catalogue
@@ -24,6 +26,7 @@
 from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.utils import tokens
 
 logger = logging.getLogger(__name__)
 
@@ -44,12 +47,14 @@
             settings.text("platform", "url"),
             settings.number("platform", "timeout"),
         )
-        self._store = state_store.StateStore(table.TableClient(calls))
+        client = table.TableClient(calls)
+        self._store = state_store.StateStore(client)
         self._service = entry_service.EntryService(
             reactor,
             self._keeper,
             self._dispatcher,
             upstream_client.RunnerClient(reactor),
+            tasks.TasksResource(client, time.time, tokens.new_token),
         )
 
     @property
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -8,6 +8,7 @@
 
 from azurevane._internal.callers import authentication
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import tasks
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
 from azurevane._internal.models import effects
@@ -29,11 +30,13 @@
         keeper: state_keeper.StateKeeper,
         dispatcher: dispatcher_module.Dispatcher,
         runners: upstream_client.RunnerClient,
+        task_calls: tasks.TasksResource,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
         self._dispatcher = dispatcher
         self._runners = runners
+        self._tasks = task_calls
         self._next_id = 0
         self._ready = False
         self._exchange_by_id: dict[str, exchange_module.CallerRequest] = {}
@@ -49,6 +52,11 @@
         if path == "/readyz":
             ready = self._keeper.fresh(self._reactor.seconds())
             exchange.setResponseCode(200 if ready else 503)
+            # The control daemon beside confirms its own state by this.
+            exchange.setHeader(
+                b"Azurevane-Fleet-Version",
+                str(self._keeper.state.version).encode(),
+            )
             exchange.answer_bytes(b"ready\n" if ready else b"not ready\n")
             return
         decided = self._admit(exchange)
@@ -75,7 +83,7 @@
         if (
             manifest is None
             or len(parts) < 3
-            or parts[1] != "q"
+            or parts[1] not in ("q", "t")
             or parts[2].split("?")[0] not in manifest.queue_by_name
         ):
             return request_models.Refusal(
@@ -88,6 +96,10 @@
             return request_models.Refusal(
                 submission_id, denied.status, denied.problem, denied.detail
             )
+        if parts[1] == "t":
+            task_id = parts[3] if len(parts) > 3 else ""
+            self._tasks.handle(exchange, queue, team.unwrap(), task_id)
+            return None
         submission = request_models.Submission(
             submission_id,
             queue.name,
