--- a/src/azurevane/_internal/callers/tasks.py
+++ b/src/azurevane/_internal/callers/tasks.py
@@ -6,10 +6,14 @@
 from typing import Any, Protocol
 
 import msgspec
+from returns import pipeline
 from twisted.internet import defer
 
 from azurevane import exceptions
+from azurevane._internal.callers import authentication
+from azurevane._internal.callers import body as body_module
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import task as task_models
@@ -107,6 +111,34 @@
         self._wall_clock = wall_clock
         self._new_token = new_token
 
+    def begin(
+        self,
+        exchange: exchange_module.CallerRequest,
+        submission_id: str,
+        state: fleet.FleetState,
+    ) -> None:
+        """Find queue and team of a call, and answer it."""
+        name, _, task_id = exchange.head.path[len("/t/") :].partition("/")
+        manifest = state.manifest
+        queue = manifest.queue_by_name.get(name) if manifest else None
+        if queue is None:
+            exchange.refuse(
+                request_models.Refusal(
+                    submission_id, 404, "unknown-queue", "No such queue"
+                )
+            )
+            return
+        team = authentication.authenticate(state, queue, exchange.head.headers)
+        if not pipeline.is_successful(team):
+            denied = team.failure()
+            exchange.refuse(
+                request_models.Refusal(
+                    submission_id, denied.status, denied.problem, denied.detail
+                )
+            )
+            return
+        self.handle(exchange, queue, team.unwrap(), task_id)
+
     def handle(
         self,
         exchange: exchange_module.CallerRequest,
@@ -226,8 +258,8 @@
         team: str,
     ) -> tuple[int, Any]:
         data = await self._body(exchange)
-        keys = exchange.head.headers.getRawHeaders("Idempotency-Key", [])
-        task = self._parse(data, queue, team, keys[0] if keys else "")
+        request_id = exchange.head.request_id or ""
+        task = self._parse(data, queue, team, request_id)
         # Nothing has been written before this read succeeds, so a store
         # that is down is reported as not run.
         known = await self._read(queue, task.task_id)
@@ -284,9 +316,16 @@
         length = exchange.head.length
         if length is not None and length > BODY_LIMIT_BYTES:
             raise _Refused(413, "body-too-large", "The task is too large")
+        exchange.max_body_bytes = BODY_LIMIT_BYTES
         collector = _Collector()
-        if length != 0:
-            await exchange.body.startProducing(collector)
+        feed = exchange.body.new_feed()
+        if feed is not None:
+            try:
+                await feed.startProducing(collector)
+            except body_module.BodyStopped:
+                raise _Refused(
+                    400, "malformed", "The body is incomplete"
+                ) from None
         if len(collector.data) > BODY_LIMIT_BYTES:
             raise _Refused(413, "body-too-large", "The task is too large")
         return bytes(collector.data)
--- a/src/azurevane/_internal/models/effects.py
+++ b/src/azurevane/_internal/models/effects.py
@@ -15,4 +15,40 @@
     message: messages.Message
 
 
-Effect: TypeAlias = Send | request_models.Dispatch | request_models.Refusal
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangePrepared:
+    """A majority of seats obeys the restrictions of a change."""
+
+    token: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateInstalled:
+    """A fleet state has been put in force on this host."""
+
+    version: int
+    previous: int
+    source: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitsGained:
+    """Tell the dispatcher to try its waiting work again.
+
+    Attributes:
+        kind: ``team`` or ``pool``, as in ``Permits.want``.
+        name: name of that team or pool.
+    """
+
+    kind: str
+    name: str
+
+
+Effect: TypeAlias = (
+    Send
+    | PermitsGained
+    | ChangePrepared
+    | StateInstalled
+    | request_models.Dispatch
+    | request_models.Refusal
+)
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -59,6 +59,19 @@
         high=65535,
     )
 )
+define(
+    Option(
+        "callers",
+        "drain_seconds",
+        float,
+        2.0,
+        "Time for which a stopping process is unready but still accepts,"
+        " so that the balancer sees it first.",
+        unit="s",
+        low=0.0,
+        high=60.0,
+    )
+)
 define(
     Option(
         "operators",
@@ -124,3 +137,23 @@
     Option("log", "level", str, "info", "Least level logged: debug to error.")
 )
 define(Option("log", "format", str, "json", "Log format: json or text."))
+define(
+    Option(
+        "metrics",
+        "port",
+        int,
+        0,
+        "TCP port of /metrics for Prometheus; 0 turns metrics off.",
+        low=0,
+        high=65535,
+    )
+)
+define(
+    Option(
+        "invariants",
+        "check",
+        bool,
+        False,
+        "Whether the program checks its invariants while it runs.",
+    )
+)
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -31,5 +31,23 @@
     """
 
 
+class StoreNotCalled(StoreUnavailable):
+    """Raised when a call to the platform wasn't sent: it had no effect.
+
+    The circuit breaker is open, or the write budget is used up.
+    """
+
+
 class MessageError(AzurevaneError):
     """Raised when a peer's message is malformed or too large."""
+
+
+class NotFound(AzurevaneError):
+    """Raised when a name that an operator gave doesn't exist."""
+
+
+class InvariantViolation(AzurevaneError):
+    """Raised when a check inside the program finds a broken invariant.
+
+    The state that led to it is in the log event of the same text.
+    """
--- a/tests/daemons/steps/tasks_steps.py
+++ b/tests/daemons/steps/tasks_steps.py
@@ -133,7 +133,7 @@
 
 @when("the table is down")
 def table_down(context):
-    context.site.platform("PUT", "/faults", {"down_prefix": "/table"})
+    context.site.platform("PUT", "/faults", {"down": True, "only": "/table"})
 
 
 @then('a submission of team "{team}" is refused as not run')
--- /dev/null
+++ b/tests/support/entry_harness.py
@@ -0,0 +1,163 @@
+"""The callers' side of an entry process, in this process."""
+
+import dataclasses
+import hashlib
+import http.client
+import json
+import socket
+
+import claim_site
+from twisted.internet import reactor
+from twisted.internet import task
+
+from azurevane._internal.callers import channel
+from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_service
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest
+from azurevane._internal.platform import claim_journal
+from azurevane._internal.tasks import dispatcher
+from azurevane._internal.tasks import state_keeper
+from azurevane._internal.upstreams import client
+from support import raw_runner
+from support import reactor_thread
+
+API_KEY = "mills-secret-key"
+MAX_BODY_BYTES = 200_000
+
+
+def build_state(runner_ports, max_run_s=1.5, max_body_bytes=MAX_BODY_BYTES):
+    queues = tuple(
+        manifest.Queue(
+            name, "p", teams, max_body_bytes, 2000, max_run_s=max_run_s
+        )
+        for name, teams in (("quoting", ("mills",)), ("open", ()))
+    )
+    teams = (manifest.Team("mills", 1, 50), manifest.Team("other", 1, 50))
+    runners = tuple(
+        manifest.Runner(f"r-{index}", "p", "z", "127.0.0.1", port)
+        for index, port in enumerate(runner_ports)
+    )
+    pools = (manifest.Pool("p"),)
+    keys = tuple(
+        fleet.ApiKey(hashlib.sha256(key.encode()).hexdigest(), team)
+        for key, team in ((API_KEY, "mills"), ("other-key", "other"))
+    )
+    return fleet.FleetState(
+        1,
+        "t",
+        manifest.Manifest("s", "r", ("z",), teams, pools, queues, runners),
+        keys,
+        seats=tuple(fleet.Seat(n, "entry-1", "i", 1) for n in range(6)),
+    )
+
+
+class Entry:
+    """Serves callers on loopback, in front of raw runners."""
+
+    def __init__(self, serves, **options):
+        self.runners = [raw_runner.RawRunner(serve) for serve in serves]
+        ports = [runner.port for runner in self.runners]
+        reactor_thread.call(self._start, build_state(ports, **options))
+
+    def _start(self, state):
+        now = reactor.seconds()
+        keeper = state_keeper.StateKeeper("entry-1", "i", (), now)
+        keeper.offer(now, state, 1, "store")
+        self._confirming = task.LoopingCall(
+            lambda: keeper.store_confirmed(reactor.seconds(), state.version, 1)
+        )
+        self._confirming.start(0.5)
+        self.dispatcher = dispatcher.Dispatcher()
+        self.dispatcher.configure(reactor.seconds(), state)
+        self.client = client.RunnerClient(reactor)
+        self.table = claim_site.FaultyTable(
+            claim_site.TableSite(reactor), claim_site.AlwaysOn()
+        )
+        self.claims = entry_claims.EntryClaims(
+            reactor,
+            "entry-1",
+            "i",
+            claim_journal.ClaimJournal(self.table),
+            lambda peer, message: None,
+        )
+        self.claims.configure(state)
+        self._loop = task.LoopingCall(self.claims.tick)
+        self._loop.start(entry_claims.TICK_S)
+        self.service = entry_service.EntryService(
+            reactor, keeper, self.dispatcher, self.client, self.claims
+        )
+        self.factory = channel.CallersFactory(reactor, self.service)
+        self._port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
+        self.port = self._port.getHost().port
+
+    def running(self):
+        return reactor_thread.call(lambda: self.dispatcher.running)
+
+    def stop(self):
+        reactor_thread.call(self._confirming.stop)
+        reactor_thread.call(self._port.stopListening)
+        reactor_thread.call(self._loop.stop)
+        reactor_thread.call(self.client.close)
+        for runner in self.runners:
+            runner.stop()
+
+
+def build_request(method="POST", path="/q/quoting/price", body=b"", **headers):
+    lines = [f"{method} {path} HTTP/1.1", "Host: h"]
+    headers.setdefault("Authorization", f"Bearer {API_KEY}")
+    if "Transfer_Encoding" not in headers and (body or method == "POST"):
+        headers.setdefault("Content_Length", len(body))
+    lines += [
+        f"{name.replace('_', '-')}: {value}"
+        for name, value in headers.items()
+        if value is not None
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Caller:
+    """A connection to an entry host; answers are read in their order."""
+
+    def __init__(self, entry):
+        address = ("127.0.0.1", entry.port)
+        self.socket = socket.create_connection(address, timeout=20)
+        self._file = self.socket.makefile("rb")
+        self._file.close = lambda: None
+
+    def send(self, data):
+        self.socket.sendall(data)
+
+    def makefile(self, mode):
+        return self._file
+
+    def read_answer(self, method="GET"):
+        """Return an answer; its status is 0 if there is none."""
+        response = http.client.HTTPResponse(self, method=method)
+        answer = Answer(0, {}, b"", False, False)
+        try:
+            response.begin()
+            answer = Answer(
+                response.status, response.headers, b"", False, False
+            )
+            body = response.read()
+            return dataclasses.replace(answer, body=body, whole=True)
+        except ConnectionError:
+            return dataclasses.replace(answer, broken=True)
+        except http.client.HTTPException:
+            return answer
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller has read; ``broken`` if the connection was reset."""
+
+    status: int
+    headers: dict
+    body: bytes
+    whole: bool
+    broken: bool
+
+    @property
+    def problem(self):
+        return json.loads(self.body)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,11 +17,24 @@
 
 
 def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return consecutive free ports.
+
+    They lie below the range from which the kernel picks the ports of
+    outgoing connections, so none is taken before its program listens.
+    """
+    while True:
+        first = random.SystemRandom().randrange(12000, 32000 - count)
+        ports = list(range(first, first + count))
+        sockets = []
+        try:
+            for port in ports:
+                sockets.append(socket.create_server(("127.0.0.1", port)))
+            return ports
+        except OSError:
+            continue
+        finally:
+            for item in sockets:
+                item.close()
 
 
 def http_call(method, url, body=None, headers=None, timeout=15):
@@ -90,8 +104,7 @@
         return status, json.loads(answer) if answer else None
 
     def start_runners(self, names):
-        # Consecutive ports: look for a free range.
-        first = free_ports(1)[0]
+        first = free_ports(len(names))[0]
         for index, name in enumerate(names):
             self.port_by_name[name] = first + index
         self.start(
@@ -161,6 +174,32 @@
         self.start(name, "azurevane-entry", "--settings", path)
         wait_until(lambda: self.call(name, "GET", "/healthz")[0] == 200)
 
+    def start_entries(self, names):
+        """Start several entry hosts side by side."""
+        for name in names:
+            path = self.write_settings(name)
+            self.start(name, "azurevane-entry", "--settings", path)
+        wait_until(
+            lambda: all(
+                self.call(name, "GET", "/healthz")[0] == 200 for name in names
+            )
+        )
+
+    def status(self, name):
+        """Return what an entry host tells operators of the fleet."""
+        return self.operators(name, "GET", "/v1/status")[1]
+
+    def operators(self, name, method, path, body=None):
+        """Call an entry host's operators' port."""
+        port = self.port_by_name[f"{name}-operators"]
+        status, _, answer = http_call(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            None if body is None else json.dumps(body).encode(),
+            {"Authorization": f"Bearer {OPERATORS_TOKEN}"},
+        )
+        return status, json.loads(answer)
+
     def start_control(self, entry_name):
         path = self.directory / f"{entry_name}.ini"
         self.start(
@@ -173,16 +212,9 @@
 
     def change(self, name, kind, content, base_version=None):
         """Make a change at an entry host; return status and body."""
-        port = self.port_by_name[f"{name}-operators"]
         body = {
             "kind": kind,
             "base_version": base_version,
             "content": content,
         }
-        status, _, answer = http_call(
-            "POST",
-            f"http://127.0.0.1:{port}/v1/changes",
-            json.dumps(body).encode(),
-            {"Authorization": f"Bearer {OPERATORS_TOKEN}"},
-        )
-        return status, json.loads(answer)
+        return self.operators(name, "POST", "/v1/changes", body)
