--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -1,6 +1,7 @@
 """The callers' side of an entry process: wiring, start and stop."""
 
 import logging
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -8,6 +9,7 @@
 
 from azurevane import exceptions
 from azurevane._internal.callers import channel
+from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import entry_claims
 from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_service
@@ -22,9 +24,15 @@
 from azurevane._internal.settings import loader
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.utils import token_bucket
+from azurevane._internal.utils import tokens
 
 logger = logging.getLogger(__name__)
 
+# Of the 30 writes a second that control, tasks and changes share at both
+# sites (design, 14.2), this part is for submissions at 12 hosts.
+_TASK_WRITES_PER_S = 1.0
+_TASK_BURST = 10.0
 _STOP_CHECK_S = 0.05
 # The outcomes of claims are written before the process ends, unless the
 # table doesn't answer.
@@ -65,6 +73,15 @@
             self._runners,
             self.claims,
             permits=self._permits,
+            task_calls=tasks.TasksResource(
+                table.TableClient(
+                    calls,
+                    token_bucket.TokenBucket(_TASK_WRITES_PER_S, _TASK_BURST),
+                    reactor.seconds,
+                ),
+                time.time,
+                tokens.new_token,
+            ),
         )
         self._factory = channel.CallersFactory(reactor, self.service)
         self._port: Any = None
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -11,6 +11,7 @@
 from twisted.python import failure as twisted_failure
 
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import active_request
 from azurevane._internal.daemons import entry_admission
 from azurevane._internal.daemons import entry_answering
@@ -43,6 +44,7 @@
         claims: entry_claims.EntryClaims,
         rng: random.Random | None = None,
         permits: entry_permits.EntryPermits | None = None,
+        task_calls: tasks.TasksResource | None = None,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
@@ -52,6 +54,7 @@
         )
         self._claims = claims
         self._permits = permits
+        self._tasks = task_calls
         self._next_id = 0
         self._active_by_id: dict[str, active_request.ActiveRequest] = {}
         self.stopping = False
@@ -71,6 +74,11 @@
         if path == "/readyz":
             ready = fresh and not self.stopping
             exchange.setResponseCode(200 if ready else 503)
+            # The control daemon beside confirms its own state by this.
+            exchange.setHeader(
+                b"Azurevane-Fleet-Version",
+                str(self._keeper.state.version).encode(),
+            )
             exchange.answer_bytes(b"ready\n" if ready else b"not ready\n")
             return
         submission_id = self._new_id()
@@ -79,6 +87,9 @@
             entry_answering.log_refusal(refused, refused.verdict)
             exchange.refuse(refused)
             return
+        if self._tasks is not None and path.startswith("/t/"):
+            self._tasks.begin(exchange, submission_id, self._keeper.state)
+            return
         admitted = entry_admission.admit(
             self._reactor.seconds(),
             self._keeper.state,
--- a/src/azurevane/_internal/models/manifest.py
+++ b/src/azurevane/_internal/models/manifest.py
@@ -11,8 +11,9 @@
     Attributes:
         share: weight when a pool is full; greater than zero.
         limit: most requests and tasks it may run at once, fleet-wide.
-        task_limit: part of the limit that is for tasks; at most the
-            limit. 0 means a quarter of the limit, at least 1.
+        task_limit: part of the limit that is kept for tasks; 0 if the
+            team runs no tasks. The rest is for requests, since tasks run
+            too long for permits that entry hosts lend each other.
     """
 
     name: str
@@ -23,12 +24,12 @@
     @property
     def task_part(self) -> int:
         """Most tasks that it may run at once, fleet-wide."""
-        return self.task_limit or max(1, self.limit // 4)
+        return min(self.task_limit, self.limit)
 
     @property
     def request_limit(self) -> int:
         """Most requests that it may run at once, fleet-wide."""
-        return max(0, self.limit - self.task_part)
+        return self.limit - self.task_part
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/azurevane/_internal/operators/manifest_check.py
+++ b/src/azurevane/_internal/operators/manifest_check.py
@@ -124,6 +124,11 @@
         if team.share <= 0:
             yield f"{place}.share: {team.share} isn't greater than 0"
         yield from _above(f"{place}.limit", team.limit, 1)
+        if not 0 <= team.task_limit <= team.limit:
+            yield (
+                f"{place}.task_limit: {team.task_limit} isn't in 0 to the"
+                f" limit, {team.limit}"
+            )
 
 
 @rule
--- a/src/azurevane/_internal/tasks/permit_topology.py
+++ b/src/azurevane/_internal/tasks/permit_topology.py
@@ -1,5 +1,7 @@
 """Which limits a fleet state divides, and who may use their permits."""
 
+import dataclasses
+
 from azurevane._internal import invariants
 from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest as manifest_models
@@ -87,7 +89,9 @@
                 for item in restrictions
                 if team.name in item.limit_by_team
             ]
-            self.limit_by_key[key] = min([team.limit, *lowered])
+            self.limit_by_key[key] = dataclasses.replace(
+                team, limit=min([team.limit, *lowered])
+            ).request_limit
             self._claims_by_key[key] = [(("team", team.name), 0)]
             self._keys_by_topic["team", team.name] = [key]
 
--- a/src/azurevane/_internal/tasks/permits.py
+++ b/src/azurevane/_internal/tasks/permits.py
@@ -76,7 +76,8 @@
         if manifest is None:
             return
         self._limit_by_key = {
-            team_limit_key(team.name): team.limit for team in manifest.teams
+            team_limit_key(team.name): team.request_limit
+            for team in manifest.teams
         } | {
             runner_limit_key(runner.name): runner.slots
             for runner in manifest.runners
