Hand a seat over at a planned stop, so that its successor needs no wait

Cause: the new holder of a seat waits 34 s for the rights of its predecessor; after a rolling restart of all entry hosts none held a permit, and orders waited to their deadline (5 to 6 refused with 504 in each run of tests/daemons/restart.feature). Change: a stopping host lends and renews no more, finishes what runs, writes its claims, waits up to 4 s until nothing is lent, then leaves the seat by an ordinary change. The next holder takes it with epoch + 1 and uses its base at once. With something lent or unwritten the seat isn't left, and the successor waits as after a crash.

--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -1,5 +1,6 @@
 """The callers' side of an entry process: wiring, start and stop."""
 
+from collections.abc import Awaitable, Callable
 import logging
 import time
 from typing import Any
@@ -37,6 +38,9 @@
 # The outcomes of claims are written before the process ends, unless the
 # table doesn't answer.
 _CLAIMS_WAIT_S = 2.0
+# Loans that aren't renewed lapse within 2 s; what runs under them then may
+# take longer, but most requests don't.
+_HANDOVER_WAIT_S = 4.0
 
 
 class CallersSide:
@@ -48,9 +52,11 @@
         settings: loader.Settings,
         network: connections.PeerNetwork,
         keeper: state_keeper.StateKeeper,
+        release_seat: Callable[[], Awaitable[None]],
     ) -> None:
         self._reactor = reactor
         self._settings = settings
+        self.release_seat = release_seat
         self._network = network
         self._permits = entry_permits.EntryPermits(reactor, network, keeper)
         self._runners = upstream_client.RunnerClient(reactor)
@@ -130,6 +136,7 @@
         finished and every answer announces the close.
         """
         self.service.stopping = True
+        self._permits.begin_handover()
         catalogue.emit(
             logger,
             program_events.ProgramStopping(
@@ -146,7 +153,19 @@
             await task.deferLater(self._reactor, _STOP_CHECK_S)
         self._factory.close_idle()
         self.claims.flush()
-        give_up_at = self._reactor.seconds() + _CLAIMS_WAIT_S
-        while self.claims.writing and self._reactor.seconds() < give_up_at:
-            await task.deferLater(self._reactor, _STOP_CHECK_S)
+        await self._wait_while(lambda: self.claims.writing, _CLAIMS_WAIT_S)
+        await self._wait_while(
+            lambda: not self._permits.handed_over, _HANDOVER_WAIT_S
+        )
+        # With something lent or unwritten, the seat isn't left: its next
+        # holder must wait as after a crash.
+        if self._permits.handed_over and not self.claims.writing:
+            await self.release_seat()
         self._runners.close()
+
+    async def _wait_while(
+        self, condition: Callable[[], bool], longest_s: float
+    ) -> None:
+        give_up_at = self._reactor.seconds() + longest_s
+        while condition() and self._reactor.seconds() < give_up_at:
+            await task.deferLater(self._reactor, _STOP_CHECK_S)
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -47,7 +47,11 @@
             reactor.seconds(),
         )
         self._callers = callers_side.CallersSide(
-            reactor, settings, self._network, self._keeper
+            reactor,
+            settings,
+            self._network,
+            self._keeper,
+            lambda: self._follower.release_seat(),
         )
         self._follower = self._build_follower()
 
--- a/src/azurevane/_internal/daemons/entry_claims.py
+++ b/src/azurevane/_internal/daemons/entry_claims.py
@@ -83,7 +83,8 @@
         seats = 0 if state.manifest is None else state.manifest.entry_seats
         own = (self._host, self._incarnation)
         self._asker.configure(
-            seats, {seat.number: seat.holder for seat in state.seats}
+            seats,
+            {seat.number: seat.holder for seat in state.seats if seat.holder},
         )
         self._apply(
             self._keeper.configure(
--- a/src/azurevane/_internal/daemons/entry_permits.py
+++ b/src/azurevane/_internal/daemons/entry_permits.py
@@ -77,6 +77,15 @@
         for peer in self._network.connected_peers:
             self._network.send(peer, report)
 
+    def begin_handover(self) -> None:
+        """Lend no more, before the seat is handed over."""
+        self._keeper.begin_handover()
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether the seat may be left to a successor without a wait."""
+        return self._keeper.handed_over
+
     def carry_out(self, effect: effects.Effect) -> None:
         """Carry out an effect that concerns permits."""
         if isinstance(effect, effects.Send):
--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -81,6 +81,7 @@
             reactor, keeper, store, self.apply, self._chance
         )
         self._announced = keeper.effective
+        self._leaving = False
         self._was_fresh = False
 
     @property
@@ -220,7 +221,8 @@
     async def _take_seat(self) -> None:
         keeper, now = self._keeper, self._reactor.seconds()
         if (
-            keeper.seat is not None
+            self._leaving
+            or keeper.seat is not None
             or not keeper.store_seen(now)
             or keeper.prepared
         ):
@@ -241,6 +243,29 @@
                 ),
             )
 
+    async def release_seat(self) -> None:
+        """Leave the seat to a successor, before a planned stop ends."""
+        keeper = self._keeper
+        self._leaving = True
+        if keeper.seat is None:
+            return
+        number = keeper.seat.number
+        try:
+            outcome = await self._maker.make(None, self._without_seat)
+        except exceptions.StoreUnavailable as error:
+            reason = str(error)
+        else:
+            reason = outcome.result.value
+        catalogue.emit(logger, state_events.SeatReleased(number, reason))
+
+    def _without_seat(self, state: fleet.FleetState) -> fleet.FleetState:
+        seat = seat_policy.release_seat(
+            state, self._keeper.host, self._keeper.incarnation
+        )
+        if seat is None:
+            raise exceptions.StoreNotCalled("The seat is held no more")
+        return _with_seats(state, seat)
+
     def _choose(
         self, state: fleet.FleetState, gone: tuple[str, ...]
     ) -> fleet.Seat | None:
@@ -265,13 +290,7 @@
         seat = self._choose(state, gone)
         if seat is None:
             raise exceptions.StoreNotCalled("No seat is free any more")
-        held = {**state.seat_by_number, seat.number: seat}
-        return dataclasses.replace(
-            state,
-            version=state.version + 1,
-            token=tokens.new_token(),
-            seats=tuple(held[number] for number in sorted(held)),
-        )
+        return _with_seats(state, seat)
 
     # Operators.
 
@@ -361,3 +380,13 @@
                 for seat in keeper.in_force.seats
             },
         }
+
+
+def _with_seats(state: fleet.FleetState, seat: fleet.Seat) -> fleet.FleetState:
+    held = {**state.seat_by_number, seat.number: seat}
+    return dataclasses.replace(
+        state,
+        version=state.version + 1,
+        token=tokens.new_token(),
+        seats=tuple(held[number] for number in sorted(held)),
+    )
--- a/src/azurevane/_internal/events/state_events.py
+++ b/src/azurevane/_internal/events/state_events.py
@@ -55,6 +55,15 @@
     usable_in_s: float
 
 
+@catalogue.event(1020)
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeatReleased(catalogue.Event):
+    """Entry host leaves its seat to a successor at a planned stop."""
+
+    seat: int
+    outcome: str
+
+
 @catalogue.event(1006)
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerConnected(catalogue.Event):
--- a/src/azurevane/_internal/models/fleet.py
+++ b/src/azurevane/_internal/models/fleet.py
@@ -28,15 +28,19 @@
     """A numbered right to a base part of each divided limit.
 
     Attributes:
-        holder: name of the entry host that holds the seat.
+        holder: name of the entry host that holds the seat; empty after
+            its holder handed it over.
         incarnation: identifies one process start of the holder.
         epoch: fencing token; grows with each new holder.
+        clean: whether the holder before handed the seat over with
+            nothing in use or lent, so that its rights need no wait.
     """
 
     number: int
     holder: str
     incarnation: str
     epoch: int
+    clean: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/azurevane/_internal/policy/seats.py
+++ b/src/azurevane/_internal/policy/seats.py
@@ -13,7 +13,7 @@
 def base_wait_s(state: fleet.FleetState, seat: fleet.Seat) -> float:
     """Return how long a new holder may not use the base of its seat."""
     # Epoch 1 has no predecessor whose rights could be in use.
-    if seat.epoch == 1 or state.manifest is None:
+    if seat.epoch == 1 or seat.clean or state.manifest is None:
         return 0.0
     return PREDECESSOR_RIGHTS_S + max(
         (queue.max_run_s for queue in state.manifest.queues), default=0.0
@@ -39,6 +39,11 @@
     for seat in held.values():
         if seat.holder == host:
             return fleet.Seat(seat.number, host, incarnation, seat.epoch + 1)
+    released = [n for n, seat in held.items() if not seat.holder]
+    if released:
+        number = _pick(released, host)
+        epoch = held[number].epoch + 1
+        return fleet.Seat(number, host, incarnation, epoch, clean=True)
     free = [n for n in range(state.entry_seats) if n not in held]
     if free:
         return fleet.Seat(_pick(free, host), host, incarnation, 1)
@@ -49,6 +54,16 @@
     return None
 
 
+def release_seat(
+    state: fleet.FleetState, host: str, incarnation: str
+) -> fleet.Seat | None:
+    """Return the seat as its holder leaves it, or None without a seat."""
+    seat = state.seat_of(host, incarnation)
+    if seat is None:
+        return None
+    return fleet.Seat(seat.number, "", "", seat.epoch, clean=True)
+
+
 def _pick(numbers: list[int], host: str) -> int:
     """Spread hosts that start together over the seats."""
     return min(
--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -154,6 +154,21 @@
         handler = self._handler_by_type.get(type(message))
         return handler(now, peer, message) if handler else []
 
+    def begin_handover(self) -> None:
+        """Lend and renew no more, before the seat is handed over.
+
+        Work that runs and permits that are borrowed go on as before.
+        """
+        self._ledger.closing = True
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether nothing is in use or lent, so the seat may be left."""
+        return not any(
+            account.running or account.lent
+            for account in self._ledger.account_by_key.values()
+        )
+
     def tick(self, now: float) -> Effects:
         """Do what is due; costs nothing when nothing is."""
         done: Effects = []
@@ -208,7 +223,7 @@
         return reports + self._serve_all(now)
 
     def _follow_peers(self) -> None:
-        holders = {seat.holder for seat in self._state.seats}
+        holders = {seat.holder for seat in self._state.seats} - {""}
         peers = self._connected
         if peers is None:
             peers = tuple(sorted(holders - {self._host}))
@@ -247,8 +262,12 @@
             return
         if self._seat != (seat.number, seat.epoch):
             self._seat = (seat.number, seat.epoch)
-            self._ledger.seat_from = limits.base_usable_at(
-                now, seat.epoch, self._longest_run_s
+            self._ledger.seat_from = (
+                now
+                if seat.clean
+                else limits.base_usable_at(
+                    now, seat.epoch, self._longest_run_s
+                )
             )
             if self._ledger.seat_from > now:
                 self._due.add(self._ledger.seat_from, self._serve_all)
@@ -344,7 +363,7 @@
         if account is None or self._topology is None:
             return []
         spare = 0
-        if account.spare > 0 and self._ledger.base_usable(now):
+        if account.spare > 0 and self._ledger.may_lend(now):
             spare = account.spare
         idle = sum(loan.idle for loan in account.taken)
         if not spare + idle:
--- a/src/azurevane/_internal/tasks/permit_ledger.py
+++ b/src/azurevane/_internal/tasks/permit_ledger.py
@@ -112,6 +112,7 @@
         base_from: from when it may use them; infinite while a change
             that takes the seat away is prepared.
         max_run_s: longest run that may start under a base part.
+        closing: whether the seat is being handed over.
     """
 
     def __init__(self) -> None:
@@ -122,12 +123,17 @@
         self.seat_from = math.inf
         self.base_from = math.inf
         self.max_run_s = 0.0
+        self.closing = False
         self._permits_by_holder: dict[str, list[Permit]] = {}
 
     def base_usable(self, now: float) -> bool:
         """Whether this host may use and lend its base parts."""
         return self.base_from <= now < self.fresh_until
 
+    def may_lend(self, now: float) -> bool:
+        """Whether this host may lend its base parts and renew loans."""
+        return not self.closing and self.base_usable(now)
+
     def free(self, now: float, limit_key: str) -> int:
         """Return how many more permits may be used here now."""
         account = self.account_by_key.get(limit_key)
--- a/src/azurevane/_internal/tasks/permit_lender.py
+++ b/src/azurevane/_internal/tasks/permit_lender.py
@@ -68,7 +68,7 @@
         self, now: float, peer: str, renew: permit_messages.Renew
     ) -> Effects:
         """Extend loans, unless this host may not lend or wants them."""
-        if not self._ledger.base_usable(now):
+        if not self._ledger.may_lend(now):
             return []
         extended = []
         for loan_id in renew.loan_ids:
