--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -131,6 +131,25 @@
     When 0.2 s pass
     Then "x" may use 10 permits
 
+  Scenario: A seat that was handed over needs no wait
+    Guards against a rolling restart that leaves no host with permits.
+    Given a team with a limit of 60
+    When "e1" hands its seat over to "x"
+    Then "x" may use 10 permits
+    And "e1" may use 0 permits
+
+  Scenario: A seat isn't handed over while its permits are lent
+    Guards against permits that a successor and a borrower use at once.
+    Given a team with a limit of 60
+    When work for 60 permits waits at "e0"
+    And "e1" begins its handover
+    Then "e1" still answers for its permits
+    When the wish of "e0" ends
+    And 3 s pass
+    Then "e1" has given its permits up
+    When work for 60 permits waits at "e0"
+    Then "e0" may use 50 permits
+
   Scenario: A host that isn't fresh uses and lends nothing
     Guards against work admitted under a state that is out of date.
     Given a team with a limit of 60
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -248,6 +248,40 @@
     context.hosts.change(seats=tuple(seats))
 
 
+@when('"{name}" begins its handover')
+def begin_handover(context, name):
+    context.hosts.keeper_by_name[name].begin_handover()
+
+
+@when('"{name}" hands its seat over to "{successor}"')
+def hand_over(context, name, successor):
+    hosts = context.hosts
+    begin_handover(context, name)
+    check_given_up(context, name)
+    number = SEATS.index(name)
+    for holder, incarnation, epoch in (("", "", 1), (successor, "x-1", 2)):
+        if holder:
+            hosts.start(holder, 1)
+        hosts.change(
+            seats=tuple(
+                fleet.Seat(number, holder, incarnation, epoch, clean=True)
+                if seat.number == number
+                else seat
+                for seat in hosts.state.seats
+            )
+        )
+
+
+@then('"{name}" still answers for its permits')
+def check_not_given_up(context, name):
+    assert not context.hosts.keeper_by_name[name].handed_over
+
+
+@then('"{name}" has given its permits up')
+def check_given_up(context, name):
+    assert context.hosts.keeper_by_name[name].handed_over
+
+
 @when('"{name}" isn\'t fresh')
 def lose_freshness(context, name):
     context.hosts.keeper_by_name[name].set_fresh(0.0, -1.0)
