--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -103,12 +103,12 @@
 
 
 def run():
-    """Measure with the permit keepers, by fixed division, and ideally."""
+    """Measure with the permit keepers, by the simplest way, and ideally."""
     value, baseline, ideal = (
         measure(backend)[:3]
         for backend in (
             permit_backends.KeeperBackend(),
-            permit_backends.FixedBackend(),
+            permit_backends.SimpleBackend(),
             permit_backends.SharedBackend(),
         )
     )
--- a/benchmarks/virtual_site.py
+++ b/benchmarks/virtual_site.py
@@ -84,9 +84,11 @@
         self.name = f"entry-{number}"
         self.zone = ZONES[number % 4]
 
-    def start(self, permits: Any) -> None:
+    def start(
+        self, permits: Any, dispatcher: Any = dispatcher_module.Dispatcher
+    ) -> None:
         self.permits = permits
-        self.dispatcher = dispatcher_module.Dispatcher(permits, self.zone)
+        self.dispatcher = dispatcher(permits, self.zone)
 
     @property
     def next_due(self) -> float | None:
--- a/src/azurevane/_internal/tasks/slot_finder.py
+++ b/src/azurevane/_internal/tasks/slot_finder.py
@@ -30,7 +30,7 @@
 Found: TypeAlias = tuple[runner_index.RunnerRecord, pool_work.PoolWork]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Slot:
     """A slot whose permits have been taken.
 
--- a/src/azurevane/_internal/tasks/usage_ledger.py
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -103,14 +103,17 @@
         count for its part of the team's requests, and reckons the whole
         from that.
         """
-        running = self.running / self.part if self.running else 0.0
+        here = self.running
+        everywhere = 0.0
+        if here:
+            demand = here + self.waiting
+            elsewhere = self.peer_waiting + self._peer_running
+            everywhere = here * (demand + elsewhere) / demand
         used = self._settled + self._peer_settled
         self.rank_at_zero = self.offset + shares.rank(
-            used, running, self.weight
-        )
-        self.rank_growth = shares.level(
-            self.running + self._peer_rate, self.weight
+            used, everywhere, self.weight
         )
+        self.rank_growth = shares.level(here + self._peer_rate, self.weight)
 
     def started(self, now: float) -> None:
         """Count a request that starts to run."""
@@ -267,7 +270,7 @@
         Args:
             seconds: run time to learn from, or None.
         """
-        use = self.use(team)
+        use = self.use_by_team[team]
         use.ended(now)
         if seconds is not None:
             use.service = use.service.observe(seconds)
