--- a/benchmarks/route_wait.py
+++ b/benchmarks/route_wait.py
@@ -20,7 +20,7 @@
 WARM_S = 2.0
 
 
-def draw_arrivals(seed):
+def draw_arrivals(seed, load=LOAD):
     """Return (time, team, run time, host) of every request."""
     rng = random.Random(seed)
     teams = [name for name, _ in virtual_site.TEAMS]
@@ -28,7 +28,7 @@
     arrivals = []
     now = 0.01
     while now < WARM_S + SECONDS:
-        now += rng.expovariate(LOAD * SLOTS / MEAN_RUN_S)
+        now += rng.expovariate(load * SLOTS / MEAN_RUN_S)
         run_s = 0.2 * MEAN_RUN_S + rng.expovariate(1.25 / MEAN_RUN_S)
         team = rng.choices(teams, weights)[0]
         arrivals.append((now, team, run_s, rng.randrange(6)))
--- a/benchmarks/virtual_site.py
+++ b/benchmarks/virtual_site.py
@@ -123,6 +123,7 @@
         self.request_by_id: dict[str, Request] = {}
         self.outstanding: collections.Counter[str] = collections.Counter()
         self.overruns = 0
+        self.slowdown_by_runner: dict[str, float] = {}
         self.on_end: Callable[[Request], None] = lambda request: None
         self._ids = itertools.count()
         self._backend = backend
@@ -260,7 +261,8 @@
             if runner.zone == host.zone
             else OTHER_ZONE_DELAY_S
         )
-        self.after(2 * delay + request.run_s, self._ended, host, request)
+        run_s = request.run_s * self.slowdown_by_runner.get(runner.name, 1.0)
+        self.after(2 * delay + run_s, self._ended, host, request)
 
     def _ended(self, host: EntryHost, request: Request) -> None:
         request.ended_at = self.now
