--- a/src/azurevane/_internal/callers/tasks.py
+++ b/src/azurevane/_internal/callers/tasks.py
@@ -52,6 +52,13 @@
     payload: str = ""
 
 
+def _may_run_tasks(state: fleet.FleetState, team: str) -> bool:
+    if state.manifest is None or not team:
+        # A call without a team is refused later, with its own reason.
+        return True
+    return state.manifest.team_by_name[team].task_part > 0
+
+
 class _Refused(Exception):
     """Ends a call with a problem document."""
 
@@ -137,6 +144,18 @@
                 )
             )
             return
+        if exchange.head.method == "POST" and not _may_run_tasks(
+            state, team.unwrap()
+        ):
+            exchange.refuse(
+                request_models.Refusal(
+                    submission_id,
+                    403,
+                    "forbidden",
+                    f"Team {team.unwrap()} has no task_limit in the manifest",
+                )
+            )
+            return
         self.handle(exchange, queue, team.unwrap(), task_id)
 
     def handle(
--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -1,5 +1,6 @@
 """The callers' side of an entry process: wiring, start and stop."""
 
+from collections.abc import Awaitable, Callable
 import logging
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 from azurevane._internal.callers import channel
 from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import program_events
@@ -21,7 +23,6 @@
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
-from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
 from azurevane._internal.utils import token_bucket
@@ -29,7 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-_DISPATCHER_TICK_S = 0.1
 # Of the 30 writes a second that control, tasks and changes share at both
 # sites (design, 14.2), this part is for submissions at 12 hosts.
 _TASK_WRITES_PER_S = 1.0
@@ -38,6 +38,9 @@
 # The outcomes of claims are written before the process ends, unless the
 # table doesn't answer.
 _CLAIMS_WAIT_S = 2.0
+# Loans that aren't renewed lapse within 2 s; what runs under them then may
+# take longer, but most requests don't.
+_HANDOVER_WAIT_S = 4.0
 
 
 class CallersSide:
@@ -49,12 +52,13 @@
         settings: loader.Settings,
         network: connections.PeerNetwork,
         keeper: state_keeper.StateKeeper,
-        dispatcher: dispatcher_module.Dispatcher,
+        release_seat: Callable[[], Awaitable[None]],
     ) -> None:
         self._reactor = reactor
         self._settings = settings
+        self.release_seat = release_seat
         self._network = network
-        self._dispatcher = dispatcher
+        self._permits = entry_permits.EntryPermits(reactor, network, keeper)
         self._runners = upstream_client.RunnerClient(reactor)
         calls = transport.JsonTransport(
             reactor,
@@ -71,9 +75,10 @@
         self.service = entry_service.EntryService(
             reactor,
             keeper,
-            dispatcher,
+            self._permits.dispatcher,
             self._runners,
             self.claims,
+            permits=self._permits,
             task_calls=tasks.TasksResource(
                 table.TableClient(
                     calls,
@@ -97,8 +102,10 @@
         )
         for message_type in entry_claims.MESSAGE_TYPES:
             self._network.register(message_type, self._claim_message)
+        self._permits.start(self.service.apply)
         for call, interval_s in (
-            (self.service.tick, _DISPATCHER_TICK_S),
+            (self._permits.tick, entry_permits.TICK_S),
+            (self.service.tick, entry_permits.TICK_S),
             (self.claims.tick, entry_claims.TICK_S),
         ):
             loop = task.LoopingCall(call)
@@ -119,9 +126,7 @@
     def configure(self, state: fleet.FleetState) -> None:
         """Follow the effective fleet state."""
         self.claims.configure(state)
-        self.service.apply(
-            self._dispatcher.configure(self._reactor.seconds(), state)
-        )
+        self._permits.configure(state)
 
     async def stop(self) -> None:
         """End gracefully; returns when the process may exit.
@@ -131,6 +136,7 @@
         finished and every answer announces the close.
         """
         self.service.stopping = True
+        self._permits.begin_handover()
         catalogue.emit(
             logger,
             program_events.ProgramStopping(
@@ -147,7 +153,19 @@
             await task.deferLater(self._reactor, _STOP_CHECK_S)
         self._factory.close_idle()
         self.claims.flush()
-        give_up_at = self._reactor.seconds() + _CLAIMS_WAIT_S
-        while self.claims.writing and self._reactor.seconds() < give_up_at:
-            await task.deferLater(self._reactor, _STOP_CHECK_S)
+        await self._wait_while(lambda: self.claims.writing, _CLAIMS_WAIT_S)
+        await self._wait_while(
+            lambda: not self._permits.handed_over, _HANDOVER_WAIT_S
+        )
+        # With something lent or unwritten, the seat isn't left: its next
+        # holder must wait as after a crash.
+        if self._permits.handed_over and not self.claims.writing:
+            await self.release_seat()
         self._runners.close()
+
+    async def _wait_while(
+        self, condition: Callable[[], bool], longest_s: float
+    ) -> None:
+        give_up_at = self._reactor.seconds() + longest_s
+        while condition() and self._reactor.seconds() < give_up_at:
+            await task.deferLater(self._reactor, _STOP_CHECK_S)
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -15,7 +15,6 @@
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
-from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.utils import token_bucket
 from azurevane._internal.utils import tokens
@@ -47,9 +46,12 @@
             members,
             reactor.seconds(),
         )
-        self._dispatcher = dispatcher_module.Dispatcher()
         self._callers = callers_side.CallersSide(
-            reactor, settings, self._network, self._keeper, self._dispatcher
+            reactor,
+            settings,
+            self._network,
+            self._keeper,
+            lambda: self._follower.release_seat(),
         )
         self._follower = self._build_follower()
 
--- a/src/azurevane/_internal/peers/connections.py
+++ b/src/azurevane/_internal/peers/connections.py
@@ -123,9 +123,10 @@
         self.sendString(data)
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Count what waits from now on."""
-        self._paused = True
-        self._waiting_bytes = 0
+        """Count what waits from now on; called at each further write."""
+        if not self._paused:
+            self._paused = True
+            self._waiting_bytes = 0
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Stop counting."""
@@ -213,6 +214,7 @@
         self.incoming: set[IncomingConnection] = set()
         self._chance = chance or random.Random()
         self._handler_by_type: dict[type, Handler] = {}
+        self._listed = frozenset(address_by_peer)
         self._address_by_peer = dict(address_by_peer)
         self._service_by_peer: dict[str, internet.ClientService] = {}
         self._outgoing_by_peer: dict[str, OutgoingConnection] = {}
@@ -325,15 +327,29 @@
     def _learn_address(self, hello: messages.Hello) -> None:
         place = hello.address, hello.port
         known = self._address_by_peer.get(hello.host)
-        if not hello.address or not hello.port or known == place:
+        if not hello.address or not hello.port:
             return
-        if known is None and len(self._address_by_peer) >= MAX_PEERS:
+        if known == place and hello.host in self._outgoing_by_peer:
             return
+        if known is None and len(self._address_by_peer) >= MAX_PEERS:
+            self._forget_unreachable()
+            if len(self._address_by_peer) >= MAX_PEERS:
+                return
         self._address_by_peer[hello.host] = place
+        # Also where the address is known: a host that was just started
+        # must not wait for the end of a back-off until it can borrow.
         if hello.host in self._service_by_peer:
             self._service_by_peer[hello.host].stopService()
         self._connect(hello.host)
 
+    def _forget_unreachable(self) -> None:
+        """Forget hosts that weren't in the settings and are gone."""
+        for name in [*self._address_by_peer]:
+            if name in self._listed or name in self._outgoing_by_peer:
+                continue
+            del self._address_by_peer[name]
+            self._service_by_peer.pop(name).stopService()
+
     def dispatch(
         self, sender: messages.Hello, message: messages.Message
     ) -> None:
--- /dev/null
+++ b/src/azurevane/_internal/tasks/refusals.py
@@ -0,0 +1,65 @@
+"""Refusals of submissions, with the reasons that aren't admission's."""
+
+from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.models import request as request_models
+from azurevane._internal.policy import queueing
+
+QUEUE_GONE = queueing.Denial(404, "unknown-queue", "There is no such queue")
+KEY_WITHDRAWN = queueing.Denial(
+    401, "unauthorized", "The key was withdrawn while the request waited"
+)
+TEAM_NOT_ALLOWED = queueing.Denial(
+    403, "forbidden", "The team may no longer use the queue"
+)
+DEADLINE_TOO_NEAR = queueing.Denial(
+    503,
+    "deadline-too-near",
+    "No slot was free in time to run before the deadline",
+    1.0,
+)
+QUEUE_TOO_LONG = queueing.Denial(
+    503,
+    "queue-too-long",
+    "What waits ahead takes longer than the deadline allows",
+    1.0,
+)
+
+
+def find_withdrawal(
+    item: request_models.Submission,
+    state: fleet.FleetState,
+    manifest: manifest_models.Manifest,
+) -> queueing.Denial | None:
+    """Return why a fleet state no longer lets a submission run, if so."""
+    queue = manifest.queue_by_name.get(item.queue)
+    if queue is None:
+        return QUEUE_GONE
+    digest = item.api_key_digest
+    if digest and state.team_by_digest.get(digest) != item.team:
+        return KEY_WITHDRAWN
+    if queue.teams and item.team not in queue.teams:
+        return TEAM_NOT_ALLOWED
+    return None
+
+
+def refuse(
+    item: request_models.Submission, denial: queueing.Denial
+) -> request_models.Refusal:
+    """Return the refusal of a submission that hasn't run."""
+    return request_models.Refusal(
+        item.submission_id,
+        denial.status,
+        denial.problem,
+        denial.detail,
+        retry_after_s=denial.retry_after_s,
+    )
+
+
+def refuse_late(
+    now: float, item: request_models.Submission
+) -> request_models.Refusal:
+    """Return the refusal of a submission that can't end in time."""
+    if item.deadline <= now:
+        return refuse(item, queueing.DEADLINE_PASSED)
+    return refuse(item, DEADLINE_TOO_NEAR)
--- a/tests/callers/steps/retry_steps.py
+++ b/tests/callers/steps/retry_steps.py
@@ -1,5 +1,6 @@
 import functools
 import re
+import time
 
 from behave import given
 from behave import then
@@ -9,20 +10,15 @@
 from support import raw_runner
 from support import reactor_thread
 
-REFUSAL = (
-    b"HTTP/1.1 503 Busy\r\nAzurevane-Verdict: not-run\r\n"
-    b"Content-Length: 0\r\n\r\n"
-)
 CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
-BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 SENT_BY_BEHAVIOUR = {
     "answers": [],
-    "refuses at first": [REFUSAL],
+    "refuses at first": [raw_runner.REFUSAL],
     "resets at first": [None],
     "cuts at first": [CUT],
-    "is busy at first": [BUSY],
-    "always refuses": [REFUSAL] * 9,
-    "resets, then refuses": [None, REFUSAL, REFUSAL],
+    "is busy at first": [raw_runner.BUSY],
+    "always refuses": [raw_runner.REFUSAL] * 9,
+    "resets, then refuses": [None, raw_runner.REFUSAL, raw_runner.REFUSAL],
 }
 
 
@@ -44,15 +40,12 @@
 @given("an entry host {budget} a retry budget whose runner {behaviour}")
 def start(context, budget, behaviour):
     sent = list(SENT_BY_BEHAVIOUR[behaviour])
-    context.entry = entry_harness.Entry([functools.partial(serve, sent)])
+    # A dispatcher may leave out a runner that has refused, so that each
+    # attempt needs a runner of its own; all follow one script.
+    serve_one = functools.partial(serve, sent)
+    context.entry = entry_harness.Entry([serve_one] * 4)
     if budget == "with":
-        reactor_thread.call(fill_budget, context.entry.service)
-
-
-def fill_budget(service):
-    budget = service._running._budget
-    for _ in range(100):
-        budget.note_success(service._reactor.seconds())
+        context.entry.fill_budget()
 
 
 @when('an order "{key}" of {size:d} bytes comes from a caller')
@@ -66,6 +59,21 @@
     context.answer = context.caller.read_answer()
 
 
+@when(
+    'an order "{key}" comes, its key is withdrawn, and then its claim is'
+    " decided"
+)
+def withdraw(context, key):
+    entry = context.entry
+    entry.site.fault = "down"
+    caller = entry_harness.Caller(entry)
+    caller.send(entry_harness.build_request(Idempotency_Key=key))
+    time.sleep(0.3)
+    reactor_thread.call(entry.withdraw_keys)
+    entry.site.fault = ""
+    context.answer = caller.read_answer()
+
+
 @then(
     'the order is answered {status:d} "{problem}" with verdict "{verdict}"'
     " and has run {count:d} times"
@@ -79,7 +87,7 @@
         assert answer.problem["type"].endswith(f":{problem}"), answer.problem
     found = answer.headers.get("azurevane-verdict", "none")
     assert found == verdict, found
-    assert len(context.entry.runners[0].requests) == count
+    assert len(context.entry.requests()) == count
 
 
 @when('a "{method}" of {size:d} bytes comes from a caller')
@@ -101,7 +109,7 @@
 
 
 def check_attempts(context, count):
-    requests = context.entry.runners[0].requests
+    requests = context.entry.requests()
     assert len(requests) == count, len(requests)
     for _, body in requests:
         assert body == b"x" * context.size
--- a/tests/daemons/steps/tasks_steps.py
+++ b/tests/daemons/steps/tasks_steps.py
@@ -26,7 +26,9 @@
         site.start_entry(name)
     manifest = manifests.small_manifest(site, "quoting", "mills")
     manifest["queues"][0]["teams"] = ["mills", "other"]
-    manifest["teams"].append({"name": "other", "share": 1.0, "limit": 4})
+    manifest["teams"].append(
+        {"name": "other", "share": 1.0, "limit": 4, "task_limit": 1}
+    )
     assert site.change(entries[0], "manifest", manifest)[0] == 200
     for team in ("mills", "other"):
         digest = hashlib.sha256(f"{team}-key".encode()).hexdigest()
--- a/tests/operators/manifest_check.feature
+++ b/tests/operators/manifest_check.feature
@@ -26,7 +26,7 @@
   Scenario: Every problem is named at once
     Guards against operators who must fix one error after another.
     Given the example manifest "sunfold"
-    When "teams.0.limit" is set to 0
+    When "teams.0.share" is set to 0
     And "queues.1.pool" is set to "nowhere"
     And "runners.0.port" is set to 0
     Then there are 3 problems
--- a/tests/support/manifests.py
+++ b/tests/support/manifests.py
@@ -33,7 +33,7 @@
         "site": "test-site",
         "region": "test-region",
         "zones": zones,
-        "teams": [{"name": team, "share": 1.0, "limit": 12}],
+        "teams": [{"name": team, "share": 1.0, "limit": 12, "task_limit": 3}],
         "pools": [{"name": "pool-1"}],
         "queues": [{"name": queue, "pool": "pool-1", "teams": [team]}],
         "runners": runners,
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+import urllib.parse
 
 import msgspec
 from twisted.internet import defer
@@ -15,6 +16,7 @@
 from azurevane._internal.models import messages
 from azurevane._internal.models import state_messages
 from azurevane._internal.peers import codec
+from azurevane._internal.peers import connections
 from azurevane._internal.platform import breaker
 from azurevane._internal.platform import hosts
 from azurevane._internal.platform import state_store
@@ -59,6 +61,7 @@
 class StoreFaults:
     down: bool = False
     slow_s: float = 0.0
+    late_s: float = 0.0
     lose_answers: float = 0.0
     lose_written: bool = False
 
@@ -104,19 +107,20 @@
             site.clock.callLater(0.001, self.deliver, answered, 503, b"{}")
             return
         path, _, query = uri.removeprefix("http://platform").partition("?")
-        args = {"name": "fleet/state"} if query else {}
+        args = dict(urllib.parse.parse_qsl(query))
         status, answer = site.platform.answer(method, path, args, body)
         if path == "/table/transact" and status == 200:
             site.accepted()
         tag = headers.getRawHeaders("If-None-Match", [None])[0]
         if tag is not None and tag == f'"{answer["version"]}"':
             status, answer = 304, None
+        site.answered(method, body, answer)
         if site.chance.random() < site.store.lose_answers or (
             site.store.lose_written and method == "POST"
         ):
             return
         site.clock.callLater(
-            site.chance.uniform(0.001, 0.004),
+            site.chance.uniform(0.001, 0.004) + site.store.late_s,
             self.deliver,
             answered,
             status,
@@ -138,6 +142,7 @@
         self.site = site
         self.alive = True
         self.paused = False
+        self.traffic = connections.Traffic()
         self.pause_after_probe = False
         self.timers, self.arrived = collections.deque(), collections.deque()
         self.last_version = 0
@@ -162,7 +167,7 @@
             self.store,
             hosts.HostList(calls),
             self,
-            lambda state: None,
+            lambda state: site.state_changed(),
             site.chance,
         )
         self.follower.start()
@@ -241,6 +246,12 @@
     def live(self):
         return [host for host in self.host_by_name.values() if host.alive]
 
+    def state_changed(self):
+        """Called when a host puts a state in force; for benchmarks."""
+
+    def answered(self, method, body, answer):
+        """Called for each call of the platform; for benchmarks."""
+
     def drops(self, peer, message):
         """Whether a message is news that never reaches its receiver."""
         return peer in self.without_news and isinstance(
@@ -265,8 +276,8 @@
         host.run(lambda: host.receive(sender.hello, data))
 
     def read_state(self):
-        row = self.platform.table.row_by_name.get("fleet/state", (0, None))
-        return state_store._decode(table.Row("fleet/state", *row)).state
+        rows = self.platform.table.read_prefix("fleet/")
+        return state_store.decode([table.Row(*row) for row in rows]).state
 
     def accepted(self):
         """Note what a write to the table has taken away or given back."""
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -20,6 +20,11 @@
 from azurevane._internal.tasks import permit_ledger
 
 TEAM = "team:t"
+KEY_BY_KIND = {
+    "permits": TEAM,
+    "slots": "runner:main-0",
+    "spare slots": "runner:spare-0",
+}
 SEATS = [f"e{number}" for number in range(6)]
 
 
@@ -56,11 +61,13 @@
         self.state = dataclasses.replace(
             self.state, version=self.state.version + 1, **changes
         )
-        for name in names or self.keeper_by_name:
-            self.run(
-                name,
-                self.keeper_by_name[name].configure(self.now, self.state),
-            )
+        self.configure(names or self.keeper_by_name)
+
+    def configure(self, names, restrictions=()):
+        for name in names:
+            keeper = self.keeper_by_name[name]
+            decided = keeper.configure(self.now, self.state, restrictions)
+            self.run(name, decided)
 
     def run(self, sender, decided):
         queue = collections.deque((sender, effect) for effect in decided)
@@ -241,6 +248,40 @@
     context.hosts.change(seats=tuple(seats))
 
 
+@when('"{name}" begins its handover')
+def begin_handover(context, name):
+    context.hosts.keeper_by_name[name].begin_handover()
+
+
+@when('"{name}" hands its seat over to "{successor}"')
+def hand_over(context, name, successor):
+    hosts = context.hosts
+    begin_handover(context, name)
+    check_given_up(context, name)
+    number = SEATS.index(name)
+    for holder, incarnation, epoch in (("", "", 1), (successor, "x-1", 2)):
+        if holder:
+            hosts.start(holder, 1)
+        hosts.change(
+            seats=tuple(
+                fleet.Seat(number, holder, incarnation, epoch, clean=True)
+                if seat.number == number
+                else seat
+                for seat in hosts.state.seats
+            )
+        )
+
+
+@then('"{name}" still answers for its permits')
+def check_not_given_up(context, name):
+    assert not context.hosts.keeper_by_name[name].handed_over
+
+
+@then('"{name}" has given its permits up')
+def check_given_up(context, name):
+    assert context.hosts.keeper_by_name[name].handed_over
+
+
 @when('"{name}" isn\'t fresh')
 def lose_freshness(context, name):
     context.hosts.keeper_by_name[name].set_fresh(0.0, -1.0)
@@ -253,24 +294,45 @@
     context.hosts.change(manifest=permit_site.build_manifest(plan))
 
 
+@when(
+    'a limit of {limit:d} and a new holder for the seat of "{name}"'
+    " are prepared"
+)
+def prepare(context, limit, name):
+    restrictions = fleet.Restrictions(
+        limit_by_team={"t": limit}, seats=(SEATS.index(name),)
+    )
+    context.hosts.configure(SEATS, (restrictions,))
+
+
+@when("the prepared change is lifted")
+def lift(context):
+    context.hosts.configure(SEATS)
+
+
+@when("its runner drains")
+def drain(context):
+    context.hosts.change(draining=("spare-0",))
+
+
 @when('"{name}" learns that runs last {seconds:d} s')
 def lengthen(context, name, seconds):
     plan = dataclasses.replace(context.hosts.plan, max_run_s=seconds)
     context.hosts.change([name], manifest=permit_site.build_manifest(plan))
 
 
-@then('"{name}" may use {count:d} permits')
-def check_free(context, name, count):
+@then('"{name}" may use {count:d} {kind}')
+def check_free(context, name, count, kind):
     keeper = context.hosts.keeper_by_name[name]
-    free = keeper.free(context.hosts.now, TEAM)
+    free = keeper.free(context.hosts.now, KEY_BY_KIND[kind])
     assert free == count, free
 
 
 @then("all hosts together may use {count:d} {kind}")
 def check_all_free(context, count, kind):
-    key = TEAM if kind == "permits" else "runner:main-0"
     keepers = context.hosts.keeper_by_name.values()
-    free = sum(keeper.free(context.hosts.now, key) for keeper in keepers)
+    now = context.hosts.now
+    free = sum(keeper.free(now, KEY_BY_KIND[kind]) for keeper in keepers)
     assert free == count, free
 
 
@@ -348,13 +410,6 @@
     context.hosts.want(name, ("pool", "main"), count, rank=1.0)
 
 
-@then('"{name}" may use {count:d} spare slots')
-def check_spare(context, name, count):
-    keeper = context.hosts.keeper_by_name[name]
-    free = keeper.free(context.hosts.now, "runner:spare-0")
-    assert free == count, free
-
-
 @when("a site runs for {seconds:d} s with seed {seed:d}")
 def run_site(context, seconds, seed):
     context.site = permit_runs.randomised_run(seed, seconds)
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -1,4 +1,5 @@
 import copy
+import dataclasses
 import random
 
 from behave import given
@@ -6,7 +7,8 @@
 from behave import then
 from behave import when
 
-from azurevane._internal.platform import state_store
+from azurevane._internal.models import fleet as fleet_models
+from azurevane._internal.models import state_messages
 from support import virtual_fleet
 
 MILLS = virtual_fleet.digest_of("mills-key")
@@ -126,6 +128,16 @@
     context.fleet.store.down = False
 
 
+@given("the store answers reads {seconds:f} seconds late")
+def answer_late(context, seconds):
+    context.fleet.store.late_s = seconds
+
+
+@given("{seconds:f} seconds pass")
+def pass_time(context, seconds):
+    context.fleet.run(seconds)
+
+
 @given("the store loses every answer to a write")
 def lose_answers(context):
     context.fleet.store.lose_written = True
@@ -137,10 +149,10 @@
         context.fleet.kill(name)
 
 
-@when('"{name}" withdraws the key "{key}"')
+@step('"{name}" withdraws the key "{key}"')
 def withdraw(context, name, key):
     context.version = context.fleet.stored.version
-    context.began_at = context.fleet.clock.seconds()
+    context.before = context.fleet.stored
     digest = virtual_fleet.digest_of(key)
     fleet = context.fleet
     maker = fleet.host_by_name[name]
@@ -161,12 +173,26 @@
 def withdraw_slowly(context, name, key, seconds):
     context.fleet.store.slow_s = seconds / 3
     context.fleet.run(1)
-    context.began_at = context.fleet.clock.seconds()
     digest = virtual_fleet.digest_of(key)
     context.fleet.change(name, "key-withdraw", {"digest": digest})
     context.fleet.run(seconds / 3)
 
 
+@when('"{name}" is given the state before by a peer and by the store')
+def give_older(context, name):
+    fleet = context.fleet
+    host = fleet.host_by_name[name]
+    packed = fleet_models.pack(fleet_models.encode_state(context.before))
+    for message in (
+        state_messages.Commit(packed, 1),
+        state_messages.StateReply(packed, 1),
+    ):
+        host.follower.received(fleet.host_by_name["entry-1"].hello, message)
+    now = fleet.clock.seconds()
+    host.follower.apply(host.keeper.offer(now, context.before, 1, "store"))
+    fleet.check()
+
+
 @then("the answer has status {status:d} and says {has:d} of {known:d} hosts")
 def check_answer(context, status, has, known):
     code, body = context.answer
@@ -195,6 +221,42 @@
     assert admitting(context, key) <= {name}
 
 
+@given('"{name}" hears nothing of "{other}"')
+def cut_one(context, name, other):
+    context.fleet.cuts.add((other, name))
+
+
+@then('no host admits the key "{key}" before the change is written')
+def check_early(context, key):
+    context.fleet.run(0.7)
+    assert not context.fleet.accepted_at, "written too early for this test"
+    assert not admitting(context, key)
+
+
+@when('"{name}" gets a prepared change two versions ahead')
+def prepare_ahead(context, name):
+    fleet = context.fleet
+    host = context.host = fleet.host_by_name[name]
+    context.sent = []
+    host.send = lambda peer, message: context.sent.append(message)
+    packed = fleet_models.pack(b"{}")
+    version = fleet.stored.version + 2
+    host.follower.received(
+        fleet.host_by_name["entry-1"].hello,
+        state_messages.Prepare(version, "ahead", packed, "entry-1"),
+    )
+
+
+@then("it acknowledges only once it has the version between")
+def check_ahead(context):
+    acknowledged = state_messages.PrepareAck("ahead", True)
+    assert acknowledged not in context.sent
+    host, stored = context.host, context.fleet.stored
+    between = dataclasses.replace(stored, version=stored.version + 1)
+    host.follower.apply(host.keeper.offer(0, between, 1, "store"))
+    assert acknowledged in context.sent
+
+
 @then("all hosts have the stored state within {seconds:g} seconds")
 def check_everywhere(context, seconds):
     context.fleet.run(seconds + 0.001, context.fleet.everywhere)
@@ -282,14 +344,10 @@
 def die_prepared(context, name, key):
     fleet = context.fleet
     host = fleet.host_by_name[name]
-    read, maker = host.store.read, host.follower._maker
+    read = host.store.read_if_changed
 
-    async def read_in_outage():
-        # The row was read before the outage began.
-        row = fleet.platform.table.row_by_name["fleet/state"]
-        return state_store._decode(
-            virtual_fleet.table.Row("fleet/state", *row)
-        )
+    async def read_in_outage(row_version):
+        return None  # The row was read before the outage began.
 
     async def write(stored, state):
         context.late_write = lambda: fleet.platform.table.transact(
@@ -298,9 +356,8 @@
         fleet.kill(name)
         return None
 
-    host.store.read = read_in_outage if fleet.store.down else read
+    host.store.read_if_changed = read_in_outage if fleet.store.down else read
     host.store.replace = write
-    assert maker is not None
     digest = virtual_fleet.digest_of(key)
     fleet.change(name, "key-withdraw", {"digest": digest})
     fleet.run(3, lambda: not host.alive)
@@ -387,6 +444,25 @@
     assert seconds - 1 < wait <= seconds, wait
 
 
+@when('"{name}" starts and leaves after {seconds:d} seconds')
+def come_and_go(context, name, seconds):
+    fleet = context.fleet
+    fleet.names.append(name)
+    fleet.start(name)
+    fleet.run(seconds)
+    for host in fleet.live():
+        known = host.keeper.version_by_peer()
+        assert name in known or host.hello.host == name
+    fleet.kill(name)
+
+
+@then('no other host counts "{name}" any more {seconds:d} seconds later')
+def check_forgotten(context, name, seconds):
+    context.fleet.run(seconds)
+    for host in context.fleet.live():
+        assert name not in host.keeper.version_by_peer()
+
+
 @given("the host list names nobody")
 def empty_host_list(context):
     context.fleet.platform.hosts = []
@@ -408,6 +484,14 @@
     assert context.fleet.host_by_name[name].keeper.seat is not None
 
 
+@when('"{new}" starts and can\'t hear "{old}" for {seconds:d} seconds')
+def start_and_cut(context, new, old, seconds):
+    context.fleet.cuts.add((old, new))
+    context.fleet.names.append(new)
+    context.fleet.start(new)
+    context.fleet.run(seconds)
+
+
 @when("every host is started again")
 def start_all_again(context):
     for name in context.fleet.names:
