--- a/src/azurevane/_internal/policy/buffers.py
+++ b/src/azurevane/_internal/policy/buffers.py
@@ -102,7 +102,6 @@
     """
     hosts = list(hosts)
     count = collections.Counter(host.pool for host in hosts)
-    worst = _worst_losses(hosts)
     others = {
         pool: demand
         for pool, demand in demand_by_pool.items()
@@ -125,14 +124,7 @@
         for pool, demand in others.items()
     }
     lacking[spare_pool] = required - count[spare_pool]
-    surplus = {
-        pool: count[pool]
-        - math.ceil(demand)
-        - away_by_pool.get(pool, 0)
-        - worst[pool]
-        - max(1, math.ceil(KEEP_PART * demand))
-        for pool, demand in others.items()
-    }
+    surplus = _surplus(hosts, others, away_by_pool)
     short = _match(lacking, surplus, moves)
     kept = dict(count)
     for number, source, target in moves:
@@ -161,6 +153,24 @@
     )
 
 
+def _surplus(
+    hosts: list[manifest_models.Host],
+    demand_by_pool: Mapping[str, float],
+    away_by_pool: Mapping[str, int],
+) -> dict[str, int]:
+    """Return what each pool can give and still survive its worst loss."""
+    count = collections.Counter(host.pool for host in hosts)
+    worst = _worst_losses(hosts)
+    return {
+        pool: count[pool]
+        - math.ceil(demand)
+        - away_by_pool.get(pool, 0)
+        - worst[pool]
+        - max(1, math.ceil(KEEP_PART * demand))
+        for pool, demand in demand_by_pool.items()
+    }
+
+
 def _worst_losses(
     hosts: Iterable[manifest_models.Host],
 ) -> collections.Counter[str]:
