--- a/examples/make_manifests.py
+++ b/examples/make_manifests.py
@@ -62,7 +62,12 @@
 
 
 def team(name, share, limit):
-    return {"name": name, "share": share, "limit": limit}
+    return {
+        "name": name,
+        "share": share,
+        "limit": limit,
+        "task_limit": limit // 5,
+    }
 
 
 def main():
--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -1,6 +1,7 @@
 """The callers' side of an entry process: wiring, start and stop."""
 
 import logging
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -8,7 +9,9 @@
 
 from azurevane import exceptions
 from azurevane._internal.callers import channel
+from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import program_events
@@ -19,13 +22,17 @@
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
-from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.utils import token_bucket
+from azurevane._internal.utils import tokens
 
 logger = logging.getLogger(__name__)
 
-_DISPATCHER_TICK_S = 0.1
+# Of the 30 writes a second that control, tasks and changes share at both
+# sites (design, 14.2), this part is for submissions at 12 hosts.
+_TASK_WRITES_PER_S = 1.0
+_TASK_BURST = 10.0
 _STOP_CHECK_S = 0.05
 # The outcomes of claims are written before the process ends, unless the
 # table doesn't answer.
@@ -41,12 +48,11 @@
         settings: loader.Settings,
         network: connections.PeerNetwork,
         keeper: state_keeper.StateKeeper,
-        dispatcher: dispatcher_module.Dispatcher,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._network = network
-        self._dispatcher = dispatcher
+        self._permits = entry_permits.EntryPermits(reactor, network, keeper)
         self._runners = upstream_client.RunnerClient(reactor)
         calls = transport.JsonTransport(
             reactor,
@@ -61,7 +67,21 @@
             network.send,
         )
         self.service = entry_service.EntryService(
-            reactor, keeper, dispatcher, self._runners, self.claims
+            reactor,
+            keeper,
+            self._permits.dispatcher,
+            self._runners,
+            self.claims,
+            permits=self._permits,
+            task_calls=tasks.TasksResource(
+                table.TableClient(
+                    calls,
+                    token_bucket.TokenBucket(_TASK_WRITES_PER_S, _TASK_BURST),
+                    reactor.seconds,
+                ),
+                time.time,
+                tokens.new_token,
+            ),
         )
         self._factory = channel.CallersFactory(reactor, self.service)
         self._port: Any = None
@@ -76,8 +96,10 @@
         )
         for message_type in entry_claims.MESSAGE_TYPES:
             self._network.register(message_type, self._claim_message)
+        self._permits.start(self.service.apply)
         for call, interval_s in (
-            (self.service.tick, _DISPATCHER_TICK_S),
+            (self._permits.tick, entry_permits.TICK_S),
+            (self.service.tick, entry_permits.TICK_S),
             (self.claims.tick, entry_claims.TICK_S),
         ):
             loop = task.LoopingCall(call)
@@ -98,9 +120,7 @@
     def configure(self, state: fleet.FleetState) -> None:
         """Follow the effective fleet state."""
         self.claims.configure(state)
-        self.service.apply(
-            self._dispatcher.configure(self._reactor.seconds(), state)
-        )
+        self._permits.configure(state)
 
     async def stop(self) -> None:
         """End gracefully; returns when the process may exit.
--- a/src/azurevane/_internal/daemons/control.py
+++ b/src/azurevane/_internal/daemons/control.py
@@ -5,6 +5,7 @@
 from azurevane._internal.daemons import control_service
 from azurevane._internal.daemons import fleet_source
 from azurevane._internal.daemons import program
+from azurevane._internal.platform import breaker
 from azurevane._internal.platform import state_store
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
@@ -13,6 +14,18 @@
 from azurevane._internal.workers import client as worker_client
 
 
+class _NeverOpen(breaker.CircuitBreaker):
+    """Lets every call through.
+
+    One silent worker must not stop calls to the others, and a lease is
+    kept through an outage only by calls that were sent and failed.
+    """
+
+    def admit(self, now: float) -> bool:
+        """Return True."""
+        return True
+
+
 class ControlDaemon:
     """Connects the control service to the platform."""
 
@@ -21,6 +34,7 @@
             reactor,
             settings.text("platform", "url"),
             settings.number("platform", "timeout"),
+            breaker=_NeverOpen(),
         )
         client = table.TableClient(calls)
         address = settings.text("host", "address")
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -7,7 +7,6 @@
 from azurevane._internal.daemons import callers_side
 from azurevane._internal.daemons import fleet_follower
 from azurevane._internal.daemons import program
-from azurevane._internal.models import fleet
 from azurevane._internal.models import messages
 from azurevane._internal.operators import api
 from azurevane._internal.peers import connections
@@ -16,8 +15,6 @@
 from azurevane._internal.platform import table
 from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
-from azurevane._internal.tasks import dispatcher as dispatcher_module
-from azurevane._internal.tasks import permits as permits_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.utils import token_bucket
 from azurevane._internal.utils import tokens
@@ -49,12 +46,8 @@
             members,
             reactor.seconds(),
         )
-        self._permits = permits_module.LocalPermits()
-        self._dispatcher = dispatcher_module.Dispatcher(
-            self._permits, self._hello.zone
-        )
         self._callers = callers_side.CallersSide(
-            reactor, settings, self._network, self._keeper, self._dispatcher
+            reactor, settings, self._network, self._keeper
         )
         self._follower = self._build_follower()
 
@@ -75,13 +68,9 @@
             state_store.StateStore(client),
             hosts.HostList(calls),
             self._network,
-            self._configure,
+            self._callers.configure,
         )
 
-    def _configure(self, state: fleet.FleetState) -> None:
-        self._permits.configure(self._reactor.seconds(), state)
-        self._callers.configure(state)
-
     def start(self) -> None:
         """Listen and start the periodic work."""
         self._callers.start()
--- a/src/azurevane/_internal/daemons/entry_service.py
+++ b/src/azurevane/_internal/daemons/entry_service.py
@@ -11,10 +11,12 @@
 from twisted.python import failure as twisted_failure
 
 from azurevane._internal.callers import exchange as exchange_module
+from azurevane._internal.callers import tasks
 from azurevane._internal.daemons import active_request
 from azurevane._internal.daemons import entry_admission
 from azurevane._internal.daemons import entry_answering
 from azurevane._internal.daemons import entry_claims
+from azurevane._internal.daemons import entry_permits
 from azurevane._internal.daemons import entry_running
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import request_events
@@ -25,6 +27,7 @@
 from azurevane._internal.tasks import dispatcher as dispatcher_module
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
+from azurevane._internal.upstreams import verdicts
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +43,8 @@
         runners: upstream_client.RunnerClient,
         claims: entry_claims.EntryClaims,
         rng: random.Random | None = None,
+        permits: entry_permits.EntryPermits | None = None,
+        task_calls: tasks.TasksResource | None = None,
     ) -> None:
         self._reactor = reactor
         self._keeper = keeper
@@ -48,6 +53,8 @@
             reactor, runners, rng or random.Random()
         )
         self._claims = claims
+        self._permits = permits
+        self._tasks = task_calls
         self._next_id = 0
         self._active_by_id: dict[str, active_request.ActiveRequest] = {}
         self.stopping = False
@@ -67,20 +74,22 @@
         if path == "/readyz":
             ready = fresh and not self.stopping
             exchange.setResponseCode(200 if ready else 503)
+            # The control daemon beside confirms its own state by this.
+            exchange.setHeader(
+                b"Azurevane-Fleet-Version",
+                str(self._keeper.state.version).encode(),
+            )
             exchange.answer_bytes(b"ready\n" if ready else b"not ready\n")
             return
         submission_id = self._new_id()
         if not fresh:
-            refused = request_models.Refusal(
-                submission_id,
-                503,
-                "not-fresh",
-                "This entry host can't confirm its configuration",
-                retry_after_s=1.0,
-            )
+            refused = entry_answering.build_stale_refusal(submission_id)
             entry_answering.log_refusal(refused, refused.verdict)
             exchange.refuse(refused)
             return
+        if self._tasks is not None and path.startswith("/t/"):
+            self._tasks.begin(exchange, submission_id, self._keeper.state)
+            return
         admitted = entry_admission.admit(
             self._reactor.seconds(),
             self._keeper.state,
@@ -128,12 +137,25 @@
         decided: claim_records.ClaimDecided,
     ) -> None:
         if decided.outcome is claim_records.Outcome.FIRST:
-            self._submit(active)
+            self._submit_again(active)
             return
         active.claim_seq = None
         self._end(active)
         entry_answering.answer_repeat(active, decided)
 
+    def _submit_again(self, active: active_request.ActiveRequest) -> None:
+        """Submit a request that has waited since it was admitted."""
+        refused = entry_admission.check_again(self._keeper.state, active)
+        if not self._keeper.fresh(self._reactor.seconds()):
+            refused = entry_answering.build_stale_refusal(
+                active.submission.submission_id
+            )
+        if refused is None:
+            self._submit(active)
+            return
+        self._end(active)
+        entry_answering.refuse(active, refused)
+
     def _submit(self, active: active_request.ActiveRequest) -> None:
         self._active_by_id[active.submission.submission_id] = active
         self.apply(
@@ -202,15 +224,29 @@
                 if active is not None:
                     self._end(active)
                     entry_answering.refuse(active, effect)
+            elif self._permits is not None:
+                self._permits.carry_out(effect)
+        if self._permits is not None:
+            self._permits.schedule()
 
     @staticmethod
     def _log_fault(reason: twisted_failure.Failure) -> None:
         logger.error("Run failed: %s", reason.getTraceback())
 
     async def _run(self, dispatch: request_models.Dispatch) -> None:
-        active = self._active_by_id[dispatch.submission_id]
+        active = self._active_by_id.get(dispatch.submission_id)
+        if active is None:
+            # Its caller left while the dispatch was on its way here.
+            self._free_slot(
+                dispatch,
+                self._reactor.seconds(),
+                entry_running.AttemptResult(
+                    None, verdicts.build_failure("not-wanted")
+                ),
+            )
+            return
         manifest = self._keeper.state.manifest
-        assert manifest is not None
+        assert manifest is not None, "dispatched without a manifest"
         assert not active.running, "one attempt at a time"
         active.running = True
         catalogue.emit(
@@ -269,6 +305,15 @@
             self._schedule_retry(active, dispatch.runner, attempt.retry_at)
         else:
             self._conclude(active, attempt)
+        self._free_slot(dispatch, started_at, attempt)
+
+    def _free_slot(
+        self,
+        dispatch: request_models.Dispatch,
+        started_at: float,
+        attempt: entry_running.AttemptResult,
+    ) -> None:
+        now = self._reactor.seconds()
         self.apply(
             self._dispatcher.ended(
                 now,
@@ -278,7 +323,7 @@
                     started_at,
                     now,
                     attempt.status,
-                    failure,
+                    attempt.failure,
                 ),
             )
         )
@@ -301,7 +346,7 @@
 
     def _retry(self, active: active_request.ActiveRequest) -> None:
         if active.submission.submission_id in self._active_by_id:
-            self._submit(active)
+            self._submit_again(active)
 
     def _conclude(
         self,
--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -9,6 +9,7 @@
 
 import azurevane
 from azurevane import exceptions
+from azurevane._internal import invariants
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import formatting
 from azurevane._internal.events import program_events
@@ -53,6 +54,7 @@
     formatting.configure_logging(
         settings.text("log", "level"), settings.text("log", "format")
     )
+    invariants.enable(settings.flag("invariants", "check"))
     from twisted.internet import reactor
 
     # Twisted's clock is the wall clock, which can be set back; freshness
--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -97,7 +97,9 @@
     @property
     def fresh_until(self) -> float:
         """Monotonic seconds at which the known confirmations end."""
-        return self._probes.fresh_until(self._in_force)
+        # A seat that changes hands confirms nothing: majorities before
+        # and after the change need not share a holder otherwise.
+        return self._probes.fresh_until(self._effective)
 
     def fresh(self, now: float) -> bool:
         """Whether new work may be admitted under the effective state."""
@@ -138,11 +140,9 @@
         """Return the places changed since; None if no longer known."""
         return self._history.changed_since(version, self._in_force.version)
 
-    # Probes.
-
     def tick(self, now: float) -> list[effects.Effect]:
         """Probe every peer; call every ``PROBE_INTERVAL_S``."""
-        seq = self._probes.next_round(now)
+        seq = self._probes.next_round(now, self._in_force)
         return self._to_all(
             messages.Probe(seq, self._in_force.version, self.prepared)
         )
@@ -266,10 +266,8 @@
         self._prepared.forget_acknowledgements(state.token)
         decided = self.offer(now, state, row_version, self.host)
         step = self._history.last(state.version)
-        if step is not None:
-            decided += self._to_all(step)
-        # The answers to this probe tell who has the version.
-        return decided + self.tick(now)
+        # The answers to the probe tell who has the version.
+        return decided + (self._to_all(step) if step else []) + self.tick(now)
 
     def abort(self, now: float, token: str) -> list[effects.Effect]:
         """Lift the restrictions of a change that can't be accepted."""
@@ -305,12 +303,9 @@
         self, message: state_messages.Prepare, sender: str, *, ok: bool
     ) -> list[effects.Effect]:
         maker = message.maker or sender
-        if maker == self.host:
-            # A peer passed a change back to its maker.
-            return []
-        return [
-            effects.Send(maker, state_messages.PrepareAck(message.token, ok))
-        ]
+        reply = state_messages.PrepareAck(message.token, ok)
+        # A peer may pass a change back to its maker.
+        return [] if maker == self.host else [effects.Send(maker, reply)]
 
     def _obey(self, change: prepared_changes.PreparedChange) -> None:
         self._prepared.obey(change)
@@ -343,7 +338,7 @@
         ):
             return self._catch_up(now, sender, message.base_version + 1)
         state = self._history.read(self._in_force, message)
-        return self.offer(now, state, message.row_version, sender)
+        return self.offer(now, state, message.row_version, sender, message)
 
     @_handles(state_messages.StateRequest)
     def _state_request(
@@ -375,12 +370,13 @@
         state: fleet.FleetState,
         row_version: int,
         source: str,
+        step: state_messages.Commit | None = None,
     ) -> list[effects.Effect]:
         """Put an accepted state in force if its version is higher."""
         previous = self._in_force
         if state.version <= previous.version:
             return []
-        self._history.add(previous, state, row_version)
+        self._history.add(previous, state, row_version, step)
         self._in_force = state
         self.row_version = row_version
         decided: list[effects.Effect] = [
--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -63,37 +63,59 @@
 
     def _start(self, state):
         now = reactor.seconds()
-        keeper = state_keeper.StateKeeper("entry-1", "i", (), now)
+        self.keeper = keeper = state_keeper.StateKeeper(
+            "entry-1", "i", (), now
+        )
         keeper.offer(now, state, 1, "store")
         self._confirming = task.LoopingCall(
             lambda: keeper.store_confirmed(reactor.seconds(), state.version, 1)
         )
         self._confirming.start(0.5)
         local = permits.LocalPermits()
-        local.configure(now, state)
-        self.dispatcher = dispatcher.Dispatcher(local)
+        local.configure(reactor.seconds(), state)
+        self.dispatcher = dispatcher.Dispatcher(local, "z")
         self.dispatcher.configure(reactor.seconds(), state)
         self.client = client.RunnerClient(reactor)
-        self.table = claim_site.FaultyTable(
-            claim_site.TableSite(reactor), claim_site.AlwaysOn()
-        )
+        self.site = claim_site.TableSite(reactor)
+        table = claim_site.FaultyTable(self.site, claim_site.AlwaysOn())
         self.claims = entry_claims.EntryClaims(
             reactor,
             "entry-1",
             "i",
-            claim_journal.ClaimJournal(self.table),
+            claim_journal.ClaimJournal(table),
             lambda peer, message: None,
         )
         self.claims.configure(state)
-        self._loop = task.LoopingCall(self.claims.tick)
-        self._loop.start(entry_claims.TICK_S)
         self.service = entry_service.EntryService(
             reactor, keeper, self.dispatcher, self.client, self.claims
         )
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.start(entry_claims.TICK_S)
         self.factory = channel.CallersFactory(reactor, self.service)
         self._port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
         self.port = self._port.getHost().port
 
+    def _tick(self):
+        self.claims.tick()
+        self.service.tick()
+
+    def requests(self):
+        return [item for runner in self.runners for item in runner.requests]
+
+    def withdraw_keys(self):
+        state = dataclasses.replace(self.keeper.state, version=2, api_keys=())
+        self.keeper.offer(reactor.seconds(), state, 2, "store")
+        self.keeper.store_confirmed(reactor.seconds(), 2, 2)
+
+    def fill_budget(self):
+        budget = self.service._running._budget
+
+        def fill():
+            for _ in range(100):
+                budget.note_success(reactor.seconds())
+
+        reactor_thread.call(fill)
+
     def running(self):
         return reactor_thread.call(lambda: self.dispatcher.running)
 
