Count only held seats when a change needs a majority

Cause: released seats counted as taken. After three planned stops at once, three holders were left of four needed, so no seat could be taken and no change made again.

--- a/src/azurevane/_internal/tasks/state_keeper.py
+++ b/src/azurevane/_internal/tasks/state_keeper.py
@@ -239,7 +239,8 @@
     def acknowledgements_needed(self) -> int:
         """How many seats must acknowledge a change."""
         return freshness.acknowledgements_needed(
-            self._in_force.entry_seats, len(self._in_force.seats)
+            self._in_force.entry_seats,
+            sum(bool(seat.holder) for seat in self._in_force.seats),
         )
 
     def acknowledged(self, token: str) -> int:
--- a/tests/tasks/state_keeper.feature
+++ b/tests/tasks/state_keeper.feature
@@ -173,6 +173,11 @@
     Then every seat has epoch 2 within 30 seconds
     And a change is accepted at "entry-1"
 
+  Scenario: Three hosts leave their seats at once and all start again
+    Guards against released seats that no majority is left to hand out.
+    When "entry-1,entry-2,entry-3" leave their seats and every host starts
+    Then a change is accepted at "entry-1"
+
   Scenario Outline: Faults at random under seed <seed>
     Guards against combinations that no other scenario names.
     When faults and changes come at random for 60 seconds under seed <seed>
--- a/tests/tasks/steps/state_keeper_steps.py
+++ b/tests/tasks/steps/state_keeper_steps.py
@@ -6,6 +6,7 @@
 from behave import step
 from behave import then
 from behave import when
+from twisted.internet import defer
 
 from azurevane._internal.models import fleet as fleet_models
 from azurevane._internal.models import state_messages
@@ -498,6 +499,17 @@
         start_again(context, name)
 
 
+@when('"{names}" leave their seats and every host starts')
+def leave_and_start(context, names):
+    for name in names.split(","):
+        follower = context.fleet.host_by_name[name].follower
+        defer.ensureDeferred(follower.release_seat())
+        context.fleet.run(2)
+    assert sum(not seat.holder for seat in context.fleet.stored.seats) == 3
+    start_all_again(context)
+    context.fleet.run(10)
+
+
 @then("every seat has epoch {epoch:d} within {seconds:d} seconds")
 def check_epochs(context, epoch, seconds):
     fleet = context.fleet
