Stop a controller at its deadline in an outage too short to be noticed

A holder went on past its deadline because one call had failed, in an outage of 0.9 s; the others saw no gap in their reads (1.8 s) and took the lease as soon as the store was back, 0.05 s before the old holder heard of it. An ordinary task could have been started by both. Ruled out by the trace: pauses, kills and lost writes. Change: a holder goes on only after its calls have failed for at least the gap that the others wait out.

--- a/src/azurevane/_internal/tasks/controller_lease.py
+++ b/src/azurevane/_internal/tasks/controller_lease.py
@@ -211,7 +211,10 @@
     def _down_since_held(self, now: float, held: Held) -> bool:
         return (
             self._down_since is not None
+            # A shorter outage is no gap in the reads of the others, so
+            # one of them may take the lease as soon as it ends.
             and self._last_failure_at is not None
+            and self._last_failure_at - self._down_since >= READ_GAP_S
             and self._down_since < held.confirmed_until
             and now - self._last_failure_at <= OUTAGE_EVIDENCE_S
         )
--- a/src/azurevane/_internal/tasks/dispatcher.py
+++ b/src/azurevane/_internal/tasks/dispatcher.py
@@ -235,6 +235,7 @@
         return tuple(
             item
             for work in self._work_by_pool.values()
+            if work.ledger.is_report_due(now)
             for item in work.ledger.report(now, work.name, now - _REPORT_S)
         )
 
--- a/src/azurevane/_internal/tasks/usage_ledger.py
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -9,6 +9,8 @@
 
 # A peer that sent no counters for so long runs and lets wait nothing here.
 _SILENT_S = 1.0
+# Reports of a pool in which nobody waits; well within _SILENT_S.
+_QUIET_REPORT_S = 0.45
 
 
 class PeerUse:
@@ -189,6 +191,7 @@
         self._heap: list[tuple[float, str]] = []
         self._bound_by_team: dict[str, float] = {}
         self._peer_lowest: float | None = None
+        self._report_at = 0.0
 
     def use(self, team: str) -> TeamUse:
         """Return the record of a team, made if there is none."""
@@ -314,6 +317,20 @@
         )
         use.update_rank()
 
+    def is_report_due(self, now: float) -> bool:
+        """Whether peers need the counters of this pool now.
+
+        Shares decide only while somebody waits. Until then a report now
+        and then keeps the counters of peers from ageing.
+        """
+        waits = any(
+            use.waiting_everywhere for use in self.use_by_team.values()
+        )
+        if not waits and now < self._report_at:
+            return False
+        self._report_at = now + _QUIET_REPORT_S
+        return True
+
     def report(
         self, now: float, pool: str, since: float
     ) -> Iterator[permit_messages.Usage]:
--- /dev/null
+++ b/src/azurevane/verdicts.py
@@ -0,0 +1,9 @@
+"""Verdicts: whether a request may have run.
+
+Public and stable: names here change only with a major version.
+"""
+
+from azurevane._internal.models.verdict import Failure
+from azurevane._internal.models.verdict import Verdict
+
+__all__ = ["Failure", "Verdict"]
--- a/tests/tasks/controller_lease.feature
+++ b/tests/tasks/controller_lease.feature
@@ -42,3 +42,4 @@
       | 2    |
       | 3    |
       | 4    |
+      | 1033 |
