Try to leave a seat up to three times, and show seat events on a failure

Cause: the rolling restart failed once in a full run at a load of 14 on 12 cores; its logs were gone. A refused release makes the successor wait 34 s. Change: three attempts; the scenario's failure message lists what the logs say of seats. Conclusion: the one failure isn't explained for sure; the message will show it if it comes again.

--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -33,6 +33,8 @@
 _SETTLE_INTERVAL_S = 1.0
 # Hosts that start together try for seats at different times, since of
 # two changes made at once one is lost.
+# A peer that restarts at the same time may miss a prepare.
+_RELEASE_ATTEMPTS = 3
 _SEAT_INTERVAL_S = (0.2, 1.0)
 
 _STATUS_BY_RESULT = {
@@ -247,16 +249,17 @@
         """Leave the seat to a successor, before a planned stop ends."""
         keeper = self._keeper
         self._leaving = True
-        if keeper.seat is None:
-            return
-        number = keeper.seat.number
-        try:
-            outcome = await self._maker.make(None, self._without_seat)
-        except exceptions.StoreUnavailable as error:
-            reason = str(error)
-        else:
-            reason = outcome.result.value
-        catalogue.emit(logger, state_events.SeatReleased(number, reason))
+        for _ in range(_RELEASE_ATTEMPTS):
+            if keeper.seat is None:
+                return
+            number = keeper.seat.number
+            try:
+                outcome = await self._maker.make(None, self._without_seat)
+            except exceptions.StoreUnavailable as error:
+                reason = str(error)
+            else:
+                reason = outcome.reason or outcome.result.value
+            catalogue.emit(logger, state_events.SeatReleased(number, reason))
 
     def _without_seat(self, state: fleet.FleetState) -> fleet.FleetState:
         seat = seat_policy.release_seat(
--- a/tests/daemons/steps/restart_steps.py
+++ b/tests/daemons/steps/restart_steps.py
@@ -147,10 +147,20 @@
         caller.join(timeout=15)
 
 
+def seat_events(context):
+    """Return what the logs say of seats, for the failure message."""
+    return [
+        (path.stem, line)
+        for path in sorted(context.site.directory.glob("entry-*.log"))
+        for line in path.read_text().splitlines()
+        if '"event":1005' in line or '"event":1020' in line
+    ]
+
+
 @then("no order was cut, refused or run more than once")
 def check_orders(context):
     faults = [fault for item in context.callers for fault in item.faults]
-    assert not faults, faults[:5]
+    assert not faults, (faults[:5], seat_events(context))
     sent = {order for item in context.callers for order in item.sent}
     assert len(sent) > 300, len(sent)
     runs = context.site.runner("quote-1", "GET", "/record")["runs_by_request"]
