Send metrics by OTLP, and give each daemon a metrics port of its own

Cause: metrics could only be scraped, and the entry and the control daemon of a host, which share a settings file, would have listened on one port. Measured: a scenario with a real entry host: the scrape shows a refusal, and a small collector gets azurevane.configuration.changes.

--- a/src/azurevane/_internal/daemons/control.py
+++ b/src/azurevane/_internal/daemons/control.py
@@ -59,4 +59,9 @@
 
 def main() -> None:
     """Run the control daemon."""
-    program.run("azurevane-control", __doc__, ControlDaemon)
+    program.run(
+        "azurevane-control",
+        __doc__,
+        ControlDaemon,
+        metrics_option="control_port",
+    )
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -94,4 +94,4 @@
 
 def main() -> None:
     """Run the entry daemon."""
-    program.run("azurevane-entry", __doc__, EntryDaemon)
+    program.run("azurevane-entry", __doc__, EntryDaemon, metrics_option="port")
--- a/src/azurevane/_internal/daemons/program.py
+++ b/src/azurevane/_internal/daemons/program.py
@@ -32,8 +32,18 @@
         """Return the daemon."""
 
 
-def run(name: str, description: str | None, factory: DaemonFactory) -> None:
-    """Run a daemon until it is told to stop."""
+def run(
+    name: str,
+    description: str | None,
+    factory: DaemonFactory,
+    *,
+    metrics_option: str,
+) -> None:
+    """Run a daemon until it is told to stop.
+
+    Args:
+        metrics_option: setting of its port for Prometheus.
+    """
     parser = argparse.ArgumentParser(prog=name, description=description)
     parser.add_argument(
         "--settings",
@@ -61,11 +71,13 @@
     # and loans must end on time whatever happens to it.
     reactor.seconds = time.monotonic
     address = settings.text("host", "address")
-    metrics_port = settings.integer("metrics", "port")
-    if metrics_port:
+    if settings.integer("metrics", metrics_option) or settings.text(
+        "metrics", "otlp_url"
+    ):
+        # The SDK takes 38 MB, so it is loaded only where it is used.
         from azurevane._internal.metrics import exposition
 
-        exposition.listen_metrics(reactor, address, metrics_port)
+        exposition.start_metrics(reactor, settings, metrics_option)
     daemon = factory(reactor, settings)
     daemon.start()
     catalogue.emit(
--- a/src/azurevane/_internal/settings/schema.py
+++ b/src/azurevane/_internal/settings/schema.py
@@ -143,11 +143,43 @@
         "port",
         int,
         0,
-        "TCP port of /metrics for Prometheus; 0 turns metrics off.",
+        "TCP port of the entry daemon's /metrics; 0 for none.",
         low=0,
         high=65535,
     )
 )
+define(
+    Option(
+        "metrics",
+        "control_port",
+        int,
+        0,
+        "TCP port of the control daemon's /metrics; 0 for none.",
+        low=0,
+        high=65535,
+    )
+)
+define(
+    Option(
+        "metrics",
+        "otlp_url",
+        str,
+        "",
+        "URL to which metrics are sent by OTLP over HTTP; empty for none.",
+    )
+)
+define(
+    Option(
+        "metrics",
+        "otlp_interval",
+        float,
+        10.0,
+        "Time between two sendings by OTLP.",
+        unit="s",
+        low=0.1,
+        high=3600.0,
+    )
+)
 define(
     Option(
         "invariants",
--- a/src/azurevane/_internal/standins/platform.py
+++ b/src/azurevane/_internal/standins/platform.py
@@ -7,6 +7,7 @@
 from twisted.internet import interfaces
 from twisted.web import server
 
+import azurevane
 from azurevane._internal.standins import httpserver
 from azurevane._internal.standins import table
 from azurevane._internal.standins import workers
@@ -117,6 +118,11 @@
     )
     parser.add_argument("--address", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=9000)
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"%(prog)s {azurevane.__version__}",
+    )
     options = parser.parse_args()
     reactor.listenTCP(
         options.port,
--- a/src/azurevane/_internal/standins/upstream.py
+++ b/src/azurevane/_internal/standins/upstream.py
@@ -10,6 +10,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+import azurevane
 from azurevane._internal.standins import faults as fault_models
 from azurevane._internal.standins import run_record
 
@@ -124,6 +125,11 @@
     parser.add_argument("--address", default="127.0.0.1")
     parser.add_argument("--first-port", type=int, default=9100)
     parser.add_argument("--names", default="runner-0")
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"%(prog)s {azurevane.__version__}",
+    )
     options = parser.parse_args()
     record = run_record.RunRecord()
     for index, name in enumerate(options.names.split(",")):
--- /dev/null
+++ b/tests/metrics/steps/metrics_steps.py
@@ -0,0 +1,91 @@
+import http.server
+import threading
+
+from behave import given
+from behave import then
+from behave import when
+from opentelemetry.proto.collector.metrics.v1 import metrics_service_pb2
+
+from support import manifests
+from support import processes
+
+
+def start_collector(context):
+    """Start a small collector that keeps the names of the metrics it gets."""
+    context.collected = set()
+
+    class Collector(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):
+            data = self.rfile.read(int(self.headers["Content-Length"]))
+            request = metrics_service_pb2.ExportMetricsServiceRequest()
+            request.ParseFromString(data)
+            for resource in request.resource_metrics:
+                for scope in resource.scope_metrics:
+                    context.collected.update(m.name for m in scope.metrics)
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *_):
+            pass
+
+    context.collector = http.server.ThreadingHTTPServer(
+        ("127.0.0.1", 0), Collector
+    )
+    threading.Thread(
+        target=context.collector.serve_forever, daemon=True
+    ).start()
+    return context.collector.server_address[1]
+
+
+@given("an entry host with metrics for Prometheus and OTLP")
+def start_entry(context):
+    context.site = processes.Site(context.scratch.name)
+    context.site.start_platform()
+    context.site.start_runners(["quote-1"])
+    context.site.plan_entries({"entry-1": "az-a"})
+    (context.metrics_port,) = processes.free_ports(1)
+    collector_port = start_collector(context)
+    context.site.start_entry(
+        "entry-1",
+        metrics={
+            "port": context.metrics_port,
+            "otlp_url": f"http://127.0.0.1:{collector_port}/v1/metrics",
+            "otlp_interval": 0.5,
+        },
+    )
+
+
+@when("a manifest is applied and a caller shows a wrong key")
+def apply_and_call(context):
+    manifest = manifests.small_manifest(context.site, "quoting", "mills")
+    status, body = context.site.change("entry-1", "manifest", manifest)
+    assert status == 200, body
+
+    def refused():
+        answer = context.site.call(
+            "entry-1",
+            "GET",
+            "/q/quoting/x",
+            headers={"Authorization": "Bearer wrong"},
+        )
+        return answer[0] == 401
+
+    processes.wait_until(refused)
+
+
+@then('"{path}" shows "{name}" for problem "{problem}"')
+def check_scrape(context, path, name, problem):
+    _, _, body = processes.http_call(
+        "GET", f"http://127.0.0.1:{context.metrics_port}{path}"
+    )
+    lines = [
+        line
+        for line in body.decode().splitlines()
+        if line.startswith(name) and f'problem="{problem}"' in line
+    ]
+    assert lines and float(lines[0].rsplit(" ", 1)[1]) >= 1, body.decode()
+
+
+@then('the collector gets "{name}" by OTLP')
+def check_collected(context, name):
+    processes.wait_until(lambda: name in context.collected)
