Give hints for unknown names from one place

Cause: the manifest's checks and the operators' changes each found the nearest name by code of their own. Change: utils/suggestions.py. Conclusion: one place.

--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Iterable
 import dataclasses
-import difflib
 from typing import Any
 
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 from azurevane._internal.operators import manifest_check
+from azurevane._internal.utils import suggestions
 
 _Builder = Callable[[fleet.FleetState, Any], fleet.FleetState]
 
@@ -77,13 +77,7 @@
 def _invalid(
     place: str, value: object, allowed: Iterable[str]
 ) -> exceptions.ManifestError:
-    names = sorted(allowed)
-    close = difflib.get_close_matches(str(value), names, n=1)
-    hint = (
-        f"did you mean {close[0]!r}?"
-        if close
-        else f"allowed: {', '.join(names) or 'none'}"
-    )
+    hint = suggestions.suggest_name(str(value), allowed)
     return exceptions.ManifestError(
         (f"{place}: {value!r} isn't known; {hint}",)
     )
--- a/src/azurevane/_internal/operators/manifest_check.py
+++ b/src/azurevane/_internal/operators/manifest_check.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable, Iterator
 import copy
-import difflib
 import functools
 import ipaddress
 from typing import Any
@@ -12,6 +11,7 @@
 
 from azurevane import exceptions
 from azurevane._internal.models import manifest as manifest_models
+from azurevane._internal.utils import suggestions
 
 _Rule = Callable[[manifest_models.Manifest], Iterator[str]]
 
@@ -63,22 +63,16 @@
             yield f"{error.json_path}: {error.message}"
             continue
         for name in sorted(set(error.instance) - set(known)):
-            yield f"{error.json_path}.{name}: unknown key{_near(name, known)}"
-
-
-def _near(value: str, allowed: Iterable[str]) -> str:
-    names = sorted(allowed)
-    close = difflib.get_close_matches(value, names, n=1)
-    if close:
-        return f"; did you mean {close[0]!r}?"
-    return f"; allowed: {', '.join(names) or 'none'}"
+            hint = suggestions.suggest_name(name, known)
+            yield f"{error.json_path}.{name}: unknown key; {hint}"
 
 
 def _reference(place: str, value: str, allowed: Iterable[str]) -> list[str]:
     names = set(allowed)
     if value in names:
         return []
-    return [f"{place}: {value!r} doesn't exist{_near(value, names)}"]
+    hint = suggestions.suggest_name(value, names)
+    return [f"{place}: {value!r} doesn't exist; {hint}"]
 
 
 def _above(place: str, value: float, least: float) -> list[str]:
--- /dev/null
+++ b/src/azurevane/_internal/utils/suggestions.py
@@ -0,0 +1,13 @@
+"""Hints for names that don't exist."""
+
+from collections.abc import Iterable
+import difflib
+
+
+def suggest_name(value: str, allowed: Iterable[str]) -> str:
+    """Return the nearest allowed name as a question, or all of them."""
+    names = sorted(allowed)
+    close = difflib.get_close_matches(value, names, n=1)
+    if close:
+        return f"did you mean {close[0]!r}?"
+    return f"allowed: {', '.join(names) or 'none'}"
