Describe tasks on the callers' page, with examples that run

Cause: the page had nothing on submitting, reading, listing and cancelling tasks. Change: a section with two examples; the scenario runs all eight.

--- a/tests/daemons/steps/callers_page_steps.py
+++ b/tests/daemons/steps/callers_page_steps.py
@@ -18,7 +18,7 @@
         "KEY": "mills-key",
     }
     examples = EXAMPLE.findall(pathlib.Path(path).read_text())
-    assert len(examples) == 6, len(examples)
+    assert len(examples) == 8, len(examples)
     for command, expected in examples:
         shown = subprocess.run(
             ["bash", "-c", command],
