Fail the demo when a process ended by itself

Cause: a demo run had many refused connections and could not tell whether an entry host had ended. Change: only the entry host that the demo kills may have ended.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -27,6 +27,7 @@
 
 LOAD_SECONDS = 25
 BOUND_S = 3.0
+KILLED_ENTRY = "entry-6"
 
 
 class DemoSite:
@@ -223,11 +224,18 @@
             demo_report.total_runs(self.record()) - work
         )
         self.marks["seconds the zone was out"] = time.time() - began
-        self.site.signal("entry-6", signal.SIGKILL)
+        self.site.signal(KILLED_ENTRY, signal.SIGKILL)
         self.load.wait(timeout=60)
         time.sleep(1.0)
+        self.check_processes()
         return demo_report.evaluate(self)
 
+    def check_processes(self):
+        """Only the entry host that was killed may have ended."""
+        for name, process in self.site.process_by_name.items():
+            if name != KILLED_ENTRY and process.poll() is not None:
+                self.violations.append(f"{name} ended by itself")
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
