--- a/tests/daemons/restart.feature
+++ b/tests/daemons/restart.feature
@@ -1,8 +1,8 @@
 Feature: A planned stop cuts no request
 
-  Scenario: A rolling restart of three entry processes under load
+  Scenario: A rolling restart of all six entry hosts under load
     Guards against requests that are refused, cut or run twice by a stop.
-    Given a site with entry hosts "entry-1,entry-2,entry-3" and runners "quote-1,quote-2"
+    Given a site with entry hosts "entry-1,entry-2,entry-3,entry-4,entry-5,entry-6" and runners "quote-1,quote-2"
     And its queue "quoting" serves team "mills" with key "mills-key"
     When 6 callers behind a balancer send orders while each entry process is restarted
     Then no order was cut, refused or run more than once
