Keep the wait of a new seat holder in one rule

Cause: a last read found the rule twice, in policy/limits.py and in policy/seats.py, and the exception for a seat that was handed over had been added to both callers; two functions had no caller. Change: limits.base_usable_at knows the handover, the state keeper and the permit keeper both call it; open_socket and is_listed are dropped. Measured: behaviour is the same: 94 scenarios of the permit keeper, state keeper, dispatcher and rolling restart pass, 41 of limits and freshness, 2 of the whole path; lint and mypy are clean. The whole set wasn't rerun. Conclusion: the wait can't differ between the two state machines any more.

--- a/src/azurevane/_internal/policy/limits.py
+++ b/src/azurevane/_internal/policy/limits.py
@@ -84,7 +84,9 @@
     return max(min(limit, 1), int(limit * part))
 
 
-def base_usable_at(seen_at: float, epoch: int, max_run_s: float) -> float:
+def base_usable_at(
+    seen_at: float, epoch: int, max_run_s: float, *, clean: bool = False
+) -> float:
     """Return from when a new holder may use the base parts of its seat.
 
     By then the predecessor has lost its freshness, its last loan has
@@ -92,8 +94,10 @@
 
     Args:
         seen_at: when the accepted seat change was in force here.
+        clean: whether the predecessor handed the seat over with nothing
+            in use or lent.
     """
-    if epoch <= FIRST_EPOCH:
+    if epoch <= FIRST_EPOCH or clean:
         return seen_at
     return seen_at + FRESH_S + LOAN_S + max_run_s
 
--- a/src/azurevane/_internal/policy/seats.py
+++ b/src/azurevane/_internal/policy/seats.py
@@ -4,20 +4,19 @@
 import hashlib
 
 from azurevane._internal.models import fleet
-
-# A new holder of a seat waits until its predecessor's freshness (2.0 s)
-# and loans (2.0 s) are over, and then for the longest run time.
-PREDECESSOR_RIGHTS_S = 4.0
+from azurevane._internal.policy import limits
 
 
 def base_wait_s(state: fleet.FleetState, seat: fleet.Seat) -> float:
     """Return how long a new holder may not use the base of its seat."""
-    # Epoch 1 has no predecessor whose rights could be in use.
-    if seat.epoch == 1 or seat.clean or state.manifest is None:
+    if state.manifest is None:
         return 0.0
-    return PREDECESSOR_RIGHTS_S + max(
+    longest_run_s = max(
         (queue.max_run_s for queue in state.manifest.queues), default=0.0
     )
+    return limits.base_usable_at(
+        0.0, seat.epoch, longest_run_s, clean=seat.clean
+    )
 
 
 def choose_seat(
--- a/src/azurevane/_internal/standins/httpserver.py
+++ b/src/azurevane/_internal/standins/httpserver.py
@@ -3,7 +3,6 @@
 import dataclasses
 import io
 import random
-import socket
 from typing import Any
 
 import msgspec
@@ -143,10 +142,3 @@
         return
     request.write(body)
     request.finish()
-
-
-def open_socket(address: str, port: int) -> socket.socket:
-    """Return a listening socket that can be bound again at once."""
-    listening = socket.create_server((address, port), reuse_port=False)
-    listening.setblocking(False)
-    return listening
--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -262,12 +262,8 @@
             return
         if self._seat != (seat.number, seat.epoch):
             self._seat = (seat.number, seat.epoch)
-            self._ledger.seat_from = (
-                now
-                if seat.clean
-                else limits.base_usable_at(
-                    now, seat.epoch, self._longest_run_s
-                )
+            self._ledger.seat_from = limits.base_usable_at(
+                now, seat.epoch, self._longest_run_s, clean=seat.clean
             )
             if self._ledger.seat_from > now:
                 self._due.add(self._ledger.seat_from, self._serve_all)
--- a/src/azurevane/_internal/tasks/usage_ledger.py
+++ b/src/azurevane/_internal/tasks/usage_ledger.py
@@ -243,10 +243,6 @@
         """Take a team out of the order of service."""
         self._bound_by_team.pop(team, None)
 
-    def is_listed(self, team: str) -> bool:
-        """Whether a team is in the order of service."""
-        return team in self._bound_by_team
-
     def lowest(self, now: float) -> tuple[float, str] | None:
         """Return the rank and name of the team whose turn it is."""
         heap = self._heap
