Move the table service's clients out of platform/

Cause: the folder platform/ is needed for the users' platform, whose wire differs from the table service that the entry and control daemons use.

Change: src/azurevane/_internal/platform and its tests become table_service; imports follow. No behaviour changes.

Conclusion: platform/ is free for the adapter.

--- a/benchmarks/claim_site.py
+++ b/benchmarks/claim_site.py
@@ -12,9 +12,9 @@
 from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest
 from azurevane._internal.models import verdict
-from azurevane._internal.platform import claim_journal
-from azurevane._internal.platform import table as table_module
 from azurevane._internal.standins import table as table_standin
+from azurevane._internal.table_service import claim_journal
+from azurevane._internal.table_service import table as table_module
 from azurevane._internal.tasks import kept_answers
 
 PEER_LATENCY_S = 0.001
--- a/src/azurevane/_internal/callers/tasks.py
+++ b/src/azurevane/_internal/callers/tasks.py
@@ -18,7 +18,7 @@
 from azurevane._internal.models import request as request_models
 from azurevane._internal.models import task as task_models
 from azurevane._internal.models import verdict as verdict_models
-from azurevane._internal.platform import table
+from azurevane._internal.table_service import table
 
 logger = logging.getLogger(__name__)
 
--- a/src/azurevane/_internal/daemons/callers_side.py
+++ b/src/azurevane/_internal/daemons/callers_side.py
@@ -19,10 +19,10 @@
 from azurevane._internal.models import fleet
 from azurevane._internal.models import messages
 from azurevane._internal.peers import connections
-from azurevane._internal.platform import claim_journal
-from azurevane._internal.platform import table
-from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
+from azurevane._internal.table_service import claim_journal
+from azurevane._internal.table_service import table
+from azurevane._internal.table_service import transport
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.upstreams import client as upstream_client
 from azurevane._internal.utils import token_bucket
--- a/src/azurevane/_internal/daemons/control.py
+++ b/src/azurevane/_internal/daemons/control.py
@@ -5,11 +5,11 @@
 from azurevane._internal.daemons import control_service
 from azurevane._internal.daemons import fleet_source
 from azurevane._internal.daemons import program
-from azurevane._internal.platform import breaker
-from azurevane._internal.platform import state_store
-from azurevane._internal.platform import table
-from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
+from azurevane._internal.table_service import breaker
+from azurevane._internal.table_service import state_store
+from azurevane._internal.table_service import table
+from azurevane._internal.table_service import transport
 from azurevane._internal.utils import tokens
 from azurevane._internal.workers import client as worker_client
 
--- a/src/azurevane/_internal/daemons/entry.py
+++ b/src/azurevane/_internal/daemons/entry.py
@@ -10,11 +10,11 @@
 from azurevane._internal.models import messages
 from azurevane._internal.operators import api
 from azurevane._internal.peers import connections
-from azurevane._internal.platform import hosts
-from azurevane._internal.platform import state_store
-from azurevane._internal.platform import table
-from azurevane._internal.platform import transport
 from azurevane._internal.settings import loader
+from azurevane._internal.table_service import hosts
+from azurevane._internal.table_service import state_store
+from azurevane._internal.table_service import table
+from azurevane._internal.table_service import transport
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.utils import token_bucket
 from azurevane._internal.utils import tokens
--- a/src/azurevane/_internal/daemons/fleet_follower.py
+++ b/src/azurevane/_internal/daemons/fleet_follower.py
@@ -21,9 +21,9 @@
 from azurevane._internal.operators import change_maker
 from azurevane._internal.operators import changes
 from azurevane._internal.peers import connections
-from azurevane._internal.platform import hosts
-from azurevane._internal.platform import state_store
 from azurevane._internal.policy import seats as seat_policy
+from azurevane._internal.table_service import hosts
+from azurevane._internal.table_service import state_store
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.utils import tokens
 
--- a/src/azurevane/_internal/daemons/fleet_source.py
+++ b/src/azurevane/_internal/daemons/fleet_source.py
@@ -10,7 +10,7 @@
 from azurevane._internal.events import platform_events
 from azurevane._internal.models import control as control_models
 from azurevane._internal.models import fleet
-from azurevane._internal.platform import state_store
+from azurevane._internal.table_service import state_store
 
 logger = logging.getLogger(__name__)
 
--- a/src/azurevane/_internal/daemons/inbox.py
+++ b/src/azurevane/_internal/daemons/inbox.py
@@ -6,7 +6,7 @@
 from azurevane._internal.daemons import lease_service
 from azurevane._internal.models import rows as row_models
 from azurevane._internal.models import task as task_models
-from azurevane._internal.platform import table
+from azurevane._internal.table_service import table
 
 # Above this many new tasks of a queue one read of all its live tasks is
 # cheaper than a read of each.
--- a/src/azurevane/_internal/daemons/lease_service.py
+++ b/src/azurevane/_internal/daemons/lease_service.py
@@ -9,7 +9,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import platform_events
 from azurevane._internal.models import rows as row_models
-from azurevane._internal.platform import table
+from azurevane._internal.table_service import table
 from azurevane._internal.tasks import controller_lease
 
 logger = logging.getLogger(__name__)
--- a/src/azurevane/_internal/operators/change_maker.py
+++ b/src/azurevane/_internal/operators/change_maker.py
@@ -15,8 +15,8 @@
 from azurevane._internal.events import state_events
 from azurevane._internal.models import effects
 from azurevane._internal.models import fleet
-from azurevane._internal.platform import state_store
 from azurevane._internal.policy import restrictions as restriction_policy
+from azurevane._internal.table_service import state_store
 from azurevane._internal.tasks import state_keeper
 from azurevane._internal.utils import backoff
 from azurevane._internal.utils import tokens
--- a/src/azurevane/_internal/platform/claim_journal.py
+++ b/src/azurevane/_internal/table_service/claim_journal.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from azurevane._internal.models import claim_records
-from azurevane._internal.platform import table
+from azurevane._internal.table_service import table
 
 
 def _head_row(seat: int) -> str:
--- a/src/azurevane/_internal/platform/hosts.py
+++ b/src/azurevane/_internal/table_service/hosts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from azurevane import exceptions
-from azurevane._internal.platform import transport
+from azurevane._internal.table_service import transport
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/azurevane/_internal/platform/state_store.py
+++ b/src/azurevane/_internal/table_service/state_store.py
@@ -14,7 +14,7 @@
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest as manifest_models
-from azurevane._internal.platform import table
+from azurevane._internal.table_service import table
 
 ROW = "fleet/state"
 
--- a/src/azurevane/_internal/platform/table.py
+++ b/src/azurevane/_internal/table_service/table.py
@@ -8,7 +8,7 @@
 import urllib.parse
 
 from azurevane import exceptions
-from azurevane._internal.platform import transport
+from azurevane._internal.table_service import transport
 from azurevane._internal.utils import token_bucket
 
 
--- a/src/azurevane/_internal/platform/transport.py
+++ b/src/azurevane/_internal/table_service/transport.py
@@ -12,7 +12,7 @@
 from twisted.web import iweb
 
 from azurevane import exceptions
-from azurevane._internal.platform import breaker as breaker_module
+from azurevane._internal.table_service import breaker as breaker_module
 
 
 class JsonTransport:
--- a/src/azurevane/_internal/workers/client.py
+++ b/src/azurevane/_internal/workers/client.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from azurevane._internal.models import worker as worker_models
-from azurevane._internal.platform import transport
+from azurevane._internal.table_service import transport
 
 
 class WorkerClient:
--- a/tests/support/control_world.py
+++ b/tests/support/control_world.py
@@ -11,8 +11,8 @@
 from twisted.internet import task
 
 from azurevane import exceptions
-from azurevane._internal.platform import table
 from azurevane._internal.standins import table as standin_table
+from azurevane._internal.table_service import table
 
 
 class DaemonClock:
--- a/tests/support/entry_harness.py
+++ b/tests/support/entry_harness.py
@@ -15,7 +15,7 @@
 from azurevane._internal.daemons import entry_service
 from azurevane._internal.models import fleet
 from azurevane._internal.models import manifest
-from azurevane._internal.platform import claim_journal
+from azurevane._internal.table_service import claim_journal
 from azurevane._internal.tasks import dispatcher
 from azurevane._internal.tasks import permits
 from azurevane._internal.tasks import state_keeper
--- a/tests/support/virtual_fleet.py
+++ b/tests/support/virtual_fleet.py
@@ -17,12 +17,12 @@
 from azurevane._internal.models import state_messages
 from azurevane._internal.peers import codec
 from azurevane._internal.peers import connections
-from azurevane._internal.platform import breaker
-from azurevane._internal.platform import hosts
-from azurevane._internal.platform import state_store
-from azurevane._internal.platform import table
-from azurevane._internal.platform import transport
 from azurevane._internal.standins import platform as platform_standin
+from azurevane._internal.table_service import breaker
+from azurevane._internal.table_service import hosts
+from azurevane._internal.table_service import state_store
+from azurevane._internal.table_service import table
+from azurevane._internal.table_service import transport
 from azurevane._internal.tasks import state_keeper
 
 BOUND_S = 3.0
--- a/tests/platform/steps/clients_steps.py
+++ b/tests/table_service/steps/clients_steps.py
@@ -10,11 +10,11 @@
 
 from azurevane import exceptions
 from azurevane._internal.models import fleet
-from azurevane._internal.platform import state_store
-from azurevane._internal.platform import table
-from azurevane._internal.platform import transport
 from azurevane._internal.standins import faults
 from azurevane._internal.standins import platform
+from azurevane._internal.table_service import state_store
+from azurevane._internal.table_service import table
+from azurevane._internal.table_service import transport
 from azurevane._internal.utils import token_bucket
 
 
