--- /dev/null
+++ b/src/azurevane/_internal/callers/job_desk.py
@@ -0,0 +1,295 @@
+"""Answers callers' requests about jobs, from the platform's store."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.callers import job_routes
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import site
+from azurevane._internal.models import verdict
+from azurevane._internal.platform import job_requests
+from azurevane._internal.platform import store
+from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import runs
+
+logger = logging.getLogger(__name__)
+
+# Time for one write of a submission; an answer takes about 10 ms.
+WRITE_TIMEOUT_S = 0.7
+# A write is repeated once, so that one lost answer isn't passed on.
+WRITE_ATTEMPTS = 2
+# When the store is away, callers come back after its usual failures.
+STORE_AWAY_RETRY_S = 2
+# A new host has its configuration within about a second.
+NO_CONFIG_RETRY_S = 1
+# Counts of waiting jobs may be 2 s old, by the platform's protocol; the
+# leader renews them every 0.7 s.
+PENDING_MAX_AGE_S = 4.0
+# Without the store for this long, the configuration may be outdated.
+CONFIG_MAX_AGE_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request, read whole."""
+
+    method: str
+    host_name: str
+    path: str
+    authorization: str | None
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer; ``retry_after_s`` is set where coming back may help."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refused(Exception):
+    """A request that isn't carried out, with the reason."""
+
+    status: int
+    reason: str
+    retry_after_s: int | None = None
+    outcome: verdict.Verdict = verdict.Verdict.NOT_RUN
+
+
+class JobDesk:
+    """Accepts, shows and cancels jobs; any host does so for every job.
+
+    Args:
+        seconds: returns the steady time.
+        unix_time: returns the time of day.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        *,
+        seconds: Callable[[], float],
+        unix_time: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._seconds = seconds
+        self._unix_time = unix_time
+        self._config: site.SiteConfig | None = None
+        self._routes: job_routes.JobRoutes | None = None
+        self._config_at = seconds()
+        self._pending_by_queue: dict[str, int] = {}
+        self._pending_at = float("-inf")
+
+    @property
+    def config(self) -> site.SiteConfig | None:
+        """Configuration in force on this host."""
+        return self._config
+
+    def set_config(self, config: site.SiteConfig) -> bool:
+        """Put a configuration in force unless it is older."""
+        if self._config is not None and config.version <= self._config.version:
+            return False
+        self._config = config
+        self._routes = job_routes.JobRoutes(config)
+        return True
+
+    def note_view(self, now: float) -> None:
+        """Note that the configuration was the newest at a time."""
+        self._config_at = max(self._config_at, now)
+
+    def config_age_s(self) -> float:
+        """Return the time since the configuration was the newest."""
+        return self._seconds() - self._config_at
+
+    def set_pending(self, pending_by_queue: dict[str, int]) -> None:
+        """Take in the leader's counts of waiting jobs."""
+        self._pending_by_queue = pending_by_queue
+        self._pending_at = self._seconds()
+
+    def ready(self) -> bool:
+        """Whether this host can serve callers."""
+        return (
+            self._config is not None and self.config_age_s() < CONFIG_MAX_AGE_S
+        )
+
+    async def answer(self, call: Call) -> Reply:
+        """Carry out a request; a refusal says if it may have run."""
+        try:
+            return await self._answer(call)
+        except _Refused as refused:
+            self._note_refused(call, refused)
+            text = f"{refused.reason} (verdict: {refused.outcome.value})"
+            return Reply(
+                refused.status,
+                job_requests.encode_error(text),
+                refused.retry_after_s,
+            )
+
+    def _note_refused(self, call: Call, refused: _Refused) -> None:
+        version = 0 if self._config is None else self._config.version
+        catalogue.emit(
+            logger,
+            events.CallRefused(
+                f"{call.method} {call.path}",
+                refused.status,
+                refused.reason,
+                version,
+                round(self.config_age_s(), 3),
+                refused.outcome.value,
+            ),
+        )
+
+    async def _answer(self, call: Call) -> Reply:
+        config, routes = self._config, self._routes
+        if config is None or routes is None:
+            raise _Refused(503, "no configuration yet", NO_CONFIG_RETRY_S)
+        found = routes.find(call.host_name, call.path)
+        if self.config_age_s() > CONFIG_MAX_AGE_S:
+            raise _Refused(503, "store away", STORE_AWAY_RETRY_S)
+        if found is None:
+            raise _Refused(404, "no such queue")
+        key = job_routes.bearer_key(call.authorization)
+        team = config.team_by_key.get(key, "")
+        if not found.queue.open and not team:
+            raise _Refused(401, "unknown key")
+        if call.method == "GET" and not found.rest:
+            return self._pending(found.queue)
+        if not job_requests.valid_job_id(found.rest):
+            raise _Refused(404, "no job of that name")
+        if call.method == "POST":
+            return await self._submit(call, found, team)
+        if call.method == "GET":
+            return await self._show(found.rest)
+        if call.method == "DELETE":
+            return await self._cancel(found.rest)
+        raise _Refused(405, "no such method")
+
+    def _pending(self, queue: site.Queue) -> Reply:
+        if self._seconds() - self._pending_at > PENDING_MAX_AGE_S:
+            raise _Refused(503, "no recent counts", STORE_AWAY_RETRY_S)
+        count = self._pending_by_queue.get(queue.name, 0)
+        return Reply(200, job_requests.encode_pending(count))
+
+    # Submission.
+
+    async def _submit(
+        self, call: Call, found: job_routes.Found, team: str
+    ) -> Reply:
+        assert self._config is not None
+        began_at = self._seconds()
+        if len(call.body) > self._config.limits.body_bytes:
+            raise _Refused(413, "body too large")
+        try:
+            job = job_requests.decode_job(
+                call.body,
+                job_id=found.rest,
+                queue=found.queue,
+                team=team,
+                now=self._unix_time(),
+            )
+        except exceptions.JobRejected as error:
+            raise _Refused(400, str(error)) from error
+        version = self._config.version
+        place = _job_place(job.id)
+        await self._write({place: 0}, {place: records.encode_job(job)})
+        catalogue.emit(
+            logger,
+            events.JobAccepted(
+                job.id,
+                job.queue,
+                team,
+                version,
+                round(self._seconds() - began_at, 4),
+            ),
+        )
+        return Reply(200)
+
+    async def _write(
+        self,
+        expected_by_place: dict[store.RowKey, int],
+        value_by_place: dict[store.RowKey, bytes],
+    ) -> None:
+        """Write rows; a row that exists already counts as written."""
+        outcome = verdict.Verdict.NOT_RUN
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                await self._client.transact(
+                    expected_by_place,
+                    value_by_place,
+                    timeout_s=WRITE_TIMEOUT_S,
+                )
+                return
+            except exceptions.CallFailed as failure:
+                reason = str(failure)
+                if failure.verdict is not verdict.Verdict.NOT_RUN:
+                    outcome = verdict.Verdict.MAY_HAVE_RUN
+        if outcome is verdict.Verdict.NOT_RUN:
+            raise _Refused(503, reason, STORE_AWAY_RETRY_S)
+        raise _Refused(504, reason, None, outcome)
+
+    # State and cancel.
+
+    async def _rows(self, table: str, part: str, job_id: str) -> Any:
+        try:
+            read = await self._client.read(
+                table, part, job_id, job_id + records.KEY_END
+            )
+        except exceptions.CallFailed as failure:
+            raise _Refused(503, str(failure), STORE_AWAY_RETRY_S) from failure
+        return {row.place.key: row.value for row in read.rows}
+
+    async def _show(self, job_id: str) -> Reply:
+        part = records.job_part(job_id)
+        job_rows = await self._rows(records.JOBS_TABLE, part, job_id)
+        if job_id not in job_rows:
+            raise _Refused(410, "no such job")
+        state_rows = await self._rows(
+            records.STATE_TABLE, records.LEADER_PART, job_id
+        )
+        status = runs.JobStatus.QUEUED
+        if job_id in state_rows:
+            try:
+                status = records.decode_status(state_rows[job_id])
+            except (msgspec.MsgspecError, ValueError) as error:
+                catalogue.emit(
+                    logger,
+                    events.RowUnreadable(
+                        records.STATE_TABLE, job_id, str(error)
+                    ),
+                )
+        cancelled = job_id + records.CANCEL_SUFFIX in job_rows
+        if cancelled and not status.ended:
+            status = runs.JobStatus.CANCELLED
+        return Reply(200, job_requests.encode_state(status.value))
+
+    async def _cancel(self, job_id: str) -> Reply:
+        began_at = self._seconds()
+        part = records.job_part(job_id)
+        job_rows = await self._rows(records.JOBS_TABLE, part, job_id)
+        if job_id not in job_rows:
+            raise _Refused(410, "no such job")
+        place = store.RowKey(
+            records.JOBS_TABLE, part, job_id + records.CANCEL_SUFFIX
+        )
+        if place.key not in job_rows:
+            await self._write({place: 0}, {place: b"{}"})
+        catalogue.emit(
+            logger,
+            events.JobCancelStored(
+                job_id, round(self._seconds() - began_at, 4)
+            ),
+        )
+        return Reply(200)
+
+
+def _job_place(job_id: str) -> store.RowKey:
+    return store.RowKey(records.JOBS_TABLE, records.job_part(job_id), job_id)
--- /dev/null
+++ b/src/azurevane/_internal/callers/job_resource.py
@@ -0,0 +1,111 @@
+"""HTTP server of callers' requests about jobs."""
+
+from collections.abc import Callable
+import logging
+import traceback
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from azurevane._internal.callers import job_desk
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.platform import job_requests
+
+logger = logging.getLogger(__name__)
+
+
+class JobResource(resource.Resource):
+    """Every path of the callers' address.
+
+    Args:
+        stopping: whether connections should be given up after an answer.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self, desk: job_desk.JobDesk, stopping: Callable[[], bool]
+    ) -> None:
+        super().__init__()
+        self._desk = desk
+        self._stopping = stopping
+        self.in_flight = 0
+
+    def render(self, request: Any) -> int:
+        """Answer a request once the store has."""
+        call = job_desk.Call(
+            method=request.method.decode("latin-1"),
+            host_name=(request.getHeader("host") or ""),
+            path=request.path.decode("latin-1"),
+            authorization=request.getHeader("authorization"),
+            body=request.content.read(),
+        )
+        self.in_flight += 1
+        gone: list[Any] = []
+        request.notifyFinish().addErrback(gone.append)
+        answered = defer.ensureDeferred(self._desk.answer(call))
+        answered.addErrback(self._note_failure)
+        answered.addCallback(self._write, request, gone)
+        return server.NOT_DONE_YET
+
+    @staticmethod
+    def _note_failure(failure: Any) -> job_desk.Reply:
+        catalogue.emit(
+            logger,
+            events.StepFailed(
+                "callers' request",
+                repr(failure.value),
+                "".join(traceback.format_exception(failure.value)),
+            ),
+        )
+        text = "internal error (verdict: may-have-run)"
+        return job_desk.Reply(502, job_requests.encode_error(text))
+
+    def _write(
+        self, reply: job_desk.Reply, request: Any, gone: list[Any]
+    ) -> None:
+        self.in_flight -= 1
+        if gone:
+            return
+        request.setResponseCode(reply.status)
+        if reply.body:
+            request.setHeader(b"content-type", b"application/json")
+        request.setHeader(b"content-length", str(len(reply.body)).encode())
+        if reply.retry_after_s is not None:
+            request.setHeader(
+                b"retry-after", str(reply.retry_after_s).encode()
+            )
+        if self._stopping():
+            request.setHeader(b"connection", b"close")
+        request.write(reply.body)
+        request.finish()
+
+
+class ReadinessResource(resource.Resource):
+    """Answers the balancer's check."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self._ready = ready
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Return 200 while this host can serve, otherwise 503."""
+        if not self._ready():
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        return b""
+
+
+class QuietSite(server.Site):
+    """A site whose requests are logged as events, not as access lines."""
+
+    def __init__(self, root: resource.Resource, idle_s: float) -> None:
+        super().__init__(root, timeout=idle_s)
+
+    def log(self, request: Any) -> None:
+        """Write no access line."""
--- /dev/null
+++ b/src/azurevane/_internal/callers/job_routes.py
@@ -0,0 +1,39 @@
+"""Finds the queue and the team that a caller's request names."""
+
+import dataclasses
+
+from azurevane._internal.models import site
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The queue of a path, and the rest of the path after its prefix."""
+
+    queue: site.Queue
+    rest: str
+
+
+class JobRoutes:
+    """Queues of a configuration by host name and path prefix."""
+
+    def __init__(self, config: site.SiteConfig) -> None:
+        queues_by_host: dict[str, list[site.Queue]] = {}
+        for queue in config.queue_by_name.values():
+            queues_by_host.setdefault(queue.host_name, []).append(queue)
+        for queues in queues_by_host.values():
+            queues.sort(key=lambda queue: -len(queue.path_prefix))
+        self._queues_by_host = queues_by_host
+
+    def find(self, host_name: str, path: str) -> Found | None:
+        """Return the queue with the longest prefix of a path."""
+        name = host_name.rsplit(":", 1)[0].lower()
+        for queue in self._queues_by_host.get(name, ()):
+            if path.startswith(queue.path_prefix):
+                return Found(queue, path[len(queue.path_prefix) :])
+        return None
+
+
+def bearer_key(authorization: str | None) -> str:
+    """Return the key of an Authorization header, or an empty text."""
+    scheme, _, key = (authorization or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
--- /dev/null
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -0,0 +1,323 @@
+"""The program of an entry host on the users' platform."""
+
+from collections.abc import Sequence
+import logging
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+from typing import Any
+
+import msgspec
+from twisted.internet import task as twisted_task
+
+import azurevane
+from azurevane import exceptions
+from azurevane._internal.callers import job_desk
+from azurevane._internal.callers import job_resource
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import output
+from azurevane._internal.events import program_events
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import host_settings
+from azurevane._internal.platform import http_client
+from azurevane._internal.platform import node_settings
+from azurevane._internal.platform import operator_rows
+from azurevane._internal.platform import store
+from azurevane._internal.scheduler import leader as leader_module
+from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import table_follower
+
+logger = logging.getLogger(__name__)
+
+SETTINGS_VARIABLE = "AZUREVANE_CONFIG"
+# How long the store may hold back an answer about changes.
+OPERATORS_WAIT_S = 2.0
+# Below the freshness that a take-over needs.
+LEADER_WAIT_S = 0.8
+CLAIM_TICK_S = 0.1
+# Spreads the hosts' attempts to take over.
+CLAIM_JITTER_S = 0.3
+# The balancer asks every second and takes a host out after two misses.
+LEAVE_ROTATION_S = 2.5
+# Left of the grace period for the end of the process.
+STOP_MARGIN_S = 1.0
+IDLE_CONNECTION_S = 15.0
+
+
+def boot_seconds() -> float:
+    """Return a steady time that also counts while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class SiteHost:
+    """Serves callers, and leads the scheduling while it holds the lease."""
+
+    def __init__(
+        self, reactor: Any, settings: host_settings.HostSettings
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._client = http_client.HttpClient(reactor)
+        self._store = store.StoreClient(self._client, settings.store_address)
+        self._desk = job_desk.JobDesk(
+            self._store, seconds=reactor.seconds, unix_time=time.time
+        )
+        self._stopping_at: float | None = None
+        self._resource = job_resource.JobResource(
+            self._desk, lambda: self._stopping_at is not None
+        )
+        self._view = leadership.LeaderView(
+            settings.host_name,
+            reactor.seconds(),
+            random.uniform(0.0, CLAIM_JITTER_S),
+        )
+        self._zones_out: frozenset[str] = frozenset()
+        self._leader: leader_module.Leader | None = None
+        self._claiming = False
+        self._ports: list[Any] = []
+
+    def start(self) -> None:
+        """Listen and follow the store."""
+        self._listen()
+        self._follow(
+            operator_rows.TABLE,
+            OPERATORS_WAIT_S,
+            self._operators_whole,
+            self._operators_changed,
+            self._desk.note_view,
+        )
+        self._follow(
+            leadership.TABLE,
+            LEADER_WAIT_S,
+            self._leader_changed,
+            self._leader_changed,
+            self._view.note_view,
+        )
+        loop = twisted_task.LoopingCall(self._tick)
+        loop.clock = self._reactor
+        loop.start(CLAIM_TICK_S)
+
+    def _listen(self) -> None:
+        settings = self._settings
+        if settings.callers_listen is not None:
+            site = job_resource.QuietSite(self._resource, IDLE_CONNECTION_S)
+            self._ports.append(
+                self._reactor.listenTCP(
+                    settings.callers_listen.port,
+                    site,
+                    backlog=1024,
+                    interface=settings.callers_listen.ip,
+                )
+            )
+        if settings.readiness_listen is not None:
+            root = job_resource.ReadinessResource(self._ready)
+            self._reactor.listenTCP(
+                settings.readiness_listen.port,
+                job_resource.QuietSite(root, IDLE_CONNECTION_S),
+                interface=settings.readiness_listen.ip,
+            )
+
+    def _ready(self) -> bool:
+        return self._stopping_at is None and self._desk.ready()
+
+    def _follow(
+        self,
+        table: str,
+        wait_s: float,
+        whole: Any,
+        changed: Any,
+        viewed: Any,
+    ) -> None:
+        follower = table_follower.TableFollower(
+            self._reactor,
+            self._store,
+            table,
+            wait_s=wait_s,
+            whole=whole,
+            changed=changed,
+            viewed=viewed,
+        )
+        leader_module.spawn(follower.run(), f"follow {table}")
+
+    # Rows of the operators.
+
+    def _operators_whole(self, rows: Sequence[store.Row]) -> None:
+        self._zones_out = frozenset()
+        self._operators_changed(rows)
+
+    def _operators_changed(self, rows: Sequence[store.Row]) -> None:
+        zones_out = set(self._zones_out)
+        for row in rows:
+            zone = operator_rows.zone_out(row.place.key)
+            if row.place.key == operator_rows.CONFIG_KEY:
+                self._set_config(row)
+            elif zone is not None and row.value is None:
+                zones_out.discard(zone)
+            elif zone is not None:
+                zones_out.add(zone)
+        if zones_out != self._zones_out:
+            self._zones_out = frozenset(zones_out)
+            catalogue.emit(logger, events.ZonesOut(tuple(sorted(zones_out))))
+        self._tell_leader()
+
+    def _set_config(self, row: store.Row) -> None:
+        try:
+            config = operator_rows.decode_config(row.value or b"")
+        except msgspec.MsgspecError as error:
+            catalogue.emit(
+                logger,
+                events.RowUnreadable(
+                    row.place.table, row.place.key, str(error)
+                ),
+            )
+            return
+        if self._desk.set_config(config):
+            catalogue.emit(
+                logger,
+                events.ConfigInForce(
+                    config.version,
+                    len(config.queue_by_name),
+                    len(config.team_by_name),
+                ),
+            )
+
+    def _tell_leader(self) -> None:
+        if self._leader is not None:
+            self._leader.set_site(self._desk.config, self._zones_out)
+
+    # Leadership.
+
+    def _leader_changed(self, rows: Sequence[store.Row]) -> None:
+        now = self._reactor.seconds()
+        for row in rows:
+            key, value = row.place.key, row.value
+            self._view.note_row(key, value, row.version, now)
+            if key == leadership.ALIVE_KEY and value is not None:
+                self._desk.set_pending(leadership.decode_pending(value))
+
+    def _tick(self) -> None:
+        if self._claiming or self._leader is not None or self._stopping_at:
+            return
+        claim = self._view.claim(self._reactor.seconds())
+        if claim is not None:
+            self._claiming = True
+            leader_module.spawn(self._take_over(claim), "take over")
+
+    async def _take_over(self, claim: leadership.Claim) -> None:
+        claimed_at = self._reactor.seconds()
+        try:
+            outcome = await self._store.transact(
+                {
+                    leader_module.OWNER_PLACE: claim.owner_version,
+                    leader_module.ALIVE_PLACE: claim.alive_version,
+                },
+                {
+                    leader_module.OWNER_PLACE: claim.owner_value,
+                    leader_module.ALIVE_PLACE: leadership.encode_alive(
+                        claim.token, 0, {}
+                    ),
+                },
+            )
+        except exceptions.CallFailed as failure:
+            logger.info("Take-over: %s", failure)
+            return
+        finally:
+            self._claiming = False
+        if isinstance(outcome, store.Conflict):
+            now = self._reactor.seconds()
+            for row in outcome.row_by_place.values():
+                self._view.note_row(row.place.key, row.value, row.version, now)
+            return
+        catalogue.emit(
+            logger, events.LeadershipTaken(claim.token, claim.reason)
+        )
+        self._leader = leader_module.Leader(
+            self._reactor,
+            self._client,
+            self._store,
+            self._settings,
+            token=claim.token,
+            owner_version=outcome.version,
+            claimed_at=claimed_at,
+            over=self._reign_over,
+        )
+        self._tell_leader()
+        await self._leader.run()
+
+    def _reign_over(self, reason: str) -> None:
+        self._leader = None
+
+    # Stop.
+
+    def stop(self) -> None:
+        """Leave the rotation, answer what was sent, then end."""
+        if self._stopping_at is not None:
+            return
+        self._stopping_at = self._reactor.seconds()
+        catalogue.emit(
+            logger,
+            program_events.ProgramStopping(
+                "azurevane-host", self._resource.in_flight
+            ),
+        )
+        if self._leader is not None:
+            leader_module.spawn(self._leader.hand_over(), "hand over")
+        self._reactor.callLater(LEAVE_ROTATION_S, self._end_if_idle)
+
+    def _end_if_idle(self) -> None:
+        assert self._stopping_at is not None
+        grace_s = self._settings.bounds.stop_grace_s - STOP_MARGIN_S
+        late = self._reactor.seconds() - self._stopping_at >= grace_s
+        if self._resource.in_flight and not late:
+            self._reactor.callLater(0.05, self._end_if_idle)
+            return
+        self._reactor.stop()
+
+    def reload(self, settings: host_settings.HostSettings) -> None:
+        """Take in changed settings."""
+        self._settings = settings
+
+
+def main() -> None:
+    """Run an entry host until it is told to stop."""
+    lines = output.configure_output("INFO")
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = node_settings.load(path)
+    except exceptions.SettingsError as error:
+        sys.exit(f"settings of {SETTINGS_VARIABLE}: {error}")
+    from twisted.internet import reactor
+
+    reactor.seconds = boot_seconds
+    output.start_output(reactor, lines)
+    host = SiteHost(reactor, settings)
+    host.start()
+
+    def hang_up(*_: Any) -> None:
+        try:
+            host.reload(node_settings.load(path))
+        except exceptions.SettingsError as error:
+            logger.error("Settings stay as they were: %s", error)
+            return
+        catalogue.emit(logger, program_events.SettingsReloaded(str(path)))
+
+    reactor.callWhenRunning(
+        signal.signal,
+        signal.SIGHUP,
+        lambda *_: reactor.callFromThread(hang_up),
+    )
+    reactor.callWhenRunning(
+        signal.signal,
+        signal.SIGTERM,
+        lambda *_: reactor.callFromThread(host.stop),
+    )
+    catalogue.emit(
+        logger,
+        program_events.ProgramStarted(
+            "azurevane-host", settings.host_name, azurevane.__version__
+        ),
+    )
+    reactor.run()
--- a/src/azurevane/_internal/events/program_events.py
+++ b/src/azurevane/_internal/events/program_events.py
@@ -22,3 +22,11 @@
 
     program: str
     running: int
+
+
+@catalogue.event(5003)
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsReloaded(catalogue.Event):
+    """Settings read again."""
+
+    path: str
--- /dev/null
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -0,0 +1,317 @@
+"""Events of the site's scheduler: numbers 6000 to 6999."""
+
+import dataclasses
+import logging
+
+from azurevane._internal.events import catalogue
+
+
+@catalogue.event(6001)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSeen(catalogue.Event):
+    """Accepted job taken in by the leader."""
+
+    job_id: str
+    queue: str
+    team: str
+    age_s: float
+
+
+@catalogue.event(6002)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobEnded(catalogue.Event):
+    """Job reached its final state; lateness is against its objective."""
+
+    job_id: str
+    queue: str
+    status: str
+    reason: str
+    took_s: float
+    lateness_s: float
+
+
+@catalogue.event(6003)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunAssigned(catalogue.Event):
+    """Task assigned to a runner."""
+
+    task: str
+    attempt: int
+    runner: str
+    free_cpu: int
+    waited_s: float
+
+
+@catalogue.event(6004)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunRejected(catalogue.Event):
+    """Runner didn't take a start, or didn't answer it."""
+
+    task: str
+    attempt: int
+    runner: str
+    outcome: str
+
+
+@catalogue.event(6005)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnded(catalogue.Event):
+    """Run ended on its runner."""
+
+    task: str
+    attempt: int
+    runner: str
+    reason: str
+    ran_s: float
+    current: bool
+
+
+@catalogue.event(6006)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunStopped(catalogue.Event):
+    """Run ordered to stop."""
+
+    task: str
+    attempt: int
+    runner: str
+    reason: str
+
+
+@catalogue.event(6007, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunLost(catalogue.Event):
+    """Run given up: nothing of it can be running any more."""
+
+    task: str
+    attempt: int
+    runner: str
+    reason: str
+
+
+@catalogue.event(6010)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerSeen(catalogue.Event):
+    """Runner registered."""
+
+    runner: str
+    service: str
+    zone: str
+    address: str
+
+
+@catalogue.event(6011)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerDraining(catalogue.Event):
+    """Runner is shutting down and gets no new tasks."""
+
+    runner: str
+    leaves_in_s: float
+
+
+@catalogue.event(6012)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerUnlisted(catalogue.Event):
+    """Runner's entry was removed from the store."""
+
+    runner: str
+    runs: int
+
+
+@catalogue.event(6013)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerReborn(catalogue.Event):
+    """Runner started anew under the id that it had."""
+
+    runner: str
+    runs: int
+
+
+@catalogue.event(6014, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerLost(catalogue.Event):
+    """Runner given up with its runs."""
+
+    runner: str
+    reason: str
+    runs: int
+
+
+@catalogue.event(6015)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerFenced(catalogue.Event):
+    """Runner confirmed this leader's fencing token."""
+
+    runner: str
+    running: int
+    ended: int
+
+
+@catalogue.event(6016, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerUnreachable(catalogue.Event):
+    """Calls to a runner began to fail."""
+
+    runner: str
+    error: str
+    runs: int
+
+
+@catalogue.event(6020)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadershipTaken(catalogue.Event):
+    """This host leads the site's scheduling."""
+
+    token: int
+    reason: str
+
+
+@catalogue.event(6021, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadershipLost(catalogue.Event):
+    """This host leads no more."""
+
+    token: int
+    reason: str
+
+
+@catalogue.event(6022)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderReady(catalogue.Event):
+    """The leader has read the site's jobs and may order."""
+
+    token: int
+    jobs: int
+    live_jobs: int
+    runners: int
+    took_s: float
+
+
+@catalogue.event(6030)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigInForce(catalogue.Event):
+    """Configuration of the operators in force on this host."""
+
+    version: int
+    queues: int
+    teams: int
+
+
+@catalogue.event(6031, logging.ERROR)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowUnreadable(catalogue.Event):
+    """Row of the store that can't be read; it is ignored."""
+
+    table: str
+    key: str
+    error: str
+
+
+@catalogue.event(6032)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesOut(catalogue.Event):
+    """Availability zones that get no new tasks."""
+
+    zones: tuple[str, ...]
+
+
+@catalogue.event(6033, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLost(catalogue.Event):
+    """Calls to the store began to fail."""
+
+    call: str
+    error: str
+
+
+@catalogue.event(6034)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRegained(catalogue.Event):
+    """Calls to the store work again."""
+
+    call: str
+    lost_s: float
+
+
+@catalogue.event(6035)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableReadAnew(catalogue.Event):
+    """Table read whole because its history was dropped or at the start."""
+
+    table: str
+    rows: int
+    version: int
+
+
+@catalogue.event(6040)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobAccepted(catalogue.Event):
+    """Job stored and accepted."""
+
+    job_id: str
+    queue: str
+    team: str
+    config_version: int
+    took_s: float
+
+
+@catalogue.event(6041)
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRefused(catalogue.Event):
+    """Caller's request refused or not answered with success."""
+
+    request: str
+    status: int
+    reason: str
+    config_version: int
+    config_age_s: float
+    verdict: str
+
+
+@catalogue.event(6042)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelStored(catalogue.Event):
+    """Cancel of a job stored."""
+
+    job_id: str
+    took_s: float
+
+
+@catalogue.event(6050)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostOrdered(catalogue.Event):
+    """Host ordered to move or to begin its maintenance."""
+
+    host: str
+    order: str
+    target: str
+    outcome: str
+    reason: str
+
+
+@catalogue.event(6051)
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaveStatus(catalogue.Event):
+    """Progress of a wave of maintenance."""
+
+    wave: int
+    status: str
+    done: int
+    hosts: int
+
+
+@catalogue.event(6090, logging.ERROR)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepFailed(catalogue.Event):
+    """Unexpected error in a step of the program; it goes on."""
+
+    step: str
+    error: str
+    traceback: str
+
+
+@catalogue.event(6091, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinesDropped(catalogue.Event):
+    """Log lines dropped because standard output was too slow."""
+
+    lines: int
--- /dev/null
+++ b/src/azurevane/_internal/models/host_settings.py
@@ -0,0 +1,82 @@
+"""Settings of one entry host."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times that the site's operators set, in seconds.
+
+    Attributes:
+        stop_grace_s: from SIGTERM to SIGKILL.
+        runner_lease_max_s: longest lease that a runner grants.
+        runner_stop_s: longest time that a runner takes to stop a task.
+        gang_wait_s: time a gang's member waits for the others.
+        host_lease_s: least time between orders for one host by two
+            different senders.
+        notice_s: absence of a long-running task after which it counts as
+            unavailable.
+        move_s: time a host takes to change its pool.
+        maintenance_s: time a host's maintenance takes.
+        job_kept_s: least time that an ended job's state is shown.
+        early_start_s: most that a start may be ahead of its due time.
+        remote_slowdown: factor on run times away from their data.
+        checkpoint_s: work between two checkpoints.
+        restore_s: time to resume from a checkpoint.
+        harm_s: time that a serving task may miss its latency target.
+    """
+
+    stop_grace_s: float
+    runner_lease_max_s: float
+    runner_stop_s: float
+    gang_wait_s: float
+    host_lease_s: float
+    notice_s: float
+    move_s: float
+    maintenance_s: float
+    job_kept_s: float
+    early_start_s: float
+    remote_slowdown: float
+    checkpoint_s: float
+    restore_s: float
+    harm_s: float
+    hosts_fenced: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What an entry host knows when it starts.
+
+    Attributes:
+        host_name: unique name of this host.
+        callers_listen: address for callers; None if it serves none.
+        readiness_listen: address of the readiness check.
+        store_address: address of the platform's store.
+        hosts_api_address: address of the platform's list of hosts.
+        host_orders_per_s: moves and maintenance orders of all entry hosts.
+        advisor_address: placement advice; None where there is none.
+        store_row_bytes: largest value of a row.
+    """
+
+    host_name: str
+    zone: str
+    callers_listen: Address | None
+    readiness_listen: Address | None
+    store_address: Address
+    hosts_api_address: Address | None
+    host_orders_per_s: float
+    host_lists_per_s: float
+    advisor_address: Address | None
+    store_row_bytes: int
+    bounds: Bounds
--- /dev/null
+++ b/src/azurevane/_internal/models/site.py
@@ -0,0 +1,146 @@
+"""What the operators, the runners and the platform say of a site."""
+
+import dataclasses
+
+from azurevane._internal.models import job as job_models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue of jobs: a route and how its jobs are treated.
+
+    Attributes:
+        priority: 0 comes first.
+        attempts: failed runs of a task after which its job has failed.
+        objective_factor: multiple of the job's longest chain of work
+            that its latency objective allows.
+        objective_extra_s: part of the objective beside that multiple.
+        open: whether jobs are accepted without a key.
+    """
+
+    name: str
+    host_name: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    objective_factor: float = 1.0
+    objective_extra_s: float = 0.0
+    open: bool = False
+    advised: bool = False
+    timeout_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service whose runners form a pool.
+
+    Attributes:
+        standby: its hosts are off and cost nothing.
+        guards_capacity: its runners reject tasks that don't fit.
+    """
+
+    name: str
+    standby: bool = False
+    guards_capacity: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Team:
+    """A team, its keys, its weight and the most that it may run."""
+
+    name: str
+    api_keys: frozenset[str]
+    weight: float
+    cap: job_models.Capacity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bounds on what a caller may send.
+
+    Attributes:
+        header_bytes: size of a request's head.
+        body_bytes: size of a request's body.
+        header_s: time to send the head.
+        idle_s: time that a connection may be idle.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteConfig:
+    """A version of the operators' configuration."""
+
+    version: int
+    queue_by_name: dict[str, Queue]
+    service_by_name: dict[str, Service]
+    team_by_name: dict[str, Team]
+    team_by_key: dict[str, str]
+    limits: RequestLimits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Runner:
+    """What a runner's newest entry in the store says.
+
+    Attributes:
+        id: identity that it registered under.
+        started_at: Unix time in seconds of its process's start, which
+            tells two lives under one id apart.
+        address: IP address and port of its control calls.
+        clock_s: its steady clock when it wrote the entry.
+        leaves_in_s: least time that it goes on running; None while it
+            isn't draining.
+    """
+
+    id: str
+    started_at: float
+    address: str
+    service: str
+    zone: str
+    draining: bool
+    capacity: job_models.Capacity
+    labels: frozenset[str]
+    rack: str
+    clock_s: float
+    leaves_in_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """A host of the fleet as the platform lists it.
+
+    Attributes:
+        pool: service whose pool it is in.
+        up: whether it is neither moving, in maintenance nor down.
+        runner_id: runner that lives on it, or empty.
+    """
+
+    name: str
+    pool: str
+    up: bool
+    state: str
+    zone: str
+    runner_id: str
+    labels: frozenset[str] = frozenset()
+    capacity: job_models.Capacity = job_models.Capacity()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """Hosts that are due for maintenance.
+
+    Attributes:
+        within_s: time from the request until all must have had theirs.
+        max_down: most of its hosts in maintenance at once.
+    """
+
+    number: int
+    hosts: tuple[str, ...]
+    within_s: float
+    max_down: int
--- /dev/null
+++ b/src/azurevane/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/azurevane/_internal/platform/job_requests.py
@@ -0,0 +1,148 @@
+"""What callers send about jobs, and the answers' bodies."""
+
+from typing import Any
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import site
+from azurevane._internal.policy import job_order
+
+# Longest spec, by the platform's protocol.
+MAX_SPEC_BYTES = 4000
+_ID_LENGTH = 16
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+
+class _Phase(msgspec.Struct):
+    count: int = 0
+    cpu: int = 0
+    memory: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+    estimate_ms: float = msgspec.field(name="estimateMs", default=0.0)
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = msgspec.field(name="sameRack", default=False)
+    # One label, in spite of the plural.
+    requirements: str = ""
+    # Rack of the data; a preference, not a requirement.
+    affinity: str = ""
+    # Most tasks on a runner, not a label to avoid.
+    anti_affinity: int = msgspec.field(name="antiAffinity", default=0)
+    speculative: bool = False
+    long_running: bool = msgspec.field(name="longRunning", default=False)
+    image: str = ""
+    target_ms: float = msgspec.field(name="targetMs", default=0.0)
+    fills: bool = False
+    max_unavailable: int | None = msgspec.field(
+        name="maxUnavailable", default=None
+    )
+
+
+class _Submission(msgspec.Struct):
+    phases: list[_Phase]
+    spec: str = ""
+    repeats: int = 0
+    start_at_ms: float = msgspec.field(name="startAtMs", default=0.0)
+    interval_ms: float = msgspec.field(name="intervalMs", default=0.0)
+
+
+def valid_job_id(text: str) -> bool:
+    """Whether a text has the form of a job's id."""
+    return len(text) == _ID_LENGTH and _HEX_DIGITS.issuperset(text)
+
+
+def decode_job(
+    body: bytes,
+    *,
+    job_id: str,
+    queue: site.Queue,
+    team: str,
+    now: float,
+) -> job_models.Job:
+    """Return the job that a caller's body describes.
+
+    Raises:
+        JobRejected: the body is malformed.
+    """
+    try:
+        submission = msgspec.json.decode(body, type=_Submission)
+    except msgspec.MsgspecError as error:
+        raise exceptions.JobRejected(f"job {job_id}: {error}") from error
+    if not submission.phases:
+        raise exceptions.JobRejected(f"job {job_id} has no phases")
+    if len(submission.spec.encode()) > MAX_SPEC_BYTES:
+        raise exceptions.JobRejected(
+            f"job {job_id}: spec is over {MAX_SPEC_BYTES} bytes"
+        )
+    for index, phase in enumerate(submission.phases):
+        _check_phase(job_id, index, phase)
+    steps = tuple(_step(phase) for phase in submission.phases)
+    return job_models.Job(
+        id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        team=team,
+        spec=submission.spec,
+        steps=steps,
+        accepted_at=now,
+        repeats=max(submission.repeats, 0),
+        first_due_at=submission.start_at_ms / 1000,
+        interval_s=submission.interval_ms / 1000,
+        priority=queue.priority,
+        attempts=queue.attempts,
+        objective_s=job_order.objective_s(queue, steps),
+        advised=queue.advised,
+    )
+
+
+def _check_phase(job_id: str, index: int, phase: _Phase) -> None:
+    place = f"job {job_id}: phases[{index}]"
+    if phase.count < 1:
+        raise exceptions.JobRejected(f"{place}.count is below 1")
+    if min(phase.cpu, phase.memory, phase.gpu) < 0:
+        raise exceptions.JobRejected(f"{place} asks for less than nothing")
+    for earlier in phase.after:
+        if not 0 <= earlier < index:
+            raise exceptions.JobRejected(
+                f"{place}.after names phase {earlier}, which isn't earlier"
+            )
+
+
+def _step(phase: _Phase) -> job_models.Step:
+    return job_models.Step(
+        count=phase.count,
+        need=job_models.Capacity(phase.cpu, phase.memory, phase.gpu),
+        estimate_s=phase.estimate_ms / 1000,
+        after=tuple(phase.after),
+        checkpointing=phase.checkpointing,
+        gang=phase.gang,
+        same_rack=phase.same_rack,
+        required_label=phase.requirements,
+        data_rack=phase.affinity,
+        max_per_runner=max(phase.anti_affinity, 0),
+        speculative=phase.speculative,
+        long_running=phase.long_running,
+        image=phase.image,
+        latency_target_s=phase.target_ms / 1000,
+        fills=phase.fills,
+        max_unavailable=phase.max_unavailable,
+    )
+
+
+def encode_state(state: str) -> bytes:
+    """Return the body of an answer about a job's state."""
+    return msgspec.json.encode({"state": state})
+
+
+def encode_pending(count: int) -> bytes:
+    """Return the body of an answer about a queue."""
+    return msgspec.json.encode({"pending": count})
+
+
+def encode_error(text: str) -> bytes:
+    """Return the body of a refusal."""
+    body: dict[str, Any] = {"error": text}
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/src/azurevane/_internal/platform/node_settings.py
@@ -0,0 +1,110 @@
+"""The settings file that the platform writes on an entry host."""
+
+import pathlib
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.models import host_settings
+from azurevane._internal.platform import addresses
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    grace_s: float = 6.0
+    # Longest lease of what runs on a runner.
+    hold_max_ms: float = 10000.0
+    stop_ms: float = 1000.0
+    gang_ms: float = 3000.0
+    lease_ms: float = 3000.0
+    notice_ms: float = 4500.0
+    migrate_s: float = 2.0
+    maintenance_s: float = 2.0
+    status_s: float = msgspec.field(name="status_s", default=120.0)
+    early_ms: float = msgspec.field(name="early_ms", default=250.0)
+    remote_slowdown: float = 1.5
+    checkpoint_s: float = 2.0
+    restore_ms: float = 600.0
+    harm_ms: float = 4000.0
+    fencing_enforced: bool = False
+
+
+class _Store(msgspec.Struct, rename="camel"):
+    address: str
+    row_bytes: int = 65536
+
+
+class _HostsApi(msgspec.Struct, rename="camel"):
+    address: str
+    rate_per_s: float = 16.0
+    duty_per_s: float = 16.0
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    node_name: str
+    zone: str
+    platform: _Store
+    listen_addrs: dict[str, str] = {}
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    cloud_api: _HostsApi | None = None
+    advisor: str | None = None
+
+
+def load(path: pathlib.Path) -> host_settings.HostSettings:
+    """Return the settings of this host.
+
+    Raises:
+        SettingsError: the file can't be read or lacks a field.
+    """
+    try:
+        settings = msgspec.json.decode(path.read_bytes(), type=_Settings)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise exceptions.SettingsError(f"{path}: {error}") from error
+    return _host_settings(settings)
+
+
+def _host_settings(settings: _Settings) -> host_settings.HostSettings:
+    api = settings.cloud_api
+    return host_settings.HostSettings(
+        host_name=settings.node_name,
+        zone=settings.zone,
+        callers_listen=_listen(settings, "frontend"),
+        readiness_listen=_listen(settings, "readiness"),
+        store_address=addresses.parse_address(settings.platform.address),
+        hosts_api_address=(
+            addresses.parse_address(api.address) if api else None
+        ),
+        host_orders_per_s=api.duty_per_s if api else 0.0,
+        host_lists_per_s=api.rate_per_s if api else 0.0,
+        advisor_address=(
+            addresses.parse_address(settings.advisor)
+            if settings.advisor
+            else None
+        ),
+        store_row_bytes=settings.platform.row_bytes,
+        bounds=_bounds(settings.bounds),
+    )
+
+
+def _listen(settings: _Settings, name: str) -> host_settings.Address | None:
+    text = settings.listen_addrs.get(name)
+    return addresses.parse_address(text) if text else None
+
+
+def _bounds(bounds: _Bounds) -> host_settings.Bounds:
+    return host_settings.Bounds(
+        stop_grace_s=bounds.grace_s,
+        runner_lease_max_s=bounds.hold_max_ms / 1000,
+        runner_stop_s=bounds.stop_ms / 1000,
+        gang_wait_s=bounds.gang_ms / 1000,
+        host_lease_s=bounds.lease_ms / 1000,
+        notice_s=bounds.notice_ms / 1000,
+        move_s=bounds.migrate_s,
+        maintenance_s=bounds.maintenance_s,
+        job_kept_s=bounds.status_s,
+        early_start_s=bounds.early_ms / 1000,
+        remote_slowdown=bounds.remote_slowdown,
+        checkpoint_s=bounds.checkpoint_s,
+        restore_s=bounds.restore_ms / 1000,
+        harm_s=bounds.harm_ms / 1000,
+        hosts_fenced=bounds.fencing_enforced,
+    )
--- /dev/null
+++ b/src/azurevane/_internal/platform/operator_rows.py
@@ -0,0 +1,160 @@
+"""Rows that the site's operators write: configuration, zones, waves."""
+
+from typing import Any
+
+import msgspec
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import site
+
+TABLE = "op"
+STATUS_TABLE = "status"
+CONFIG_KEY = "config"
+_ZONE_PREFIX = "evacuate/"
+_WAVE_PREFIX = "wave/"
+
+
+class _Cap(msgspec.Struct):
+    cpu: int = 0
+    memory: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str = msgspec.field(name="pathPrefix")
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    factor: float = msgspec.field(name="deadlineFactor", default=1.0)
+    # Added to the factor's part; by itself it is no latency bound.
+    extra_ms: float = msgspec.field(name="targetLatencyMs", default=0.0)
+    timeout_ms: float = msgspec.field(name="timeoutMs", default=0.0)
+    public: bool = False
+    # Set where the queue's placements need advice.
+    advisor: Any = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    standby: bool = False
+    # Whether the runners themselves keep to their capacity.
+    constraints: bool = True
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
+    weight: float = 1.0
+    cap: _Cap = msgspec.field(default_factory=_Cap)
+
+
+class _Limits(msgspec.Struct):
+    header_bytes: int = msgspec.field(name="maxHeaderBytes", default=16384)
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=262144)
+    header_ms: float = msgspec.field(name="headerTimeoutMs", default=3000)
+    idle_ms: float = msgspec.field(name="idleTimeoutMs", default=15000)
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Wave(msgspec.Struct):
+    wave: int
+    machines: list[str]
+    duration_s: float = msgspec.field(name="durationS", default=0.0)
+    # Most machines in maintenance at once, not a resource limit.
+    cap: int = 1
+
+
+def decode_config(value: bytes) -> site.SiteConfig:
+    """Return the configuration that a row holds.
+
+    Raises:
+        msgspec.MsgspecError: the bytes can't be read.
+    """
+    config = msgspec.json.decode(value, type=_Config)
+    return site.SiteConfig(
+        version=config.version,
+        queue_by_name={route.name: _queue(route) for route in config.routes},
+        service_by_name={
+            service.name: site.Service(
+                service.name, service.standby, service.constraints
+            )
+            for service in config.services
+        },
+        team_by_name={
+            tenant.name: site.Team(
+                tenant.name,
+                frozenset(tenant.api_keys),
+                tenant.weight,
+                job_models.Capacity(
+                    tenant.cap.cpu, tenant.cap.memory, tenant.cap.gpu
+                ),
+            )
+            for tenant in config.tenants
+        },
+        team_by_key={
+            key: tenant.name
+            for tenant in config.tenants
+            for key in tenant.api_keys
+        },
+        limits=site.RequestLimits(
+            header_bytes=config.limits.header_bytes,
+            body_bytes=config.limits.body_bytes,
+            header_s=config.limits.header_ms / 1000,
+            idle_s=config.limits.idle_ms / 1000,
+        ),
+    )
+
+
+def _queue(route: _Route) -> site.Queue:
+    return site.Queue(
+        name=route.name,
+        host_name=route.host.lower(),
+        path_prefix=route.prefix,
+        service=route.service,
+        priority=route.priority,
+        attempts=max(route.attempts, 1),
+        objective_factor=route.factor,
+        objective_extra_s=route.extra_ms / 1000,
+        open=route.public,
+        advised=bool(route.advisor),
+        timeout_s=route.timeout_ms / 1000,
+    )
+
+
+def zone_out(key: str) -> str | None:
+    """Return the zone that a row takes out, or None for other rows."""
+    return key.removeprefix(_ZONE_PREFIX) if _ZONE_PREFIX in key else None
+
+
+def wave_number(key: str) -> int | None:
+    """Return the number of the wave that a row asks for, if it does."""
+    text = key.removeprefix(_WAVE_PREFIX)
+    return int(text) if text != key and text.isdigit() else None
+
+
+def decode_wave(value: bytes) -> site.Wave:
+    """Return the wave that a row asks for.
+
+    Raises:
+        msgspec.MsgspecError: the bytes can't be read.
+    """
+    wave = msgspec.json.decode(value, type=_Wave)
+    return site.Wave(
+        wave.wave, tuple(wave.machines), wave.duration_s, max(wave.cap, 1)
+    )
+
+
+def encode_wave_status(number: int, *, completed: bool) -> tuple[str, bytes]:
+    """Return the key and value of a wave's row in the status table."""
+    state = "completed" if completed else "running"
+    value = msgspec.json.encode({"wave": number, "state": state})
+    return f"{_WAVE_PREFIX}{number}", value
--- /dev/null
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -0,0 +1,271 @@
+"""Calls to runners: start, stop, hold and pace."""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.models import verdict
+from azurevane._internal.platform import addresses
+from azurevane._internal.platform import http_client
+
+# A runner answers in a round trip, at most a few milliseconds; beyond this
+# the order is taken as unanswered.
+CALL_TIMEOUT_S = 1.0
+
+_OUTCOME_BY_REASON = {
+    "fence": messages.StartOutcome.FENCED,
+    "old": messages.StartOutcome.OLD_ATTEMPT,
+    "late": messages.StartOutcome.LATE,
+    "room": messages.StartOutcome.NO_ROOM,
+    "ticket": messages.StartOutcome.BAD_TICKET,
+}
+
+
+class _Answer(msgspec.Struct):
+    clock_ms: float | None = msgspec.field(name="clockMs", default=None)
+    # Why the runner rejected the order.
+    reason: str = ""
+    born: int | None = None
+    running: list[Any] = []
+    # Ends that weren't acknowledged yet, not all that ever ended.
+    finished: list[Any] = []
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """Answer to an order: its outcome and the runner's clock, if known."""
+
+    outcome: messages.StartOutcome
+    clock_s: float | None = None
+
+
+class RunnerFenced(exceptions.AzurevaneError):
+    """Raised when a runner has seen a higher fencing token."""
+
+
+class OtherRunner(exceptions.AzurevaneError):
+    """Raised when another runner answers at the address."""
+
+
+class RunnerCalls:
+    """Sends orders to runners under one fencing token."""
+
+    def __init__(
+        self, client: http_client.HttpClient, fencing_token: int
+    ) -> None:
+        self._client = client
+        self._fencing_token = fencing_token
+
+    async def start(
+        self,
+        runner_id: str,
+        address: str,
+        order: messages.StartTask,
+        lease_until_s: float,
+    ) -> Started:
+        """Order a run; the outcome says whether it may have begun.
+
+        Args:
+            lease_until_s: end of the lease by the runner's clock.
+        """
+        body = {
+            "task": str(order.task),
+            "attempt": order.attempt,
+            "spec": order.spec,
+            "expiresMs": round(lease_until_s * 1000),
+            "fencingToken": self._fencing_token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        try:
+            status, answer = await self._call(
+                runner_id, address, "run-start", body
+            )
+        except exceptions.CallFailed as failure:
+            if failure.verdict is verdict.Verdict.NOT_RUN:
+                return Started(messages.StartOutcome.NOT_SENT)
+            return Started(messages.StartOutcome.UNKNOWN)
+        except OtherRunner:
+            return Started(messages.StartOutcome.OTHER_RUNNER)
+        return Started(_start_outcome(status, answer), _clock_s(answer))
+
+    async def stop(
+        self,
+        runner_id: str,
+        address: str,
+        task: job_models.TaskName,
+        attempt: int,
+    ) -> bool:
+        """Stop a run, or keep one from starting; whether it was taken.
+
+        Raises:
+            CallFailed: no answer came.
+            RunnerFenced: a higher fencing token is in force.
+            OtherRunner: another runner answered.
+        """
+        body = {
+            "task": str(task),
+            "attempt": attempt,
+            "fencingToken": self._fencing_token,
+        }
+        status, answer = await self._call(runner_id, address, "run-stop", body)
+        if answer.reason == "fence":
+            raise RunnerFenced(f"runner {runner_id} is fenced")
+        return status == 200
+
+    async def hold(
+        self,
+        runner_id: str,
+        address: str,
+        *,
+        last_seen: int,
+        lease_until_s: float | None,
+        wait_s: float,
+    ) -> messages.RunnerReport:
+        """Extend the lease, acknowledge ends and return the lists.
+
+        Args:
+            last_seen: highest number of an end that is stored.
+            lease_until_s: by the runner's clock; None to leave it.
+            wait_s: longest time to wait for an end.
+
+        Raises:
+            CallFailed: no usable answer came.
+            RunnerFenced: a higher fencing token is in force.
+            OtherRunner: another runner answered.
+        """
+        body: dict[str, Any] = {
+            "fencingToken": self._fencing_token,
+            "lastSeen": last_seen,
+            "waitMs": round(wait_s * 1000),
+        }
+        if lease_until_s is not None:
+            body["expiresMs"] = round(lease_until_s * 1000)
+        status, answer = await self._call(
+            runner_id, address, "hold", body, CALL_TIMEOUT_S + wait_s
+        )
+        if answer.reason == "fence":
+            raise RunnerFenced(f"runner {runner_id} is fenced")
+        if status != 200 or answer.clock_ms is None:
+            raise exceptions.CallFailed(
+                f"hold at runner {runner_id}: HTTP {status}",
+                verdict.Verdict.NOT_RUN,
+            )
+        return _report(answer)
+
+    async def pace(
+        self,
+        runner_id: str,
+        address: str,
+        task: job_models.TaskName,
+        attempt: int,
+        percent: int,
+    ) -> bool:
+        """Let a run work at a share of its speed; whether it was taken.
+
+        Raises:
+            CallFailed: no answer came.
+            OtherRunner: another runner answered.
+        """
+        body = {
+            "task": str(task),
+            "attempt": attempt,
+            "percent": percent,
+            "fencingToken": self._fencing_token,
+        }
+        status, _ = await self._call(runner_id, address, "pace", body)
+        return status == 200
+
+    async def _call(
+        self,
+        runner_id: str,
+        address: str,
+        name: str,
+        body: dict[str, Any],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, _Answer]:
+        answer = await self._client.call(
+            addresses.parse_address(address),
+            b"POST",
+            f"/azurevane/{name}",
+            body,
+            timeout_s=timeout_s,
+            headers={"X-Target-Instance": runner_id},
+        )
+        if answer.status == 421:
+            raise OtherRunner(f"{address} is no longer runner {runner_id}")
+        try:
+            return answer.status, msgspec.json.decode(
+                answer.body or b"{}", type=_Answer
+            )
+        except msgspec.MsgspecError as error:
+            if answer.status in (200, 409):
+                raise exceptions.CallFailed(
+                    f"{name} at runner {runner_id}: {error}",
+                    verdict.Verdict.MAY_HAVE_RUN,
+                ) from error
+            return answer.status, _Answer()
+
+
+def _start_outcome(status: int, answer: _Answer) -> messages.StartOutcome:
+    if status == 200:
+        return messages.StartOutcome.STARTED
+    if status == 409 and answer.reason in _OUTCOME_BY_REASON:
+        return _OUTCOME_BY_REASON[answer.reason]
+    if status in (429, 503):
+        return messages.StartOutcome.UNHEALTHY
+    if status in (400, 404, 409):
+        return messages.StartOutcome.INVALID
+    return messages.StartOutcome.UNKNOWN
+
+
+def _clock_s(answer: _Answer) -> float | None:
+    return None if answer.clock_ms is None else answer.clock_ms / 1000
+
+
+def _report(answer: _Answer) -> messages.RunnerReport:
+    assert answer.clock_ms is not None
+    ended = [_ended(row) for row in answer.finished]
+    numbers = [
+        row[0] for row in answer.finished if row and isinstance(row[0], int)
+    ]
+    running = [_running(row) for row in answer.running]
+    return messages.RunnerReport(
+        clock_s=answer.clock_ms / 1000,
+        started_at=None if answer.born is None else answer.born / 1000,
+        running=tuple(row for row in running if row is not None),
+        ended=tuple(row for row in ended if row is not None),
+        last_number=max(numbers, default=0),
+    )
+
+
+def _running(row: Any) -> messages.RunningTask | None:
+    try:
+        text, attempt, checkpoint, percent = row[:4]
+        task = job_models.TaskName.parse(text)
+    except (AttributeError, TypeError, ValueError):
+        return None
+    if task is None:
+        return None
+    load = row[4] if len(row) > 4 else 0.0
+    return messages.RunningTask(
+        task, attempt, checkpoint or "", int(percent), float(load or 0)
+    )
+
+
+def _ended(row: Any) -> messages.EndedTask | None:
+    try:
+        number, text, attempt, how, checkpoint = row
+        task = job_models.TaskName.parse(text)
+        reason = messages.EndReason(how)
+    except (AttributeError, TypeError, ValueError):
+        return None
+    if task is None:
+        return None
+    return messages.EndedTask(number, task, attempt, reason, checkpoint or "")
--- /dev/null
+++ b/src/azurevane/_internal/platform/runner_rows.py
@@ -0,0 +1,59 @@
+"""Entries that runners write about themselves in the store."""
+
+import msgspec
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import site
+
+TABLE = "servers"
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int
+    memory: int = msgspec.field(name="memMb")
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    # The kind of the runner, then its rack.
+    labels: list[str]
+    clock_ms: float = msgspec.field(name="clockMs")
+    # Unix milliseconds of the process's start, not of the entry.
+    born: int = 0
+    remaining_ms: float | None = msgspec.field(
+        name="remainingMs", default=None
+    )
+
+
+def decode_runner(runner_id: str, value: bytes) -> site.Runner:
+    """Return the runner that an entry describes.
+
+    Raises:
+        msgspec.MsgspecError: the bytes can't be read, or a field is
+            missing, of another type or unknown.
+    """
+    entry = msgspec.json.decode(value, type=_Entry)
+    if entry.state not in ("ready", "draining"):
+        raise msgspec.ValidationError(f"unknown state {entry.state!r}")
+    draining = entry.state == "draining"
+    remaining_s = (entry.remaining_ms or 0.0) / 1000
+    return site.Runner(
+        id=runner_id,
+        started_at=entry.born / 1000,
+        address=entry.address,
+        service=entry.service,
+        zone=entry.zone,
+        draining=draining,
+        capacity=job_models.Capacity(
+            entry.capacity.cpu, entry.capacity.memory, entry.capacity.gpu
+        ),
+        labels=frozenset(entry.labels),
+        rack=entry.labels[1] if len(entry.labels) > 1 else "",
+        clock_s=entry.clock_ms / 1000,
+        leaves_in_s=remaining_s if draining else None,
+    )
--- /dev/null
+++ b/src/azurevane/_internal/platform/store.py
@@ -0,0 +1,249 @@
+"""Rows of the platform's store: transactions, reads and changes."""
+
+import base64
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+from urllib import parse
+
+import msgspec
+
+from azurevane import exceptions
+from azurevane._internal.models import host_settings
+from azurevane._internal.models import verdict
+from azurevane._internal.platform import http_client
+
+# An answer takes about 10 ms; a slow store takes about 50 times as long.
+CALL_TIMEOUT_S = 1.5
+# Most rows of a read, by the platform's protocol.
+PAGE_ROWS = 500
+# Most entries of a transaction, by the platform's protocol.
+TRANSACTION_ENTRIES = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowKey:
+    """Place of a row; transactions hold rows of one part."""
+
+    table: str
+    part: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A row as the store has it.
+
+    Attributes:
+        version: number of the transaction that wrote it; 0 if it doesn't
+            exist.
+        value: None if it doesn't exist.
+    """
+
+    place: RowKey
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """Rows of a read or a feed, as of ``version``."""
+
+    rows: tuple[Row, ...]
+    version: int
+    more: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """A transaction that took effect under ``version``."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A transaction without effect: a row had another version.
+
+    Attributes:
+        row_by_place: the rows of its conditions as they are.
+    """
+
+    row_by_place: dict[RowKey, Row]
+
+
+class _Row(msgspec.Struct):
+    table: str
+    part: str
+    key: str
+    value: str | None = None
+    # Counts all transactions of the store, not the row's own changes.
+    version: int = msgspec.field(name="schemaVersion", default=0)
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_Row] = []
+    version: int = msgspec.field(name="schemaVersion", default=0)
+    more: bool = msgspec.field(name="hasMore", default=False)
+    parts: list[str] = []
+
+
+def _row(row: _Row) -> Row:
+    place = RowKey(row.table, row.part, row.key)
+    if row.deleted or row.value is None:
+        return Row(place, None, 0)
+    return Row(place, base64.b64decode(row.value), row.version)
+
+
+class StoreClient:
+    """Calls the store; every host has one."""
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        address: host_settings.Address,
+    ) -> None:
+        self._client = client
+        self._address = address
+
+    async def transact(
+        self,
+        expected_by_place: dict[RowKey, int],
+        value_by_place: dict[RowKey, bytes],
+        deletions: Sequence[RowKey] = (),
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Committed | Conflict:
+        """Write rows at once if the rows of the condition are as expected.
+
+        Args:
+            expected_by_place: version that each row must have; 0 for a
+                row that must not exist.
+
+        Raises:
+            CallFailed: the verdict says whether the write may have taken
+                effect or still may.
+        """
+        body = {
+            "expectedRev": [
+                {**_place(place), "schemaVersion": version}
+                for place, version in expected_by_place.items()
+            ],
+            "setKeys": [
+                {
+                    **_place(place),
+                    "value": base64.b64encode(value).decode(),
+                }
+                for place, value in value_by_place.items()
+            ],
+            "delete": [_place(place) for place in deletions],
+        }
+        status, answer = await self._call(
+            b"POST", "/azurevane/rows-tx", body, timeout_s
+        )
+        if status == 412:
+            rows = [_row(row) for row in answer.rows]
+            return Conflict({row.place: row for row in rows})
+        return Committed(answer.version)
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Rows:
+        """Read a page of rows by ascending key, ``end`` excluded.
+
+        Raises:
+            CallFailed: no usable answer came.
+        """
+        query = {"table": table, "part": part, "limit": str(PAGE_ROWS)}
+        if first:
+            query["from"] = first
+        if end:
+            # The wire's name suggests a destination; it ends the range.
+            query["target"] = end
+        _, answer = await self._call(
+            b"GET", f"/azurevane/rows-get?{parse.urlencode(query)}"
+        )
+        rows = tuple(_row(row) for row in answer.rows)
+        return Rows(rows, answer.version, answer.more)
+
+    async def read_part(self, table: str, part: str) -> Rows:
+        """Read all rows of a part; the version is the first page's."""
+        rows: list[Row] = []
+        version, first = 0, ""
+        while True:
+            page = await self.read(table, part, first)
+            version = version or page.version
+            rows.extend(page.rows)
+            if not page.more or not page.rows:
+                return Rows(tuple(rows), version)
+            # The smallest key above the last one.
+            first = page.rows[-1].place.key + "\x00"
+
+    async def parts(self, table: str) -> tuple[str, ...]:
+        """Return the names of a table's parts."""
+        names: list[str] = []
+        while True:
+            query = {"table": table}
+            if names:
+                query["after"] = names[-1]
+            _, answer = await self._call(
+                b"GET", f"/azurevane/rows-parts?{parse.urlencode(query)}"
+            )
+            names.extend(answer.parts)
+            if not answer.more or not answer.parts:
+                return tuple(names)
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Rows:
+        """Return what changed after a version, as soon as there is some.
+
+        Raises:
+            CallFailed: no usable answer came.
+            StoreHistoryLost: the changes are no longer known.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "waitMs": str(round(wait_s * 1000)),
+        }
+        status, answer = await self._call(
+            b"GET",
+            f"/azurevane/rows-feed?{parse.urlencode(query)}",
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+        if status == 410:
+            raise exceptions.StoreHistoryLost(
+                f"the store has no changes of table {table!r} after {after}"
+            )
+        rows = tuple(_row(row) for row in answer.rows)
+        return Rows(rows, answer.version)
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, _Answer]:
+        answer = await self._client.call(
+            self._address, method, path, body, timeout_s=timeout_s
+        )
+        if answer.status in (200, 410, 412):
+            try:
+                return answer.status, msgspec.json.decode(
+                    answer.body or b"{}", type=_Answer
+                )
+            except msgspec.MsgspecError as error:
+                raise exceptions.CallFailed(
+                    f"{method.decode()} {path}: {error}",
+                    verdict.Verdict.MAY_HAVE_RUN,
+                ) from error
+        # All other statuses say that nothing was done.
+        raise exceptions.CallFailed(
+            f"{method.decode()} {path}: HTTP {answer.status}",
+            verdict.Verdict.NOT_RUN,
+        )
+
+
+def _place(place: RowKey) -> dict[str, str]:
+    return {"table": place.table, "part": place.part, "key": place.key}
--- /dev/null
+++ b/src/azurevane/_internal/policy/job_order.py
@@ -0,0 +1,62 @@
+"""In which order jobs get their tasks' turns.
+
+A job that ends after its objective earns little, so among the jobs of one
+priority those that can still make it go first, the most urgent foremost.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import site
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobOutlook:
+    """What the order of a job depends on; times are steady seconds.
+
+    Attributes:
+        remaining_s: longest chain of work that is left.
+    """
+
+    priority: int
+    long_running: bool
+    arrived_at: float
+    objective_at: float
+    remaining_s: float
+
+
+def order_key(outlook: JobOutlook, now: float) -> tuple[float, ...]:
+    """Return a key that sorts jobs by their turn."""
+    start_by = outlook.objective_at - outlook.remaining_s
+    late = not outlook.long_running and start_by < now
+    return (
+        not outlook.long_running,
+        outlook.priority,
+        late,
+        outlook.arrived_at if late else start_by,
+    )
+
+
+def longest_chain_s(
+    steps: Sequence[job_models.Step], undone: Sequence[bool] | None = None
+) -> float:
+    """Return the run time of the longest chain of steps.
+
+    Args:
+        undone: which steps count; all where it is left out.
+    """
+    chain_s: list[float] = []
+    for index, step in enumerate(steps):
+        own_s = step.estimate_s
+        if undone is not None and not undone[index]:
+            own_s = 0.0
+        before_s = max((chain_s[i] for i in step.after), default=0.0)
+        chain_s.append(before_s + own_s)
+    return max(chain_s, default=0.0)
+
+
+def objective_s(queue: site.Queue, steps: Sequence[job_models.Step]) -> float:
+    """Return the time in which a job's callers want it done."""
+    chain_s = longest_chain_s(steps)
+    return queue.objective_factor * chain_s + queue.objective_extra_s
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -0,0 +1,450 @@
+"""The leader's task: reads the site's jobs, plans and has orders sent."""
+
+from collections.abc import Callable, Coroutine, Sequence
+import functools
+import logging
+import time
+from typing import Any
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import host_settings
+from azurevane._internal.models import site
+from azurevane._internal.platform import advice_calls
+from azurevane._internal.platform import http_client
+from azurevane._internal.platform import runner_calls
+from azurevane._internal.platform import runner_rows
+from azurevane._internal.platform import store
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import journal as journal_module
+from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import orders
+from azurevane._internal.scheduler import planner as planner_module
+from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import runner_events
+from azurevane._internal.scheduler import runner_link
+from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import table_follower
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+# Events within this time are planned for together.
+PUMP_S = 0.004
+# How long the store may hold back an answer about changes.
+FEED_WAIT_S = 2.0
+# Leases are extended this long without the store, so that tasks outlive
+# its outages; a new leader allows for it.
+EXTEND_WITHOUT_STORE_S = 8.0
+_RETRY_S = 0.2
+
+OWNER_PLACE = store.RowKey(
+    leadership.TABLE, records.LEADER_PART, leadership.OWNER_KEY
+)
+ALIVE_PLACE = store.RowKey(
+    leadership.TABLE, records.LEADER_PART, leadership.ALIVE_KEY
+)
+
+
+def spawn(coroutine: Coroutine[Any, Any, Any], step: str) -> None:
+    """Run a step on its own; an unexpected error is logged."""
+
+    def note_failure(failure: Any) -> None:
+        catalogue.emit(
+            logger,
+            events.StepFailed(
+                step, repr(failure.value), failure.getTraceback()
+            ),
+        )
+
+    defer.ensureDeferred(coroutine).addErrback(note_failure)
+
+
+class Leader:
+    """One reign of this host; made when the leader's row was taken.
+
+    Args:
+        owner_version: version of the leader's row under this reign.
+        over: called once when the reign ends.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        client: http_client.HttpClient,
+        store_client: store.StoreClient,
+        settings: host_settings.HostSettings,
+        *,
+        token: int,
+        owner_version: int,
+        claimed_at: float,
+        over: Callable[[str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._store = store_client
+        self._settings = settings
+        self.token = token
+        self._over = over
+        self._committed_at = claimed_at
+        self._renewals = 0
+        self._began_at = claimed_at
+        self.lease_s = min(
+            runner_state.LEASE_S, settings.bounds.runner_lease_max_s
+        )
+        unseen_until = claimed_at
+        if token > 1:
+            unseen_until += EXTEND_WITHOUT_STORE_S + self.lease_s
+        self.book = book_module.Book(unseen_until)
+        self.runner_events = runner_events.RunnerEvents(self.book)
+        self._planner = planner_module.Planner(
+            self.book, settings.bounds.runner_stop_s
+        )
+        self._calls = runner_calls.RunnerCalls(client, token)
+        self._advice: advice_calls.AdviceCalls | None = None
+        if settings.advisor_address is not None:
+            self._advice = advice_calls.AdviceCalls(
+                client, settings.advisor_address
+            )
+        self._journal = journal_module.Journal(
+            store_client,
+            (OWNER_PLACE, owner_version),
+            seconds=reactor.seconds,
+            sleep=runner_link.make_sleep(reactor),
+            committed=self._note_committed,
+            deposed=lambda: self.stop("another host holds the row"),
+        )
+        self._journal.adopt(store.Row(ALIVE_PLACE, b"", owner_version))
+        self._link_by_id: dict[str, runner_link.RunnerLink] = {}
+        self._followers: list[table_follower.TableFollower] = []
+        self._state_by_job: dict[str, bytes] = {}
+        self._loaded: set[str] = set()
+        self._ticker: Any = None
+        self._renewed_at = claimed_at
+        self._pump_call: Any = None
+        self.stopped = False
+
+    # Time and validity.
+
+    def now(self) -> float:
+        """Return the steady time in seconds."""
+        return float(self._reactor.seconds())
+
+    def may_order(self) -> bool:
+        """Whether this host certainly leads."""
+        proven_until = self._committed_at + leadership.VALID_S
+        return not self.stopped and self.now() < proven_until
+
+    def may_extend(self) -> bool:
+        """Whether leases may still be extended."""
+        until = self._committed_at + EXTEND_WITHOUT_STORE_S
+        return not self.stopped and self.now() < until
+
+    def doubt(self, reason: str) -> None:
+        """Ask the store whether this host still leads."""
+        logger.info("Leadership in doubt: %s", reason)
+        self._renew()
+
+    def _note_committed(self, sent_at: float) -> None:
+        self._committed_at = max(self._committed_at, sent_at)
+
+    # Start and stop.
+
+    async def run(self) -> None:
+        """Read the site's jobs, then follow and plan until stopped."""
+        while not self.stopped:
+            try:
+                states = await self._store.read_part(
+                    records.STATE_TABLE, records.LEADER_PART
+                )
+                break
+            except exceptions.CallFailed as failure:
+                logger.info("Reading jobs' states: %s", failure)
+                await twisted_task.deferLater(
+                    self._reactor, _RETRY_S, lambda: None
+                )
+        if self.stopped:
+            return
+        for row in states.rows:
+            self._journal.adopt(row)
+            self._state_by_job[row.place.key] = row.value or b""
+        self._follow(
+            runner_rows.TABLE, self._runners_whole, self._runners_changed
+        )
+        self._follow(
+            records.JOBS_TABLE,
+            self._jobs_whole,
+            self._jobs_changed,
+            parted=True,
+        )
+        self._ticker = twisted_task.LoopingCall(self._tick)
+        self._ticker.clock = self._reactor
+        self._ticker.start(TICK_S)
+
+    def _follow(
+        self,
+        table: str,
+        whole: Callable[[Sequence[store.Row]], None],
+        changed: Callable[[Sequence[store.Row]], None],
+        *,
+        parted: bool = False,
+    ) -> None:
+        follower = table_follower.TableFollower(
+            self._reactor,
+            self._store,
+            table,
+            wait_s=FEED_WAIT_S,
+            whole=whole,
+            changed=changed,
+            parted=parted,
+        )
+        self._followers.append(follower)
+        spawn(follower.run(), f"follow {table}")
+
+    def stop(self, reason: str) -> None:
+        """End this reign; nothing is ordered any more."""
+        if self.stopped:
+            return
+        self.stopped = True
+        self._journal.close()
+        for follower in self._followers:
+            follower.stop()
+        for link in self._link_by_id.values():
+            link.stop()
+        if self._ticker is not None and self._ticker.running:
+            self._ticker.stop()
+        catalogue.emit(logger, events.LeadershipLost(self.token, reason))
+        self._over(reason)
+
+    async def hand_over(self) -> None:
+        """Free the leader's row after what changed is stored."""
+        try:
+            self._journal.write(
+                OWNER_PLACE,
+                lambda: leadership.encode_owner("", self.token),
+            )
+            await self._journal.stored()
+        except journal_module.Deposed:
+            return
+        self.stop("handed over")
+
+    # Rows of the store.
+
+    def set_site(
+        self, config: site.SiteConfig | None, zones_out: frozenset[str]
+    ) -> None:
+        """Take in the operators' configuration and zones."""
+        self.book.config = config
+        self.book.zones_out = zones_out
+        self.pump()
+
+    def _jobs_whole(self, rows: Sequence[store.Row]) -> None:
+        self._jobs_changed(rows)
+        if records.JOBS_TABLE not in self._loaded:
+            self._loaded.add(records.JOBS_TABLE)
+            self._note_loaded()
+
+    def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
+        now, unix_now = self.now(), time.time()
+        cancelled: list[str] = []
+        for row in rows:
+            key = row.place.key
+            if key.endswith(records.CANCEL_SUFFIX):
+                cancelled.append(key.removesuffix(records.CANCEL_SUFFIX))
+            elif row.value is None:
+                self.book.forget_job(key)
+            else:
+                self._add_job(row, now, unix_now)
+        for job_id in cancelled:
+            self.book.cancel(job_id, now)
+        self.pump()
+
+    def _add_job(self, row: store.Row, now: float, unix_now: float) -> None:
+        assert row.value is not None
+        try:
+            job = records.decode_job(row.value)
+        except msgspec.MsgspecError as error:
+            _note_unreadable(row, error)
+            return
+        self.book.add_job(
+            job,
+            now=now,
+            unix_now=unix_now,
+            stored_state=self._state_by_job.pop(job.id, None),
+        )
+
+    def _runners_whole(self, rows: Sequence[store.Row]) -> None:
+        entries = [self._runner(row) for row in rows]
+        self.runner_events.set_entries(
+            [entry for entry in entries if entry is not None], self.now()
+        )
+        self._loaded.add(runner_rows.TABLE)
+        self._note_loaded()
+        self._update_links()
+
+    def _runners_changed(self, rows: Sequence[store.Row]) -> None:
+        now = self.now()
+        for row in rows:
+            entry = None if row.value is None else self._runner(row)
+            if entry is None:
+                self.runner_events.unlisted(row.place.key, now)
+            else:
+                self.runner_events.listed(entry, now)
+        self._update_links()
+        self.pump()
+
+    @staticmethod
+    def _runner(row: store.Row) -> site.Runner | None:
+        try:
+            return runner_rows.decode_runner(row.place.key, row.value or b"")
+        except msgspec.MsgspecError as error:
+            _note_unreadable(row, error)
+            return None
+
+    def _note_loaded(self) -> None:
+        if len(self._loaded) < 2:
+            return
+        catalogue.emit(
+            logger,
+            events.LeaderReady(
+                self.token,
+                len(self.book.job_by_id),
+                len(self.book.live_by_id),
+                len(self.book.runner_by_id),
+                round(self.now() - self._began_at, 3),
+            ),
+        )
+
+    def _update_links(self) -> None:
+        for runner_id in self.book.runner_by_id:
+            if runner_id not in self._link_by_id:
+                link = runner_link.RunnerLink(
+                    self._reactor, self, self._calls, runner_id, self.lease_s
+                )
+                self._link_by_id[runner_id] = link
+                spawn(link.run(), f"runner {runner_id}")
+        for runner_id in list(self._link_by_id):
+            if runner_id not in self.book.runner_by_id:
+                self._link_by_id.pop(runner_id).stop()
+            else:
+                self._link_by_id[runner_id].wake()
+
+    # Planning and storing.
+
+    def pump(self) -> None:
+        """Plan again soon."""
+        if self._pump_call is None and not self.stopped:
+            self._pump_call = self._reactor.callLater(PUMP_S, self._pump)
+
+    def _pump(self) -> None:
+        self._pump_call = None
+        if self.stopped:
+            return
+        if len(self._loaded) == 2 and self.may_order():
+            self._planner.plan(self.now(), time.time())
+        self._write_changed()
+        starts: list[orders.SendStart] = []
+        for order in self.book.take_orders():
+            if isinstance(order, orders.SendStart):
+                starts.append(order)
+            else:
+                self._send(order)
+        if starts:
+            self._journal.stored().addCallbacks(
+                self._send_starts, lambda _: None, callbackArgs=(starts,)
+            )
+
+    def _write_changed(self) -> None:
+        for state in self.book.take_changed():
+            place = store.RowKey(
+                records.STATE_TABLE, records.LEADER_PART, state.job.id
+            )
+            self._journal.write(
+                place, functools.partial(records.encode_state, state)
+            )
+
+    def stored(self) -> "defer.Deferred[None]":
+        """Store all that changed."""
+        self._write_changed()
+        return self._journal.stored()
+
+    def _send_starts(
+        self, _: None, starts: Sequence[orders.SendStart]
+    ) -> None:
+        for order in starts:
+            link = self._link_by_id.get(order.runner_id)
+            if link is not None:
+                spawn(link.send_start(order), "start")
+
+    def _send(self, order: orders.Order) -> None:
+        if isinstance(order, orders.AskAdvice):
+            spawn(self._ask_advice(order), "advice")
+            return
+        link = self._link_by_id.get(order.runner_id)
+        if link is None:
+            return
+        if isinstance(order, orders.SendStop):
+            spawn(link.send_stop(order), "stop")
+        elif isinstance(order, orders.SendPace):
+            spawn(link.send_pace(order), "pace")
+
+    async def _ask_advice(self, order: orders.AskAdvice) -> None:
+        try:
+            if self._advice is None or not order.runner_ids:
+                return
+            advice = await self._advice.advise(
+                order.step_name, order.runner_ids
+            )
+        except exceptions.CallFailed as failure:
+            logger.info("Advice on %s: %s", order.step_name, failure)
+            await twisted_task.deferLater(
+                self._reactor, _RETRY_S, lambda: None
+            )
+            return
+        finally:
+            self.book.advice_asked.discard(order.step_name)
+        self.book.advice_by_step[order.step_name] = book_module.Advice(
+            advice.ticket_by_runner, self.now() + advice.valid_s * 0.8
+        )
+        self.pump()
+
+    # Periodic work.
+
+    def _tick(self) -> None:
+        now = self.now()
+        if now - self._renewed_at >= leadership.RENEW_S:
+            self._renew()
+        self.runner_events.missing(now)
+        self._drop_left_runners()
+        self._update_links()
+        self.pump()
+
+    def _drop_left_runners(self) -> None:
+        for runner_id, state in list(self.book.runner_by_id.items()):
+            left = not state.listed and not state.run_by_task
+            if left and not state.need_by_orphan:
+                del self.book.runner_by_id[runner_id]
+
+    def _renew(self) -> None:
+        self._renewed_at = self.now()
+        self._journal.write(ALIVE_PLACE, self._encode_alive)
+        # Failures are repeated by the journal until it is closed.
+        self.stored().addErrback(lambda _: None)
+
+    def _encode_alive(self) -> bytes:
+        self._renewals += 1
+        return leadership.encode_alive(
+            self.token, self._renewals, self.book.pending_by_queue()
+        )
+
+
+def _note_unreadable(row: store.Row, error: Exception) -> None:
+    catalogue.emit(
+        logger,
+        events.RowUnreadable(row.place.table, row.place.key, str(error)),
+    )
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -0,0 +1,221 @@
+"""Chooses which waiting tasks start where."""
+
+import logging
+
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.policy import job_order
+from azurevane._internal.policy import task_placement
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import orders
+from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import runs
+
+logger = logging.getLogger(__name__)
+
+# Before a draining runner leaves, its tasks are stopped this much sooner
+# than they need to save their state.
+DRAIN_MARGIN_S = 0.5
+
+
+class Planner:
+    """Plans starts from the book; times are steady seconds."""
+
+    def __init__(self, book: book_module.Book, runner_stop_s: float) -> None:
+        self._book = book
+        self._runner_stop_s = runner_stop_s
+        # Attempt and checkpoint that the members of a gang share.
+        self._gang_run_by_step: dict[
+            tuple[str, int, int], tuple[int, str]
+        ] = {}
+
+    def plan(self, now: float, unix_now: float) -> None:
+        """Start what can start, and stop what has to leave its runner."""
+        self._leave_draining(now)
+        self._gang_run_by_step.clear()
+        requests = self._requests(now, unix_now)
+        if not requests:
+            return
+        free_by_team = self._book.free_by_team()
+        for service, service_requests in requests.items():
+            rooms = self._rooms(service, now)
+            if not rooms:
+                continue
+            for placement in task_placement.place(
+                service_requests, rooms, free_by_team
+            ):
+                self._assign(placement, now)
+            free_by_team = self._book.free_by_team()
+
+    def _leave_draining(self, now: float) -> None:
+        margin_s = self._runner_stop_s + DRAIN_MARGIN_S
+        for runner in self._book.runner_by_id.values():
+            if runner.drains_until is None:
+                continue
+            leaving = now >= runner.drains_until - margin_s
+            for run in list(runner.run_by_task.values()):
+                if run.phase is not runs.Phase.RUNNING:
+                    continue
+                if leaving or run.step.long_running:
+                    self._book.stop(run, "runner drains", now)
+
+    def _rooms(self, service: str, now: float) -> list[task_placement.Room]:
+        rooms = []
+        for runner in self._book.runner_by_id.values():
+            if runner.entry.service != service or not self._usable(
+                runner, now
+            ):
+                continue
+            rooms.append(
+                task_placement.Room(
+                    runner.id,
+                    runner.entry.rack,
+                    runner.entry.labels,
+                    runner.free(),
+                )
+            )
+        return rooms
+
+    def _usable(self, runner: runner_state.RunnerState, now: float) -> bool:
+        return (
+            runner.listed
+            and runner.fenced
+            and not runner.entry.draining
+            and runner.id not in self._book.vacating
+            and runner.entry.zone not in self._book.zones_out
+            and now >= runner.not_before
+            and runner.in_touch(now)
+        )
+
+    def _requests(
+        self, now: float, unix_now: float
+    ) -> dict[str, list[task_placement.StepRequest]]:
+        """Return the waiting steps of each service, in their order."""
+        ordered = sorted(
+            (
+                job
+                for job in self._book.live_by_id.values()
+                if job.waiting and not job.status.ended
+            ),
+            key=lambda job: job_order.order_key(_outlook(job), now),
+        )
+        requests_by_service: dict[str, list[task_placement.StepRequest]] = {}
+        for job in ordered:
+            service = self._book.service(job.job)
+            for occurrence, index in job.ready_steps(unix_now):
+                request = self._request(job, occurrence, index, now)
+                if request is not None:
+                    requests_by_service.setdefault(service, []).append(request)
+        return requests_by_service
+
+    def _request(
+        self, job: runs.JobState, occurrence: int, index: int, now: float
+    ) -> task_placement.StepRequest | None:
+        step_runs = job.runs_by_step[occurrence, index]
+        waiting = tuple(
+            run.name.index
+            for run in step_runs
+            if run.phase is runs.Phase.WAITING and run.not_before <= now
+        )
+        step = job.job.steps[index]
+        if not waiting or (step.gang and len(waiting) < step.count):
+            return None
+        present_by_runner: dict[str, int] = {}
+        if len(waiting) < step.count:
+            for run in step_runs:
+                if run.present:
+                    count = present_by_runner.get(run.runner_id, 0)
+                    present_by_runner[run.runner_id] = count + 1
+        allowed = None
+        if job.job.advised:
+            allowed = self._advised(job, occurrence, index, now)
+        return task_placement.StepRequest(
+            job_id=job.job.id,
+            occurrence=occurrence,
+            step_index=index,
+            team=job.job.team,
+            step=step,
+            indexes=waiting,
+            present_by_runner=present_by_runner,
+            allowed=allowed,
+        )
+
+    def _advised(
+        self, job: runs.JobState, occurrence: int, index: int, now: float
+    ) -> frozenset[str]:
+        name = f"{job.job.id}.{occurrence}.{index}"
+        advice = self._book.advice_by_step.get(name)
+        if advice is not None and now < advice.valid_until:
+            return frozenset(advice.ticket_by_runner)
+        if name not in self._book.advice_asked:
+            self._book.advice_asked.add(name)
+            service = self._book.service(job.job)
+            runner_ids = tuple(
+                room.runner_id for room in self._rooms(service, now)
+            )
+            self._book.send(orders.AskAdvice(name, runner_ids))
+        return frozenset()
+
+    def _assign(self, placement: task_placement.Placement, now: float) -> None:
+        request = placement.request
+        job = self._book.live_by_id[request.job_id]
+        key = request.occurrence, request.step_index
+        run = job.runs_by_step[key][placement.index]
+        runner = self._book.runner_by_id[placement.runner_id]
+        attempt, checkpoint = run.attempt + 1, run.checkpoint
+        if request.step.gang:
+            attempt, checkpoint = self._gang_run(job, key)
+        if not request.step.checkpointing:
+            checkpoint = ""
+        free_cpu = runner.free().cpu
+        self._book.assign(run, runner, attempt)
+        ticket = self._ticket(request, placement.runner_id)
+        order = messages.StartTask(
+            run.name, attempt, job.job.spec, checkpoint, ticket
+        )
+        self._book.send(orders.SendStart(runner.id, run, order))
+        catalogue.emit(
+            logger,
+            events.RunAssigned(
+                str(run.name),
+                attempt,
+                runner.id,
+                free_cpu,
+                round(now - job.arrived_at, 3),
+            ),
+        )
+
+    def _gang_run(
+        self, job: runs.JobState, key: tuple[int, int]
+    ) -> tuple[int, str]:
+        name = job.job.id, *key
+        if name not in self._gang_run_by_step:
+            members = job.runs_by_step[key]
+            self._gang_run_by_step[name] = (
+                1 + max(member.attempt for member in members),
+                max(member.checkpoint for member in members),
+            )
+        return self._gang_run_by_step[name]
+
+    def _ticket(
+        self, request: task_placement.StepRequest, runner_id: str
+    ) -> str:
+        if request.allowed is None:
+            return ""
+        name = f"{request.job_id}.{request.occurrence}.{request.step_index}"
+        return self._book.advice_by_step[name].ticket_by_runner[runner_id]
+
+
+def _outlook(job: runs.JobState) -> job_order.JobOutlook:
+    undone = [
+        bool(job.undone_by_step[0, index])
+        for index in range(len(job.job.steps))
+    ]
+    return job_order.JobOutlook(
+        priority=job.job.priority,
+        long_running=job.long_running,
+        arrived_at=job.arrived_at,
+        objective_at=job.objective_at,
+        remaining_s=job_order.longest_chain_s(job.job.steps, undone),
+    )
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -0,0 +1,109 @@
+"""What the store keeps of a job: its submission, its state, its cancel."""
+
+import msgspec
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import runs as runs_module
+
+# Submissions lie in as many parts as an id has first digits, so that no
+# part takes more transactions than it can.
+JOBS_TABLE = "azurevane-jobs"
+STATE_TABLE = "azurevane-state"
+# Written by the leader under one condition, hence in one part.
+LEADER_PART = ""
+CANCEL_SUFFIX = "-cancel"
+# Follows every suffix of a key.
+KEY_END = "~"
+
+
+class _Task(msgspec.Struct, array_like=True):
+    occurrence: int
+    step: int
+    index: int
+    phase: int
+    attempt: int
+    runner_id: str
+    failed_attempts: list[int]
+    checkpoint: str
+
+
+class _Record(msgspec.Struct, array_like=True):
+    status: str
+    tasks: list[_Task]
+
+
+_record_decoder = msgspec.json.Decoder(_Record)
+_job_decoder = msgspec.json.Decoder(job_models.Job)
+
+
+def job_part(job_id: str) -> str:
+    """Return the part that holds a job's submission."""
+    return job_id[0].lower()
+
+
+def encode_job(job: job_models.Job) -> bytes:
+    """Return the value of a submission's row."""
+    return msgspec.json.encode(job)
+
+
+def decode_job(value: bytes) -> job_models.Job:
+    """Return the job that a row holds.
+
+    Raises:
+        msgspec.MsgspecError: the bytes can't be read.
+    """
+    return _job_decoder.decode(value)
+
+
+def encode_state(state: runs_module.JobState) -> bytes:
+    """Return the value of the row of a job's state."""
+    tasks = []
+    if not state.status.ended or state.present_runs():
+        tasks = [_task(run) for run in state.runs() if run.attempt]
+    return msgspec.json.encode(_Record(state.status.value, tasks))
+
+
+def _task(run: runs_module.Run) -> _Task:
+    return _Task(
+        run.name.occurrence,
+        run.name.step,
+        run.name.index,
+        int(run.phase),
+        run.attempt,
+        run.runner_id,
+        sorted(run.failed_attempts),
+        run.checkpoint,
+    )
+
+
+def decode_status(value: bytes) -> runs_module.JobStatus:
+    """Return what callers see of a job."""
+    return runs_module.JobStatus(_record_decoder.decode(value).status)
+
+
+def restore_state(state: runs_module.JobState, value: bytes) -> None:
+    """Set a job's state to what a row holds.
+
+    A run that was ordered becomes doubtful: only its runner knows whether
+    it began.
+    """
+    record = _record_decoder.decode(value)
+    state.status = runs_module.JobStatus(record.status)
+    for task in record.tasks:
+        run = state.run(
+            job_models.TaskName(
+                state.job.id, task.occurrence, task.step, task.index
+            )
+        )
+        if run is None:
+            continue
+        run.attempt = task.attempt
+        run.failed_attempts = set(task.failed_attempts)
+        run.checkpoint = task.checkpoint
+        phase = runs_module.Phase(task.phase)
+        if phase is runs_module.Phase.DONE:
+            run.finish()
+            state.undone_by_step[task.occurrence, task.step] -= 1
+        elif phase is not runs_module.Phase.WAITING:
+            run.assign(task.runner_id, task.attempt)
+            run.inherited = True
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -0,0 +1,406 @@
+"""What the scheduler makes of entries, reports and answers of runners."""
+
+from collections.abc import Iterable
+import logging
+
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.models import site
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import orders
+from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import runs
+
+logger = logging.getLogger(__name__)
+
+# Pause after a run failed, so that a task that fails at once doesn't take
+# every turn.
+FAILED_PAUSE_S = 0.1
+
+_Phase = runs.Phase
+_Outcome = messages.StartOutcome
+# Outcomes after which the runner shouldn't get tasks for a while.
+_RUNNER_AT_FAULT = {
+    _Outcome.UNHEALTHY,
+    _Outcome.NOT_SENT,
+    _Outcome.NO_ROOM,
+    _Outcome.INVALID,
+}
+
+
+class RunnerEvents:
+    """Takes in what is heard of runners; times are steady seconds."""
+
+    def __init__(self, book: book_module.Book) -> None:
+        self._book = book
+
+    # Entries of the store.
+
+    def set_entries(self, entries: Iterable[site.Runner], now: float) -> None:
+        """Take in all entries of the store, as after a new read."""
+        entry_by_id = {entry.id: entry for entry in entries}
+        for runner_id in list(self._book.runner_by_id):
+            if runner_id not in entry_by_id:
+                self.unlisted(runner_id, now)
+        for entry in entry_by_id.values():
+            self.listed(entry, now)
+
+    def listed(self, entry: site.Runner, now: float) -> None:
+        """Take in a runner's new entry."""
+        state = self._book.runner_by_id.get(entry.id)
+        if state is None:
+            self._add(entry, now)
+            return
+        if runner_state.is_new_life(state.entry, entry.started_at):
+            self._begin_life(state, entry, now)
+            return
+        if entry.draining and not state.entry.draining:
+            catalogue.emit(
+                logger,
+                events.RunnerDraining(entry.id, entry.leaves_in_s or 0.0),
+            )
+        state.update(entry, now)
+
+    def _add(self, entry: site.Runner, now: float) -> None:
+        state = runner_state.RunnerState(entry, now, self._book.unseen_until)
+        self._book.runner_by_id[entry.id] = state
+        for job in self._book.live_by_id.values():
+            for run in job.present_runs():
+                if run.runner_id == entry.id:
+                    state.run_by_task[run.name] = run
+        catalogue.emit(
+            logger,
+            events.RunnerSeen(
+                entry.id, entry.service, entry.zone, entry.address
+            ),
+        )
+
+    def unlisted(self, runner_id: str, now: float) -> None:
+        """Note that a runner's entry was removed."""
+        state = self._book.runner_by_id.get(runner_id)
+        if state is None or not state.listed:
+            return
+        state.listed = False
+        catalogue.emit(
+            logger, events.RunnerUnlisted(runner_id, len(state.run_by_task))
+        )
+        if not state.run_by_task and not state.need_by_orphan:
+            del self._book.runner_by_id[runner_id]
+
+    def _begin_life(
+        self, state: runner_state.RunnerState, entry: site.Runner, now: float
+    ) -> None:
+        catalogue.emit(
+            logger, events.RunnerReborn(entry.id, len(state.run_by_task))
+        )
+        for run in list(state.run_by_task.values()):
+            if run.phase is _Phase.ASSIGNED and run.sent_at:
+                # The order may still reach the new life.
+                run.doubtful_since = now
+                continue
+            self._lose(run, "runner started anew", now)
+        state.begin_life(entry, now)
+
+    # Silence.
+
+    def gone(self, runner_id: str, reason: str, now: float) -> None:
+        """Give up a runner whose life is certainly over."""
+        state = self._book.runner_by_id.get(runner_id)
+        if state is None:
+            return
+        self._lose_all(state, reason, now)
+        del self._book.runner_by_id[runner_id]
+
+    def silent(self, runner_id: str, now: float) -> None:
+        """Note that a call to a runner failed."""
+        state = self._book.runner_by_id.get(runner_id)
+        if state is None or now < state.lapsed_at():
+            return
+        if not state.listed:
+            self.gone(runner_id, "silent past its lease", now)
+            return
+        if state.run_by_task or state.need_by_orphan:
+            self._lose_all(state, "silent past its lease", now)
+        state.need_by_orphan.clear()
+        state.fenced = False
+
+    def missing(self, now: float) -> None:
+        """Give up runs on runners that never registered since."""
+        if now < self._book.unseen_until:
+            return
+        for job in list(self._book.live_by_id.values()):
+            for run in job.present_runs():
+                if run.runner_id not in self._book.runner_by_id:
+                    self._lose(run, "runner not registered", now)
+
+    def _lose_all(
+        self, state: runner_state.RunnerState, reason: str, now: float
+    ) -> None:
+        catalogue.emit(
+            logger,
+            events.RunnerLost(state.id, reason, len(state.run_by_task)),
+        )
+        for run in list(state.run_by_task.values()):
+            self._lose(run, reason, now)
+
+    def _lose(self, run: runs.Run, reason: str, now: float) -> None:
+        catalogue.emit(
+            logger,
+            events.RunLost(str(run.name), run.attempt, run.runner_id, reason),
+        )
+        self._book.release(run, now)
+
+    # Answers to orders.
+
+    def start_answered(
+        self,
+        run: runs.Run,
+        attempt: int,
+        runner_id: str,
+        outcome: messages.StartOutcome,
+        now: float,
+    ) -> None:
+        """Take in what became of an order to start."""
+        current = run.attempt == attempt and run.runner_id == runner_id
+        if not current or not run.present:
+            return
+        if outcome is _Outcome.STARTED:
+            run.acknowledged_at = now
+            if run.phase is _Phase.ASSIGNED:
+                run.phase = _Phase.RUNNING
+                run.doubtful_since = 0.0
+            self._note_accepted(runner_id)
+            return
+        catalogue.emit(
+            logger,
+            events.RunRejected(
+                str(run.name), attempt, runner_id, outcome.value
+            ),
+        )
+        if outcome is _Outcome.UNKNOWN:
+            run.doubtful_since = now
+            return
+        if run.phase is _Phase.RUNNING:
+            # A report has shown it meanwhile.
+            return
+        self._note_rejected(run, runner_id, outcome, now)
+
+    def _note_accepted(self, runner_id: str) -> None:
+        runner = self._book.runner_by_id.get(runner_id)
+        if runner is not None:
+            runner.note_accepted()
+
+    def _note_rejected(
+        self,
+        run: runs.Run,
+        runner_id: str,
+        outcome: messages.StartOutcome,
+        now: float,
+    ) -> None:
+        if outcome is _Outcome.OTHER_RUNNER:
+            self.gone(runner_id, "another runner at its address", now)
+        else:
+            runner = self._book.runner_by_id.get(runner_id)
+            if runner is not None and outcome in _RUNNER_AT_FAULT:
+                runner.note_refusal(now)
+            self._book.release(run, now)
+        if run.step.gang:
+            self._stop_members(run, now)
+
+    def _stop_members(self, run: runs.Run, now: float) -> None:
+        """Stop the rest of a gang that can't be whole."""
+        key = run.name.occurrence, run.name.step
+        for member in run.job.runs_by_step[key]:
+            if member.present and member.phase is not _Phase.STOPPING:
+                self._book.stop(member, "gang not whole", now)
+
+    def stop_taken(
+        self,
+        runner_id: str,
+        task: job_models.TaskName,
+        attempt: int,
+        now: float,
+    ) -> None:
+        """Note that a runner took an order to stop."""
+        state = self._book.runner_by_id.get(runner_id)
+        run = None if state is None else state.run_by_task.get(task)
+        if run is None or run.attempt != attempt:
+            return
+        run.stop_acknowledged_at = now
+
+    # Reports.
+
+    def report(
+        self,
+        runner_id: str,
+        report: messages.RunnerReport,
+        *,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Take in a runner's lists.
+
+        Args:
+            sent_at: when the call was sent that this answers.
+        """
+        state = self._book.runner_by_id.get(runner_id)
+        if state is None:
+            return
+        if runner_state.is_new_life(state.entry, report.started_at):
+            # Its entry of the new life follows within a heartbeat.
+            return
+        state.note_clock(report.clock_s, sent_at)
+        if not state.fenced:
+            state.fenced = True
+            catalogue.emit(
+                logger,
+                events.RunnerFenced(
+                    runner_id, len(report.running), len(report.ended)
+                ),
+            )
+        for ended in report.ended:
+            if ended.number > state.processed:
+                self._end(state, ended, now)
+        state.processed = max(state.processed, report.last_number)
+        self._compare(state, report, sent_at, now)
+
+    def _compare(
+        self,
+        state: runner_state.RunnerState,
+        report: messages.RunnerReport,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        running_by_task = {item.task: item for item in report.running}
+        for run in list(state.run_by_task.values()):
+            running = running_by_task.get(run.name)
+            if running is not None and running.attempt == run.attempt:
+                self._note_running(run, running, now)
+            else:
+                self._note_absent(run, sent_at, now)
+        state.need_by_orphan.clear()
+        for running in runner_state.orphans(state, report):
+            self._stop_orphan(state, running)
+
+    def _note_running(
+        self, run: runs.Run, running: messages.RunningTask, now: float
+    ) -> None:
+        was_at_work = run.at_work
+        run.percent = running.percent
+        run.load = running.load
+        if running.checkpoint:
+            run.checkpoint = running.checkpoint
+        if run.phase is _Phase.ASSIGNED:
+            run.phase = _Phase.RUNNING
+            run.inherited = False
+            run.acknowledged_at = run.acknowledged_at or now
+            run.doubtful_since = 0.0
+            if run.job.status.ended:
+                self._book.stop(run, "job ended", now)
+        if was_at_work and not run.at_work:
+            run.absent_since = now
+        if run.phase is _Phase.STOPPING:
+            self._book.repeat_stop(run, now)
+
+    def _note_absent(self, run: runs.Run, sent_at: float, now: float) -> None:
+        """Judge a run that its runner lists neither running nor ended."""
+        if run.inherited:
+            # Ordered by an earlier leader, whose orders are rejected now.
+            self._lose(run, "never begun", now)
+        elif run.stop_acknowledged_at:
+            if sent_at > run.stop_acknowledged_at:
+                self._lose(run, "stopped before it began", now)
+        elif run.phase is _Phase.STOPPING:
+            self._book.repeat_stop(run, now)
+        elif run.phase is _Phase.RUNNING:
+            if sent_at > run.acknowledged_at:
+                self._lose(run, "runner doesn't know it", now)
+        elif run.doubtful_since and sent_at > run.doubtful_since:
+            self._book.stop(run, "start unanswered", now)
+
+    def _stop_orphan(
+        self, state: runner_state.RunnerState, running: messages.RunningTask
+    ) -> None:
+        job = self._book.job_by_id.get(running.task.job_id)
+        run = None if job is None else job.run(running.task)
+        need = job_models.Capacity() if run is None else run.step.need
+        state.need_by_orphan[running.task, running.attempt] = need
+        order = messages.StartTask(running.task, running.attempt, "", "")
+        self._book.send(orders.SendStop(state.id, order))
+        catalogue.emit(
+            logger,
+            events.RunStopped(
+                str(running.task), running.attempt, state.id, "not assigned"
+            ),
+        )
+
+    # Ends.
+
+    def _end(
+        self,
+        state: runner_state.RunnerState,
+        ended: messages.EndedTask,
+        now: float,
+    ) -> None:
+        job = self._book.job_by_id.get(ended.task.job_id)
+        run = None if job is None else job.run(ended.task)
+        if run is None:
+            return
+        current = (
+            run.present
+            and run.attempt == ended.attempt
+            and run.runner_id == state.id
+        )
+        ran_s = now - run.acknowledged_at if run.acknowledged_at else 0.0
+        catalogue.emit(
+            logger,
+            events.RunEnded(
+                str(ended.task),
+                ended.attempt,
+                state.id,
+                ended.reason.value,
+                round(ran_s, 3),
+                current,
+            ),
+        )
+        if ended.reason is messages.EndReason.DONE:
+            self._end_done(run, current=current, now=now)
+            return
+        if current:
+            if ended.checkpoint:
+                run.checkpoint = ended.checkpoint
+            failed = ended.reason is messages.EndReason.FAILED
+            pause = FAILED_PAUSE_S if failed else 0.0
+            self._book.release(run, now, now + pause)
+        if ended.reason is messages.EndReason.FAILED:
+            self._count_failure(run, ended.attempt, now)
+
+    def _end_done(self, run: runs.Run, *, current: bool, now: float) -> None:
+        if run.phase is _Phase.DONE:
+            return
+        if run.step.long_running:
+            if current:
+                self._book.release(run, now)
+            return
+        self._book.finish(run, now)
+
+    def _count_failure(self, run: runs.Run, attempt: int, now: float) -> None:
+        if run.step.long_running or run.phase is _Phase.DONE:
+            return
+        run.failed_attempts.add(attempt)
+        self._book.mark_changed(run.job)
+        members = [run]
+        if run.step.gang:
+            key = run.name.occurrence, run.name.step
+            members = run.job.runs_by_step[key]
+        failed = set().union(*(one.failed_attempts for one in members))
+        enough = len(failed) >= run.job.job.attempts
+        if enough and not run.job.status.ended:
+            self._book.end_job(
+                run.job,
+                runs.JobStatus.FAILED,
+                f"task {run.name} failed {len(failed)} times",
+                now,
+            )
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -0,0 +1,274 @@
+"""The task that talks to one runner: leases, lists and orders."""
+
+from collections.abc import Awaitable, Callable
+import logging
+from typing import Any, Protocol
+
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.platform import runner_calls
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import orders
+from azurevane._internal.scheduler import runner_events
+from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import runs
+
+logger = logging.getLogger(__name__)
+
+# How long a runner may hold back its lists while nothing ends; also how
+# often its lease is extended.
+HOLD_WAIT_S = 1.5
+# How often a lease is extended while ends can't be stored.
+UNSTORED_PAUSE_S = 1.0
+RETRY_S = 0.25
+
+
+class Leader(Protocol):
+    """What a link needs of the leader."""
+
+    book: book_module.Book
+    runner_events: runner_events.RunnerEvents
+
+    def now(self) -> float:
+        """Return the steady time in seconds."""
+
+    def may_order(self) -> bool:
+        """Whether this host certainly leads."""
+
+    def may_extend(self) -> bool:
+        """Whether leases may still be extended."""
+
+    def doubt(self, reason: str) -> None:
+        """Note a sign that another host leads."""
+
+    def pump(self) -> None:
+        """Plan again soon."""
+
+    def stored(self) -> "defer.Deferred[None]":
+        """Store all that changed."""
+
+
+class RunnerLink:
+    """Carries orders to one runner and its lists back."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        leader: Leader,
+        calls: runner_calls.RunnerCalls,
+        runner_id: str,
+        lease_s: float,
+    ) -> None:
+        self._reactor = reactor
+        self._leader = leader
+        self._calls = calls
+        self._id = runner_id
+        self._lease_s = lease_s
+        self._wake: defer.Deferred[None] | None = None
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopped = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Look at once whether there is something to ask."""
+        if self._wake is not None:
+            wake, self._wake = self._wake, None
+            wake.callback(None)
+
+    def _state(self) -> runner_state.RunnerState | None:
+        if self._stopped:
+            return None
+        return self._leader.book.runner_by_id.get(self._id)
+
+    async def run(self) -> None:
+        """Extend the lease and read the lists until the runner is gone."""
+        while (state := self._state()) is not None:
+            if self._idle(state):
+                await self._pause(None)
+                continue
+            if state.last_seen < state.processed:
+                await self._pause(UNSTORED_PAUSE_S)
+                if self._state() is not state:
+                    continue
+            await self._hold(state)
+
+    @staticmethod
+    def _idle(state: runner_state.RunnerState) -> bool:
+        return (
+            state.fenced
+            and not state.run_by_task
+            and not state.need_by_orphan
+            and state.last_seen >= state.processed
+        )
+
+    async def _pause(self, most_s: float | None) -> None:
+        self._wake = defer.Deferred()
+        wake = self._wake
+        if most_s is not None:
+            wake.addTimeout(most_s, self._reactor)
+            wake.addErrback(lambda failure: failure.trap(defer.TimeoutError))
+        await wake
+
+    async def _hold(self, state: runner_state.RunnerState) -> None:
+        leader = self._leader
+        sent_at = leader.now()
+        lease_until_s = None
+        if state.clock_known and leader.may_extend():
+            lease_until_s = state.extend_lease(sent_at, self._lease_s)
+        wait_s = HOLD_WAIT_S if state.fenced else 0.0
+        if state.last_seen < state.processed:
+            wait_s = 0.0
+        try:
+            report = await self._calls.hold(
+                self._id,
+                state.entry.address,
+                last_seen=state.last_seen,
+                lease_until_s=lease_until_s,
+                wait_s=wait_s,
+            )
+        except runner_calls.RunnerFenced as failure:
+            leader.doubt(str(failure))
+            await self._pause(RETRY_S)
+            return
+        except runner_calls.OtherRunner as failure:
+            leader.runner_events.gone(self._id, str(failure), leader.now())
+            leader.pump()
+            return
+        except exceptions.CallFailed as failure:
+            await self._note_silence(state, failure)
+            return
+        if self._state() is not state:
+            return
+        state.unreachable = False
+        leader.runner_events.report(
+            self._id, report, sent_at=sent_at, now=leader.now()
+        )
+        leader.pump()
+        if state.processed > state.last_seen:
+            self._acknowledge(state, state.processed)
+
+    def _acknowledge(
+        self, state: runner_state.RunnerState, number: int
+    ) -> None:
+        """Acknowledge ends once what follows from them is stored."""
+        life = state.entry.started_at
+
+        def note_stored(_: None) -> None:
+            if state.entry.started_at == life:
+                state.last_seen = max(state.last_seen, number)
+            self.wake()
+
+        stored = self._leader.stored()
+        # Deposed: the next leader reads these ends again.
+        stored.addCallbacks(note_stored, lambda _: None)
+
+    async def _note_silence(
+        self,
+        state: runner_state.RunnerState,
+        failure: exceptions.CallFailed,
+    ) -> None:
+        if not state.unreachable:
+            state.unreachable = True
+            catalogue.emit(
+                logger,
+                events.RunnerUnreachable(
+                    self._id, str(failure), len(state.run_by_task)
+                ),
+            )
+        self._leader.runner_events.silent(self._id, self._leader.now())
+        self._leader.pump()
+        await self._pause(RETRY_S)
+
+    # Orders.
+
+    async def send_start(self, order: orders.SendStart) -> None:
+        """Send an order to start whose assignment is stored."""
+        state = self._state()
+        run = order.run
+        attempt = order.order.attempt
+        leader = self._leader
+        if run.attempt != attempt or run.runner_id != self._id:
+            return
+        if run.phase is not runs.Phase.ASSIGNED or run.sent_at:
+            return
+        if state is None or not leader.may_order() or not state.clock_known:
+            leader.book.release(run, leader.now())
+            leader.pump()
+            return
+        run.sent_at = leader.now()
+        lease_until_s = state.extend_lease(run.sent_at, self._lease_s)
+        started = await self._calls.start(
+            self._id, state.entry.address, order.order, lease_until_s
+        )
+        now = leader.now()
+        if started.clock_s is not None and self._state() is state:
+            state.note_clock(started.clock_s, now)
+        leader.runner_events.start_answered(
+            run, attempt, self._id, started.outcome, now
+        )
+        if started.outcome is messages.StartOutcome.FENCED:
+            leader.doubt(f"runner {self._id} rejects this host's token")
+        self.wake()
+        leader.pump()
+
+    async def send_stop(self, order: orders.SendStop) -> None:
+        """Send an order to stop; without an answer it is repeated."""
+        state = self._state()
+        if state is None:
+            return
+        task, attempt = order.order.task, order.order.attempt
+        try:
+            taken = await self._calls.stop(
+                self._id, state.entry.address, task, attempt
+            )
+        except runner_calls.RunnerFenced as failure:
+            self._leader.doubt(str(failure))
+            return
+        except (exceptions.CallFailed, runner_calls.OtherRunner) as failure:
+            logger.debug("Stop of %s: %s", task, failure)
+            return
+        if taken:
+            self._leader.runner_events.stop_taken(
+                self._id, task, attempt, self._leader.now()
+            )
+            self.wake()
+
+    async def send_pace(self, order: orders.SendPace) -> None:
+        """Set a run's speed; the next report shows whether it was taken."""
+        state = self._state()
+        run = order.run
+        if state is None or run.attempt != order.attempt:
+            return
+        try:
+            taken = await self._calls.pace(
+                self._id,
+                state.entry.address,
+                run.name,
+                order.attempt,
+                order.percent,
+            )
+        except (exceptions.CallFailed, runner_calls.OtherRunner) as failure:
+            logger.debug("Pace of %s: %s", run.name, failure)
+            return
+        if taken:
+            run.pace = order.percent
+
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+def make_sleep(reactor: Any) -> Sleep:
+    """Return a function that waits a number of seconds."""
+
+    async def sleep(pause_s: float) -> None:
+        await twisted_task.deferLater(reactor, pause_s, lambda: None)
+
+    return sleep
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -0,0 +1,169 @@
+"""What the scheduler knows of a runner."""
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.models import site
+from azurevane._internal.scheduler import runs as runs_module
+
+# Length of the lease on everything a runner runs. Shorter leases give up a
+# silent runner's tasks sooner, and must outlast a change of the leader.
+LEASE_S = 5.0
+# Share by which a runner's clock may be slow, by the platform's protocol.
+CLOCK_SLOWNESS = 0.02
+# Time that a runner may take to end what a lease no longer covers.
+LAPSE_MARGIN_S = 0.2
+# A runner with tasks that hasn't answered for this long gets no new ones;
+# its lists are asked for about every 1.5 s.
+SILENCE_S = 3.0
+# A runner that can't take orders is left alone, longer each time.
+FIRST_BACKOFF_S = 0.25
+MAX_BACKOFF_S = 4.0
+
+
+class RunnerState:
+    """A runner's life: lease, lists, room and health.
+
+    Attributes:
+        entry: its newest entry in the store.
+        listed: whether the store has its entry.
+        fenced: whether it has confirmed this leader's fencing token.
+        last_seen: highest number of an end whose effect is stored.
+        unreachable: whether the last call to it failed.
+        processed: highest number of an end that was taken in.
+    """
+
+    def __init__(
+        self, entry: site.Runner, now: float, unseen_until: float
+    ) -> None:
+        self.entry = entry
+        self.listed = True
+        self.fenced = False
+        self.last_seen = 0
+        self.processed = 0
+        self.run_by_task: dict[job_models.TaskName, runs_module.Run] = {}
+        self.need_by_orphan: dict[
+            tuple[job_models.TaskName, int], job_models.Capacity
+        ] = {}
+        self.not_before = 0.0
+        self.contact_at = now
+        self.unreachable = False
+        self.drains_until: float | None = None
+        self._backoff_s = FIRST_BACKOFF_S
+        self._clock_s: float | None = None
+        self._clock_read_at = now
+        self._lease_until_s = 0.0
+        self._unseen_until = unseen_until
+        self.update(entry, now)
+
+    @property
+    def id(self) -> str:
+        """Identity that the runner registered under."""
+        return self.entry.id
+
+    def update(self, entry: site.Runner, now: float) -> None:
+        """Take in a newer entry of the same life."""
+        self.entry = entry
+        self.listed = True
+        if entry.leaves_in_s is None:
+            self.drains_until = None
+        elif self.drains_until is None:
+            self.drains_until = now + entry.leaves_in_s
+
+    def in_touch(self, now: float) -> bool:
+        """Whether an order sent now is likely to arrive."""
+        if not self.run_by_task:
+            # Nothing asks an idle runner; its entry says that it lives.
+            return not self.unreachable
+        return not self.unreachable and now - self.contact_at < SILENCE_S
+
+    # Clock and lease.
+
+    def note_clock(self, clock_s: float, at: float) -> None:
+        """Take in the runner's clock, read at or before ``at``."""
+        self._clock_s = clock_s
+        self._clock_read_at = at
+        self.contact_at = at
+
+    @property
+    def clock_known(self) -> bool:
+        """Whether a lease can be given."""
+        return self._clock_s is not None
+
+    def extend_lease(self, now: float, length_s: float) -> float:
+        """Return the end of a lease by the runner's clock, and note it."""
+        assert self._clock_s is not None
+        clock_s = self._clock_s + (now - self._clock_read_at)
+        until_s = clock_s + length_s
+        self._lease_until_s = max(self._lease_until_s, until_s)
+        return until_s
+
+    def lapsed_at(self) -> float:
+        """Return when nothing that was ordered here can run any more."""
+        if self._clock_s is None:
+            return self._unseen_until
+        left_s = max(self._lease_until_s - self._clock_s, 0.0)
+        lapse = self._clock_read_at + left_s / (1 - CLOCK_SLOWNESS)
+        if not self.fenced:
+            lapse = max(lapse, self._unseen_until)
+        return lapse + LAPSE_MARGIN_S
+
+    # Room.
+
+    def free(self) -> job_models.Capacity:
+        """Return the room that no task may take now."""
+        cpu = self.entry.capacity.cpu
+        memory = self.entry.capacity.memory
+        gpu = self.entry.capacity.gpu
+        for run in self.run_by_task.values():
+            need = run.step.need
+            cpu -= 0 if run.step.fills else need.cpu
+            memory -= need.memory
+            gpu -= need.gpu
+        for need in self.need_by_orphan.values():
+            cpu -= need.cpu
+            memory -= need.memory
+            gpu -= need.gpu
+        return job_models.Capacity(cpu, memory, gpu)
+
+    def note_refusal(self, now: float) -> None:
+        """Leave the runner alone for a while that grows."""
+        self.not_before = now + self._backoff_s
+        self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
+
+    def note_accepted(self) -> None:
+        """Forget earlier refusals."""
+        self._backoff_s = FIRST_BACKOFF_S
+
+    def begin_life(self, entry: site.Runner, now: float) -> None:
+        """Start anew after the runner's process did."""
+        self.entry = entry
+        self.fenced = False
+        self.last_seen = 0
+        self.processed = 0
+        self.need_by_orphan.clear()
+        self._clock_s = None
+        self._lease_until_s = 0.0
+        self._unseen_until = now
+        self.not_before = 0.0
+        self.unreachable = False
+        self.drains_until = None
+        self.update(entry, now)
+
+
+def is_new_life(entry: site.Runner, started_at: float | None) -> bool:
+    """Whether a report comes from another life than the entry."""
+    if not started_at or not entry.started_at:
+        return False
+    return started_at != entry.started_at
+
+
+def orphans(
+    state: RunnerState, report: messages.RunnerReport
+) -> list[messages.RunningTask]:
+    """Return the runs that the runner lists and nobody assigned there."""
+    unknown = []
+    for running in report.running:
+        run = state.run_by_task.get(running.task)
+        if run is None or run.attempt != running.attempt:
+            unknown.append(running)
+    return unknown
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -0,0 +1,247 @@
+"""State of jobs and of their tasks' runs."""
+
+from collections.abc import Iterator
+import enum
+
+from azurevane._internal.models import job as job_models
+
+
+class Phase(enum.IntEnum):
+    """Where a task is between its submission and its end."""
+
+    WAITING = 0
+    # The order to start may have been sent.
+    ASSIGNED = 1
+    RUNNING = 2
+    STOPPING = 3
+    DONE = 4
+
+
+class JobStatus(enum.Enum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job stays in this state."""
+        return self in _ENDED
+
+
+_ENDED = {JobStatus.COMPLETED, JobStatus.FAILED, JobStatus.CANCELLED}
+_PRESENT = (Phase.ASSIGNED, Phase.RUNNING, Phase.STOPPING)
+
+
+class Run:
+    """A task and its current or last run; times are steady seconds.
+
+    Attributes:
+        runner_id: runner of the current run, empty while there is none.
+        failed_attempts: attempts that ended as failed.
+        inherited: whether an earlier leader ordered the run, whose orders
+            its runner rejects once it knows this leader.
+        sent_at: when the order to start was last sent; 0 if it wasn't.
+        acknowledged_at: when the runner confirmed the start; 0 before.
+        doubtful_since: when the order went unanswered; 0 if it didn't.
+        stop_acknowledged_at: when the runner took the order to stop.
+        stop_sent_at: when the order to stop was last sent.
+        not_before: earliest time of the next start.
+        absent_since: since when a long-running task isn't at work.
+    """
+
+    __slots__ = (
+        "absent_since",
+        "acknowledged_at",
+        "attempt",
+        "checkpoint",
+        "doubtful_since",
+        "failed_attempts",
+        "inherited",
+        "job",
+        "load",
+        "name",
+        "not_before",
+        "pace",
+        "percent",
+        "phase",
+        "runner_id",
+        "sent_at",
+        "step",
+        "stop_acknowledged_at",
+        "stop_sent_at",
+    )
+
+    def __init__(
+        self,
+        job: "JobState",
+        name: job_models.TaskName,
+        step: job_models.Step,
+        now: float,
+    ) -> None:
+        self.job = job
+        self.name = name
+        self.step = step
+        self.phase = Phase.WAITING
+        self.attempt = 0
+        self.runner_id = ""
+        self.failed_attempts: set[int] = set()
+        self.inherited = False
+        self.checkpoint = ""
+        self.percent = 0
+        self.load = 0.0
+        self.pace = 100
+        self.sent_at = 0.0
+        self.acknowledged_at = 0.0
+        self.doubtful_since = 0.0
+        self.stop_acknowledged_at = 0.0
+        self.stop_sent_at = 0.0
+        self.not_before = 0.0
+        self.absent_since = now
+
+    @property
+    def present(self) -> bool:
+        """Whether it may take room on its runner."""
+        return self.phase in _PRESENT
+
+    @property
+    def at_work(self) -> bool:
+        """Whether a long-running task serves."""
+        return self.phase is Phase.RUNNING and self.percent >= 100
+
+    def assign(self, runner_id: str, attempt: int) -> None:
+        """Choose a runner for the next run."""
+        if self.phase is Phase.WAITING:
+            self.job.waiting -= 1
+        self.phase = Phase.ASSIGNED
+        self.inherited = False
+        self.runner_id = runner_id
+        self.attempt = attempt
+        self.percent = 0
+        self.load = 0.0
+        self.pace = 100
+        self.sent_at = 0.0
+        self.acknowledged_at = 0.0
+        self.doubtful_since = 0.0
+        self.stop_acknowledged_at = 0.0
+        self.stop_sent_at = 0.0
+
+    def release(self, now: float, not_before: float = 0.0) -> None:
+        """Wait for another run."""
+        if self.at_work:
+            self.absent_since = now
+        if self.phase is not Phase.WAITING:
+            self.job.waiting += 1
+        self.phase = Phase.WAITING
+        self.inherited = False
+        self.runner_id = ""
+        self.not_before = not_before
+        self.doubtful_since = 0.0
+
+    def finish(self) -> None:
+        """Record that the task is done."""
+        if self.phase is Phase.WAITING:
+            self.job.waiting -= 1
+        self.phase = Phase.DONE
+        self.runner_id = ""
+
+
+class JobState:
+    """A job, the runs of its tasks and what callers see of it.
+
+    Attributes:
+        arrived_at: steady time at which the caller handed it in.
+        objective_at: steady time by which its callers want it done.
+        waiting: number of its tasks that wait for a run.
+    """
+
+    def __init__(
+        self,
+        job: job_models.Job,
+        *,
+        now: float,
+        arrived_at: float,
+        objective_at: float,
+    ) -> None:
+        self.job = job
+        self.status = JobStatus.QUEUED
+        self.arrived_at = arrived_at
+        self.objective_at = objective_at
+        self.ended_at = 0.0
+        self.cancelled = False
+        self.waiting = 0
+        self.runs_by_step: dict[tuple[int, int], list[Run]] = {}
+        for occurrence in range(job.occurrences):
+            for index, step in enumerate(job.steps):
+                self.runs_by_step[occurrence, index] = [
+                    Run(
+                        self,
+                        job_models.TaskName(job.id, occurrence, index, i),
+                        step,
+                        now,
+                    )
+                    for i in range(step.count)
+                ]
+        self.undone_by_step = {
+            key: len(runs) for key, runs in self.runs_by_step.items()
+        }
+        self.waiting = sum(self.undone_by_step.values())
+
+    @property
+    def started(self) -> bool:
+        """Whether a task of it was ever ordered."""
+        return self.status is not JobStatus.QUEUED
+
+    @property
+    def long_running(self) -> bool:
+        """Whether it runs until it is cancelled."""
+        return any(step.long_running for step in self.job.steps)
+
+    def runs(self) -> Iterator[Run]:
+        """Iterate over all tasks."""
+        for runs in self.runs_by_step.values():
+            yield from runs
+
+    def present_runs(self) -> list[Run]:
+        """Return the tasks that may be on a runner."""
+        return [run for run in self.runs() if run.present]
+
+    def run(self, name: job_models.TaskName) -> Run | None:
+        """Return a task by name, or None if the job has no such task."""
+        runs = self.runs_by_step.get((name.occurrence, name.step))
+        if runs is None or name.index >= len(runs):
+            return None
+        return runs[name.index]
+
+    def ready_steps(self, unix_now: float) -> list[tuple[int, int]]:
+        """Return occurrence and index of the steps whose turn has come."""
+        ready = []
+        for key, undone in self.undone_by_step.items():
+            if not undone:
+                continue
+            occurrence, index = key
+            if self.job.repeats and self.job.due_at(occurrence) > unix_now:
+                continue
+            if all(
+                not self.undone_by_step[occurrence, earlier]
+                for earlier in self.job.steps[index].after
+            ):
+                ready.append(key)
+        return ready
+
+    def note_done(self, run: Run) -> None:
+        """Record a task's end as done; a gang ends as one."""
+        key = run.name.occurrence, run.name.step
+        members = self.runs_by_step[key] if run.step.gang else [run]
+        for member in members:
+            if member.phase is not Phase.DONE:
+                member.finish()
+                self.undone_by_step[key] -= 1
+
+    @property
+    def complete(self) -> bool:
+        """Whether every task is done."""
+        return not any(self.undone_by_step.values())
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -0,0 +1,144 @@
+"""Follows a table of the store: a whole read, then every change."""
+
+from collections.abc import Callable, Sequence
+import logging
+import random
+import traceback
+from typing import Any
+
+from twisted.internet import task
+
+from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.platform import store
+
+logger = logging.getLogger(__name__)
+
+# Pause before a failed read is repeated; a random share is added so that
+# the hosts don't return to the store together.
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 0.8
+
+
+class TableFollower:
+    """Keeps a reader up to date with one table.
+
+    Args:
+        parted: whether the table has several parts.
+        wait_s: how long the store may wait for a change.
+        whole: called with all rows after a whole read.
+        changed: called with rows that changed since.
+        viewed: called with the time at which a read was sent, once all
+            rows known are as new as that.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        client: store.StoreClient,
+        table: str,
+        *,
+        wait_s: float,
+        whole: Callable[[Sequence[store.Row]], None],
+        changed: Callable[[Sequence[store.Row]], None],
+        viewed: Callable[[float], None] = lambda sent_at: None,
+        parted: bool = False,
+    ) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._table = table
+        self._wait_s = wait_s
+        self._whole = whole
+        self._changed = changed
+        self._viewed = viewed
+        self._parted = parted
+        self._version: int | None = None
+        self._lost_at: float | None = None
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Follow the table until stopped."""
+        retry_s = FIRST_RETRY_S
+        while not self._stopped:
+            sent_at = self._reactor.seconds()
+            try:
+                await self._step(sent_at)
+            except exceptions.StoreHistoryLost:
+                self._version = None
+                continue
+            except exceptions.CallFailed as failure:
+                self._note_lost(str(failure))
+                pause_s = retry_s * random.uniform(1.0, 1.5)
+                await task.deferLater(self._reactor, pause_s, lambda: None)
+                retry_s = min(retry_s * 2, MAX_RETRY_S)
+                continue
+            except Exception as error:
+                catalogue.emit(
+                    logger,
+                    events.StepFailed(
+                        f"follow {self._table}",
+                        repr(error),
+                        traceback.format_exc(),
+                    ),
+                )
+                await task.deferLater(self._reactor, MAX_RETRY_S, lambda: None)
+                continue
+            retry_s = FIRST_RETRY_S
+            self._note_regained()
+
+    async def _step(self, sent_at: float) -> None:
+        if self._version is None:
+            await self._read_whole(sent_at)
+            return
+        changes = await self._client.changes(
+            self._table, self._version, self._wait_s
+        )
+        if self._stopped:
+            return
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            self._changed(changes.rows)
+        self._viewed(sent_at)
+
+    async def _read_whole(self, sent_at: float) -> None:
+        parts: Sequence[str] = ("",)
+        if self._parted:
+            parts = await self._client.parts(self._table)
+        rows: list[store.Row] = []
+        version: int | None = None
+        for part in parts:
+            read = await self._client.read_part(self._table, part)
+            rows.extend(read.rows)
+            version = read.version if version is None else version
+        if version is None:
+            version = (await self._client.read(self._table, "")).version
+        if self._stopped:
+            return
+        self._version = version
+        catalogue.emit(
+            logger, events.TableReadAnew(self._table, len(rows), version)
+        )
+        self._whole(rows)
+        self._viewed(sent_at)
+
+    def _note_lost(self, error: str) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._reactor.seconds()
+            catalogue.emit(
+                logger, events.StoreLost(f"follow {self._table}", error)
+            )
+
+    def _note_regained(self) -> None:
+        if self._lost_at is None:
+            return
+        lost_s = self._reactor.seconds() - self._lost_at
+        self._lost_at = None
+        catalogue.emit(
+            logger,
+            events.StoreRegained(f"follow {self._table}", round(lost_s, 3)),
+        )
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -1,5 +1,7 @@
 """Exceptions of azurevane, in one hierarchy."""
 
+from azurevane._internal.models import verdict
+
 
 class AzurevaneError(Exception):
     """Base of every exception that azurevane raises on purpose.
@@ -51,3 +53,30 @@
 
     The state that led to it is in the log event of the same text.
     """
+
+
+class CallFailed(AzurevaneError):
+    """Raised when a call over HTTP got no whole answer.
+
+    Attributes:
+        verdict: whether the call may have run.
+        refused: whether nothing listened at the address.
+    """
+
+    def __init__(
+        self, text: str, outcome: verdict.Verdict, *, refused: bool = False
+    ) -> None:
+        super().__init__(text)
+        self.verdict = outcome
+        self.refused = refused
+
+
+class StoreHistoryLost(AzurevaneError):
+    """Raised when the store no longer has the changes that were asked for.
+
+    Read the table anew and follow it from there.
+    """
+
+
+class JobRejected(AzurevaneError):
+    """Raised when a submitted job is malformed; the text says where."""
