Read a runner's lists only once all jobs are known

Change: runners are followed after the first whole read of the jobs. A stand-in of the platform and a world of three hosts in virtual time play it.

Conclusion: a change of the leader keeps what runs.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -1,6 +1,6 @@
 """The program of an entry host on the users' platform."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import logging
 import os
 import pathlib
@@ -45,6 +45,8 @@
 # Left of the grace period for the end of the process.
 STOP_MARGIN_S = 1.0
 IDLE_CONNECTION_S = 15.0
+# New connections that may wait to be accepted in a burst.
+LISTEN_BACKLOG = 1024
 
 
 def boot_seconds() -> float:
@@ -56,18 +58,24 @@
     """Serves callers, and leads the scheduling while it holds the lease."""
 
     def __init__(
-        self, reactor: Any, settings: host_settings.HostSettings
+        self,
+        reactor: Any,
+        settings: host_settings.HostSettings,
+        *,
+        client: http_client.HttpClient | None = None,
+        unix_time: Callable[[], float] = time.time,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
-        self._client = http_client.HttpClient(reactor)
+        self._unix_time = unix_time
+        self._client = client or http_client.HttpClient(reactor)
         self._store = store.StoreClient(self._client, settings.store_address)
-        self._desk = job_desk.JobDesk(
-            self._store, seconds=reactor.seconds, unix_time=time.time
+        self.desk = job_desk.JobDesk(
+            self._store, seconds=reactor.seconds, unix_time=unix_time
         )
         self._stopping_at: float | None = None
         self._resource = job_resource.JobResource(
-            self._desk, lambda: self._stopping_at is not None
+            self.desk, lambda: self._stopping_at is not None
         )
         self._view = leadership.LeaderView(
             settings.host_name,
@@ -75,9 +83,11 @@
             random.uniform(0.0, CLAIM_JITTER_S),
         )
         self._zones_out: frozenset[str] = frozenset()
-        self._leader: leader_module.Leader | None = None
+        self.leader: leader_module.Leader | None = None
         self._claiming = False
-        self._ports: list[Any] = []
+        self._followers: list[table_follower.TableFollower] = []
+        self._loop: Any = None
+        self._end: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Listen and follow the store."""
@@ -87,7 +97,7 @@
             OPERATORS_WAIT_S,
             self._operators_whole,
             self._operators_changed,
-            self._desk.note_view,
+            self.desk.note_view,
         )
         self._follow(
             leadership.TABLE,
@@ -96,21 +106,19 @@
             self._leader_changed,
             self._view.note_view,
         )
-        loop = twisted_task.LoopingCall(self._tick)
-        loop.clock = self._reactor
-        loop.start(CLAIM_TICK_S)
+        self._loop = twisted_task.LoopingCall(self._tick)
+        self._loop.clock = self._reactor
+        self._loop.start(CLAIM_TICK_S)
 
     def _listen(self) -> None:
         settings = self._settings
         if settings.callers_listen is not None:
             site = job_resource.QuietSite(self._resource, IDLE_CONNECTION_S)
-            self._ports.append(
-                self._reactor.listenTCP(
-                    settings.callers_listen.port,
-                    site,
-                    backlog=1024,
-                    interface=settings.callers_listen.ip,
-                )
+            self._reactor.listenTCP(
+                settings.callers_listen.port,
+                site,
+                backlog=LISTEN_BACKLOG,
+                interface=settings.callers_listen.ip,
             )
         if settings.readiness_listen is not None:
             root = job_resource.ReadinessResource(self._ready)
@@ -121,7 +129,7 @@
             )
 
     def _ready(self) -> bool:
-        return self._stopping_at is None and self._desk.ready()
+        return self._stopping_at is None and self.desk.ready()
 
     def _follow(
         self,
@@ -140,6 +148,7 @@
             changed=changed,
             viewed=viewed,
         )
+        self._followers.append(follower)
         leader_module.spawn(follower.run(), f"follow {table}")
 
     # Rows of the operators.
@@ -174,7 +183,7 @@
                 ),
             )
             return
-        if self._desk.set_config(config):
+        if self.desk.set_config(config):
             catalogue.emit(
                 logger,
                 events.ConfigInForce(
@@ -185,8 +194,8 @@
             )
 
     def _tell_leader(self) -> None:
-        if self._leader is not None:
-            self._leader.set_site(self._desk.config, self._zones_out)
+        if self.leader is not None:
+            self.leader.set_site(self.desk.config, self._zones_out)
 
     # Leadership.
 
@@ -196,10 +205,10 @@
             key, value = row.place.key, row.value
             self._view.note_row(key, value, row.version, now)
             if key == leadership.ALIVE_KEY and value is not None:
-                self._desk.set_pending(leadership.decode_pending(value))
+                self.desk.set_pending(leadership.decode_pending(value))
 
     def _tick(self) -> None:
-        if self._claiming or self._leader is not None or self._stopping_at:
+        if self._claiming or self.leader is not None or self._stopping_at:
             return
         claim = self._view.claim(self._reactor.seconds())
         if claim is not None:
@@ -234,7 +243,7 @@
         catalogue.emit(
             logger, events.LeadershipTaken(claim.token, claim.reason)
         )
-        self._leader = leader_module.Leader(
+        self.leader = leader_module.Leader(
             self._reactor,
             self._client,
             self._store,
@@ -242,20 +251,31 @@
             token=claim.token,
             owner_version=outcome.version,
             claimed_at=claimed_at,
+            unix_time=self._unix_time,
             over=self._reign_over,
         )
         self._tell_leader()
-        await self._leader.run()
+        await self.leader.run()
 
     def _reign_over(self, reason: str) -> None:
-        self._leader = None
+        self.leader = None
 
     # Stop.
 
-    def stop(self) -> None:
+    def abandon(self) -> None:
+        """End at once, as when the process is killed."""
+        for follower in self._followers:
+            follower.stop()
+        if self._loop is not None and self._loop.running:
+            self._loop.stop()
+        if self.leader is not None:
+            self.leader.stop("process ends")
+
+    def stop(self, end: Callable[[], None]) -> None:
         """Leave the rotation, answer what was sent, then end."""
         if self._stopping_at is not None:
             return
+        self._end = end
         self._stopping_at = self._reactor.seconds()
         catalogue.emit(
             logger,
@@ -263,8 +283,8 @@
                 "azurevane-host", self._resource.in_flight
             ),
         )
-        if self._leader is not None:
-            leader_module.spawn(self._leader.hand_over(), "hand over")
+        if self.leader is not None:
+            leader_module.spawn(self.leader.hand_over(), "hand over")
         self._reactor.callLater(LEAVE_ROTATION_S, self._end_if_idle)
 
     def _end_if_idle(self) -> None:
@@ -274,7 +294,7 @@
         if self._resource.in_flight and not late:
             self._reactor.callLater(0.05, self._end_if_idle)
             return
-        self._reactor.stop()
+        self._end()
 
     def reload(self, settings: host_settings.HostSettings) -> None:
         """Take in changed settings."""
@@ -312,7 +332,7 @@
     reactor.callWhenRunning(
         signal.signal,
         signal.SIGTERM,
-        lambda *_: reactor.callFromThread(host.stop),
+        lambda *_: reactor.callFromThread(host.stop, reactor.stop),
     )
     catalogue.emit(
         logger,
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Coroutine, Sequence
 import functools
 import logging
-import time
 from typing import Any
 
 import msgspec
@@ -83,6 +82,7 @@
         token: int,
         owner_version: int,
         claimed_at: float,
+        unix_time: Callable[[], float],
         over: Callable[[str], None],
     ) -> None:
         self._reactor = reactor
@@ -91,6 +91,7 @@
         self._settings = settings
         self.token = token
         self._over = over
+        self._unix_time = unix_time
         self._committed_at = claimed_at
         self._renewals = 0
         self._began_at = claimed_at
@@ -173,9 +174,6 @@
         for row in states.rows:
             self._journal.adopt(row)
             self._state_by_job[row.place.key] = row.value or b""
-        self._follow(
-            runner_rows.TABLE, self._runners_whole, self._runners_changed
-        )
         self._follow(
             records.JOBS_TABLE,
             self._jobs_whole,
@@ -245,12 +243,16 @@
 
     def _jobs_whole(self, rows: Sequence[store.Row]) -> None:
         self._jobs_changed(rows)
-        if records.JOBS_TABLE not in self._loaded:
-            self._loaded.add(records.JOBS_TABLE)
-            self._note_loaded()
+        if records.JOBS_TABLE in self._loaded:
+            return
+        self._loaded.add(records.JOBS_TABLE)
+        # A runner's lists can be judged only once all jobs are known.
+        self._follow(
+            runner_rows.TABLE, self._runners_whole, self._runners_changed
+        )
 
     def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
-        now, unix_now = self.now(), time.time()
+        now, unix_now = self.now(), self._unix_time()
         cancelled: list[str] = []
         for row in rows:
             key = row.place.key
@@ -283,8 +285,9 @@
         self.runner_events.set_entries(
             [entry for entry in entries if entry is not None], self.now()
         )
-        self._loaded.add(runner_rows.TABLE)
-        self._note_loaded()
+        if runner_rows.TABLE not in self._loaded:
+            self._loaded.add(runner_rows.TABLE)
+            self._note_loaded()
         self._update_links()
 
     def _runners_changed(self, rows: Sequence[store.Row]) -> None:
@@ -307,8 +310,6 @@
             return None
 
     def _note_loaded(self) -> None:
-        if len(self._loaded) < 2:
-            return
         catalogue.emit(
             logger,
             events.LeaderReady(
@@ -346,7 +347,7 @@
         if self.stopped:
             return
         if len(self._loaded) == 2 and self.may_order():
-            self._planner.plan(self.now(), time.time())
+            self._planner.plan(self.now(), self._unix_time())
         self._write_changed()
         starts: list[orders.SendStart] = []
         for order in self.book.take_orders():
--- /dev/null
+++ b/tests/scheduler/environment.py
@@ -0,0 +1,9 @@
+import logging
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+
+def before_all(context):
+    logging.disable(logging.WARNING)
--- /dev/null
+++ b/tests/scheduler/leadership.feature
@@ -0,0 +1,35 @@
+Feature: Change of the leader
+
+  Background:
+    Given a site with service "press" on 8 hosts and queue "fit"
+
+  Scenario: A planned handover neither stops nor repeats a task
+    Given tasks that run 3.0 s
+    When job "00000000000000a1" of 40 tasks is submitted
+    And 1.0 s pass
+    And the leader is told to stop
+    And 9.0 s pass
+    Then job "00000000000000a1" is "completed"
+    And no task ran twice
+    And no task was stopped
+    And each task of job "00000000000000a1" started once
+
+  Scenario: Tasks survive a killed leader and start no second time
+    Given tasks that run 4.0 s
+    When job "00000000000000a2" of 40 tasks is submitted
+    And 1.0 s pass
+    And the leader is killed
+    And 12.0 s pass
+    Then job "00000000000000a2" is "completed"
+    And no task ran twice
+    And no task was stopped
+    And each task of job "00000000000000a2" started once
+
+  Scenario: Ends that nobody acknowledged count after a take-over
+    Given tasks that run 0.3 s
+    When job "00000000000000a3" of 40 tasks is submitted
+    And 0.2 s pass
+    And the leader is killed
+    And 12.0 s pass
+    Then job "00000000000000a3" is "completed"
+    And no task ran twice
--- /dev/null
+++ b/tests/support/site_world.py
@@ -0,0 +1,221 @@
+"""Entry hosts of a site on the platform's stand-in, in virtual time."""
+
+import json
+
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+
+from azurevane._internal.callers import job_desk
+from azurevane._internal.daemons import site_host
+from azurevane._internal.models import host_settings
+from azurevane._internal.standins import site_platform
+from azurevane._internal.standins import site_runner
+
+STEP_S = 0.005
+KEY = "key-of-north"
+HOST_NAME = "jobs.example"
+BOUNDS = host_settings.Bounds(
+    stop_grace_s=6.0,
+    runner_lease_max_s=10.0,
+    runner_stop_s=0.9,
+    gang_wait_s=3.0,
+    host_lease_s=3.0,
+    notice_s=4.5,
+    move_s=1.5,
+    maintenance_s=2.0,
+    job_kept_s=120.0,
+    early_start_s=0.25,
+    remote_slowdown=1.5,
+    checkpoint_s=2.0,
+    restore_s=0.6,
+    harm_s=4.0,
+    hosts_fenced=False,
+)
+
+
+class SiteWorld:
+    """Hosts, platform and callers of one site.
+
+    Attributes:
+        host_by_name: entry hosts that run.
+    """
+
+    def __init__(self, host_count=3):
+        self.clock = twisted_task.Clock()
+        self.clock.advance(1000.0)
+        self.platform = site_platform.SitePlatform(self.clock)
+        self.host_by_name = {}
+        self.client_by_name = {}
+        self.config = {
+            "version": 3,
+            "routes": [],
+            "services": [],
+            "tenants": [
+                {
+                    "name": "north",
+                    "apiKeys": [KEY],
+                    "weight": 10,
+                    "cap": {"cpu": 0, "memMb": 0, "gpu": 0},
+                }
+            ],
+            "limits": {"maxBodyBytes": 262144},
+        }
+        self.host_count = host_count
+
+    # Building.
+
+    def add_service(self, name, *, standby=False):
+        self.config["services"].append(
+            {"name": name, "standby": standby, "constraints": True}
+        )
+        if standby:
+            self.platform.standby_pools.add(name)
+
+    def add_queue(self, name, service, **fields):
+        self.config["routes"].append(
+            {
+                "name": name,
+                "host": HOST_NAME,
+                "pathPrefix": f"/{name}/",
+                "service": service,
+                "attempts": 2,
+                "deadlineFactor": 1.6,
+                "targetLatencyMs": 600,
+                "priority": 0,
+                "public": False,
+                **fields,
+            }
+        )
+
+    def add_machines(self, count, pool, *, zones=("east", "west")):
+        first = len(self.platform.machine_by_name)
+        for number in range(first, first + count):
+            self.platform.add_machine(
+                f"m-{number:03d}",
+                pool,
+                zones[number % len(zones)],
+                f"r{number % len(zones)}-{number // 4}",
+            )
+
+    def put_config(self):
+        value = json.dumps(self.config).encode()
+        self.platform.store.put("op", "config", value)
+
+    def start(self):
+        self.put_config()
+        for number in range(self.host_count):
+            self.start_host(f"entry-{number}")
+        self.run(1.0)
+
+    def start_host(self, name):
+        settings = host_settings.HostSettings(
+            host_name=name,
+            zone="east",
+            callers_listen=None,
+            readiness_listen=None,
+            store_address=site_platform.STORE_ADDRESS,
+            hosts_api_address=site_platform.HOSTS_ADDRESS,
+            host_orders_per_s=64.0,
+            host_lists_per_s=64.0,
+            advisor_address=None,
+            store_row_bytes=65536,
+            bounds=BOUNDS,
+        )
+        client = self.platform.client(name)
+        host = site_host.SiteHost(
+            self.clock,
+            settings,
+            client=client,
+            unix_time=lambda: self.clock.seconds() + 1e9,
+        )
+        self.host_by_name[name] = host
+        self.client_by_name[name] = client
+        host.start()
+        return host
+
+    # Time and faults.
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.clock.advance(STEP_S)
+
+    def kill_host(self, name):
+        """Cut an entry host off for good, as SIGKILL does."""
+        self.client_by_name[name].silent = True
+        host = self.host_by_name.pop(name)
+        host.abandon()
+        return host
+
+    @property
+    def leader_name(self):
+        names = [
+            name
+            for name, host in self.host_by_name.items()
+            if host.leader is not None
+        ]
+        assert len(names) <= 1, names
+        return names[0] if names else None
+
+    # Callers.
+
+    def call(self, method, path, body=None, *, host=None, key=KEY):
+        """Send a caller's request and wait for its reply."""
+        name = host or next(iter(self.host_by_name))
+        request = job_desk.Call(
+            method=method,
+            host_name=HOST_NAME,
+            path=path,
+            authorization=f"Bearer {key}" if key else None,
+            body=json.dumps(body).encode() if body is not None else b"",
+        )
+        replies = []
+        answered = defer.ensureDeferred(
+            self.host_by_name[name].desk.answer(request)
+        )
+        answered.addCallback(replies.append)
+        for _ in range(1000):
+            if replies:
+                return replies[0]
+            self.run(STEP_S)
+        raise AssertionError(f"no reply to {method} {path}")
+
+    def submit(self, queue, job_id, phases, **fields):
+        body = {"spec": "x", "phases": phases, **fields}
+        return self.call("POST", f"/{queue}/{job_id}", body)
+
+    def state(self, queue, job_id, host=None):
+        reply = self.call("GET", f"/{queue}/{job_id}", host=host)
+        if reply.status != 200:
+            return reply.status
+        return json.loads(reply.body)["state"]
+
+    def plan(self, run_s, how="done", need=None):
+        """Make tasks that start from now on run that long."""
+        self.platform.plan_by_spec = lambda task, attempt: (
+            site_runner.TaskPlan(run_s, how, need or {})
+        )
+
+    # What the runners saw.
+
+    def starts(self, job_id=""):
+        return [
+            entry
+            for entry in self.platform.record
+            if entry[1] == "start" and entry[3].startswith(job_id)
+        ]
+
+    def doubled(self):
+        """Return tasks with two runs at once, or a start after done."""
+        running, done, doubled = {}, set(), []
+        for _, event, runner, task, _attempt in self.platform.record:
+            if event == "start":
+                if task in running or task in done:
+                    doubled.append(task)
+                running[task] = runner
+            else:
+                running.pop(task, None)
+                if event == "done":
+                    done.add(task)
+        return doubled
