--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -242,6 +242,16 @@
     version: int
 
 
+@catalogue.event(6036, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteFailed(catalogue.Event):
+    """Leader's write failed; it is repeated."""
+
+    rows: int
+    verdict: str
+    error: str
+
+
 @catalogue.event(6040)
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobAccepted(catalogue.Event):
--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -27,6 +27,7 @@
     error.ConnectError,
     error.DNSLookupError,
     error.ConnectBindError,
+    error.ConnectingCancelledError,
 )
 _UNKNOWN = (
     error.ConnectionClosed,
--- a/src/azurevane/_internal/scheduler/journal.py
+++ b/src/azurevane/_internal/scheduler/journal.py
@@ -12,12 +12,15 @@
 from twisted.internet import defer
 
 from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.platform import store
 
 logger = logging.getLogger(__name__)
 
-# Below the store's bounds on entries and bytes of a transaction.
-BATCH_ROWS = store.TRANSACTION_ENTRIES - 10
+# Each row is an entry of the condition and one of the change.
+BATCH_ROWS = (store.TRANSACTION_ENTRIES - 1) // 2
+# Half of the store's bound on a transaction's bytes.
 BATCH_BYTES = 512 * 1024
 # Pause before a failed write is repeated.
 FIRST_RETRY_S = 0.05
@@ -156,7 +159,12 @@
                     ],
                 )
             except exceptions.CallFailed as failure:
-                logger.debug("Write of %d rows: %s", len(batch), failure)
+                catalogue.emit(
+                    logger,
+                    events.WriteFailed(
+                        len(batch), failure.verdict.value, str(failure)
+                    ),
+                )
                 await self._sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
--- a/src/azurevane/_internal/standins/site_store.py
+++ b/src/azurevane/_internal/standins/site_store.py
@@ -19,6 +19,8 @@
 _Key = tuple[str, str, str]
 # Most rows of a read.
 _PAGE_ROWS = 500
+# Most entries of a transaction, conditions included.
+_TRANSACTION_ENTRIES = 100
 
 
 class SiteStore:
@@ -82,11 +84,10 @@
         for entry in [*body["setKeys"], *body["delete"]]:
             if entry["table"] in ("op", "servers"):
                 return Response(403, {"error": "not the system's table"})
-        parts = {
-            entry["part"]
-            for name in ("expectedRev", "setKeys", "delete")
-            for entry in body[name]
-        }
+        names = ("expectedRev", "setKeys", "delete")
+        if sum(len(body[name]) for name in names) > _TRANSACTION_ENTRIES:
+            return Response(400, {"error": "too many entries"})
+        parts = {entry["part"] for name in names for entry in body[name]}
         if len(parts) > 1:
             return Response(400, {"error": "several parts"})
         for entry in body["expectedRev"]:
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -28,8 +28,7 @@
 
 @when('job "{job_id}" of {count:d} tasks is submitted')
 def step_submit(context, job_id, count):
-    phase = {"count": count, "cpu": 2000, "memMb": 1000, "estimateMs": 1000}
-    reply = context.world.submit(context.queue, job_id, [phase])
+    reply = context.world.submit(context.queue, job_id, [_job(count)])
     assert reply.status == 200, reply
 
 
@@ -55,7 +54,7 @@
 @then('job "{job_id}" is "{state}"')
 def step_state(context, job_id, state):
     seen = context.world.state(context.queue, job_id)
-    assert seen == state, seen
+    assert str(seen) == state, seen
 
 
 @then("no task ran twice")
@@ -79,3 +78,84 @@
     names = [entry[3] for entry in context.world.starts(job_id)]
     assert names, "nothing started"
     assert len(names) == len(set(names)), names
+
+
+def _job(count, cpu=2000):
+    return {"count": count, "cpu": cpu, "memMb": 1000, "estimateMs": 1000}
+
+
+@when("{count:d} jobs of 1 task are submitted")
+def step_submit_many(context, count):
+    context.job_ids = [f"{number:016x}" for number in range(1, count + 1)]
+    for job_id in context.job_ids:
+        reply = context.world.submit(context.queue, job_id, [_job(1)])
+        assert reply.status == 200, reply
+
+
+@when('job "{job_id}" of {count:d} tasks is submitted to any host')
+def step_submit_again(context, job_id, count):
+    world = context.world
+    for host in [*world.host_by_name] * 10:
+        reply = world.submit(context.queue, job_id, [_job(count)], host=host)
+        if reply.status == 200:
+            return
+    raise AssertionError(reply)
+
+
+@when('job "{job_id}" of 1 task is refused with {status:d}')
+def step_refused(context, job_id, status):
+    reply = context.world.submit(context.queue, job_id, [_job(1)])
+    assert reply.status == status, reply
+    assert reply.retry_after_s, reply
+    assert b"not-run" in reply.body, reply
+
+
+@when("the store is down for {seconds:g} s")
+def step_store_down(context, seconds):
+    context.world.platform.store_down = True
+    context.world.run(seconds)
+    context.world.platform.store_down = False
+
+
+@when("the store goes down")
+def step_store_goes(context):
+    context.world.platform.store_down = True
+
+
+@when("the store comes back")
+def step_store_back(context):
+    context.world.platform.store_down = False
+
+
+@when("the store loses its next {count:d} answers")
+def step_lose_answers(context, count):
+    context.world.platform.lost_answers = count
+
+
+@when("the store refuses the leader for {seconds:g} s")
+def step_refuse_leader(context, seconds):
+    world = context.world
+    name = world.leader_name
+    world.platform.store_down_for.add(name)
+    world.clock.callLater(seconds, world.platform.store_down_for.discard, name)
+
+
+@then('all submitted jobs are "{state}"')
+def step_all_states(context, state):
+    seen = {
+        context.world.state(context.queue, job_id)
+        for job_id in context.job_ids
+    }
+    assert seen == {state}, seen
+
+
+@then('job "{job_id}" is "{state}" at the leader')
+def step_state_at_leader(context, job_id, state):
+    world = context.world
+    names = [
+        name
+        for name in world.host_by_name
+        if name not in world.platform.store_down_for
+    ]
+    seen = world.state(context.queue, job_id, host=names[0])
+    assert seen == state, seen
--- /dev/null
+++ b/tests/scheduler/store_outage.feature
@@ -0,0 +1,48 @@
+Feature: Outages of the store
+
+  Background:
+    Given a site with service "press" on 8 hosts and queue "fit"
+
+  Scenario: Ends of many jobs are stored after an outage
+    Given tasks that run 2.0 s
+    When 100 jobs of 1 task are submitted
+    And the store is down for 4.0 s
+    And 6.0 s pass
+    Then all submitted jobs are "completed"
+    And no task ran twice
+
+  Scenario: Running tasks outlive an outage of the store
+    Given tasks that run 6.0 s
+    When job "00000000000000b1" of 20 tasks is submitted
+    And 0.5 s pass
+    And the store is down for 5.0 s
+    And 6.0 s pass
+    Then job "00000000000000b1" is "completed"
+    And no task ran twice
+    And no task was stopped
+
+  Scenario: Lost answers of the store double nothing
+    Given tasks that run 1.0 s
+    When the store loses its next 20 answers
+    And job "00000000000000b2" of 20 tasks is submitted to any host
+    And 40.0 s pass
+    Then job "00000000000000b2" is "completed"
+    And no task ran twice
+
+  Scenario: A host that the store refuses hands the scheduling on
+    Given tasks that run 3.0 s
+    When job "00000000000000b3" of 20 tasks is submitted
+    And 1.0 s pass
+    And the store refuses the leader for 9.0 s
+    And 5.0 s pass
+    Then job "00000000000000b3" is "completed" at the leader
+    And no task ran twice
+    And no task was stopped
+
+  Scenario: A job is refused as not run while the store is away
+    When the store goes down
+    And 0.1 s pass
+    And job "00000000000000b4" of 1 task is refused with 503
+    And the store comes back
+    And 5.0 s pass
+    Then job "00000000000000b4" is "410"
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -175,15 +175,15 @@
             self.host_by_name[name].desk.answer(request)
         )
         answered.addCallback(replies.append)
-        for _ in range(1000):
+        for _ in range(2000):
             if replies:
                 return replies[0]
             self.run(STEP_S)
         raise AssertionError(f"no reply to {method} {path}")
 
-    def submit(self, queue, job_id, phases, **fields):
+    def submit(self, queue, job_id, phases, *, host=None, **fields):
         body = {"spec": "x", "phases": phases, **fields}
-        return self.call("POST", f"/{queue}/{job_id}", body)
+        return self.call("POST", f"/{queue}/{job_id}", body, host=host)
 
     def state(self, queue, job_id, host=None):
         reply = self.call("GET", f"/{queue}/{job_id}", host=host)
