Fix the end of a silent runner's lease

Change: leases of unreachable runners aren't extended, and their ends are published in the leader's row for the next one; the clock is dated by the answer; leases are extended for 4 s without the store (8 s before); a leader that freed its row extends none.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -226,7 +226,7 @@
                 {
                     leader_module.OWNER_PLACE: claim.owner_value,
                     leader_module.ALIVE_PLACE: leadership.encode_alive(
-                        claim.token, 0, {}
+                        claim.token, 0, {}, claim.earlier.lapse_by_runner
                     ),
                 },
             )
@@ -249,8 +249,9 @@
             self._store,
             self._settings,
             token=claim.token,
-            owner_version=outcome.version,
             claimed_at=claimed_at,
+            claimed=outcome,
+            earlier=claim.earlier,
             unix_time=self._unix_time,
             over=self._reign_over,
         )
--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -56,9 +56,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
-    """A transaction that took effect under ``version``."""
+    """A transaction that took effect under ``version``.
+
+    Attributes:
+        store_time_s: the store's steady clock.
+    """
 
     version: int
+    store_time_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +91,8 @@
     rows: list[_Row] = []
     version: int = msgspec.field(name="schemaVersion", default=0)
     more: bool = msgspec.field(name="hasMore", default=False)
+    # A steady clock of the store, not the time of day.
+    now_ms: float = msgspec.field(name="nowMs", default=0.0)
     parts: list[str] = []
 
 
@@ -145,7 +152,7 @@
         if status == 412:
             rows = [_row(row) for row in answer.rows]
             return Conflict({row.place: row for row in rows})
-        return Committed(answer.version)
+        return Committed(answer.version, answer.now_ms / 1000)
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
--- a/src/azurevane/_internal/scheduler/book.py
+++ b/src/azurevane/_internal/scheduler/book.py
@@ -38,6 +38,8 @@
             moved or maintained.
         unseen_until: until when a runner that wasn't reached may run
             what an earlier leader ordered.
+        unseen_until_by_runner: the same for runners of which more is
+            known.
     """
 
     def __init__(self, unseen_until: float) -> None:
@@ -48,12 +50,17 @@
         self.runner_by_id: dict[str, runner_state.RunnerState] = {}
         self.vacating: set[str] = set()
         self.unseen_until = unseen_until
+        self.unseen_until_by_runner: dict[str, float] = {}
         self.advice_by_step: dict[str, Advice] = {}
         self.advice_asked: set[str] = set()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed: dict[str, runs.JobState] = {}
         self._orders: list[orders.Order] = []
 
+    def unseen_until_of(self, runner_id: str) -> float:
+        """Return until when an unreached runner may run earlier orders."""
+        return self.unseen_until_by_runner.get(runner_id, self.unseen_until)
+
     def take_changed(self) -> list[runs.JobState]:
         """Return the jobs whose state has to be stored, and forget them."""
         changed = list(self._changed.values())
--- a/src/azurevane/_internal/scheduler/journal.py
+++ b/src/azurevane/_internal/scheduler/journal.py
@@ -5,7 +5,7 @@
 row of the leader is part of every condition.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 import logging
 from typing import Any, Protocol
 
@@ -52,8 +52,8 @@
     Args:
         leader: place of the leader's row and its version.
         sleep: waits a number of seconds.
-        committed: called with the time at which a write was sent that
-            took effect, which proves that this host led then.
+        committed: called with a write that took effect and the time at
+            which it was sent, which proves that this host led then.
         deposed: called once when another host leads.
     """
 
@@ -64,7 +64,9 @@
         *,
         seconds: Callable[[], float],
         sleep: Callable[[float], Awaitable[None]],
-        committed: Callable[[float], None],
+        committed: Callable[
+            [float, store.Committed, Collection[store.RowKey]], None
+        ],
         deposed: Callable[[], None],
     ) -> None:
         self._client = client
@@ -169,7 +171,7 @@
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
             if isinstance(outcome, store.Committed):
-                self._note_committed(batch, outcome.version, sent_at)
+                self._note_committed(batch, outcome, sent_at)
                 return True
             if not self._still_leads(outcome):
                 self.closed = True
@@ -183,12 +185,13 @@
     def _note_committed(
         self,
         batch: dict[store.RowKey, bytes | None],
-        version: int,
+        outcome: store.Committed,
         sent_at: float,
     ) -> None:
         for place, value in batch.items():
-            self._version_by_place[place] = 0 if value is None else version
-        self._committed(sent_at)
+            version = 0 if value is None else outcome.version
+            self._version_by_place[place] = version
+        self._committed(sent_at, outcome, batch)
 
     def _still_leads(self, conflict: store.Conflict) -> bool:
         row = conflict.row_by_place.get(self._leader_place)
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -1,6 +1,6 @@
 """The leader's task: reads the site's jobs, plans and has orders sent."""
 
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 import functools
 import logging
 from typing import Any
@@ -39,7 +39,7 @@
 FEED_WAIT_S = 2.0
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
-EXTEND_WITHOUT_STORE_S = 8.0
+EXTEND_WITHOUT_STORE_S = 4.0
 _RETRY_S = 0.2
 
 OWNER_PLACE = store.RowKey(
@@ -68,7 +68,7 @@
     """One reign of this host; made when the leader's row was taken.
 
     Args:
-        owner_version: version of the leader's row under this reign.
+        claimed: the write that took the leader's row.
         over: called once when the reign ends.
     """
 
@@ -80,8 +80,9 @@
         settings: host_settings.HostSettings,
         *,
         token: int,
-        owner_version: int,
         claimed_at: float,
+        claimed: store.Committed,
+        earlier: leadership.EarlierLeader,
         unix_time: Callable[[], float],
         over: Callable[[str], None],
     ) -> None:
@@ -94,14 +95,13 @@
         self._unix_time = unix_time
         self._committed_at = claimed_at
         self._renewals = 0
+        self._written_lapses: dict[str, float] = {}
         self._began_at = claimed_at
         self.lease_s = min(
             runner_state.LEASE_S, settings.bounds.runner_lease_max_s
         )
-        unseen_until = claimed_at
-        if token > 1:
-            unseen_until += EXTEND_WITHOUT_STORE_S + self.lease_s
-        self.book = book_module.Book(unseen_until)
+        self._store_offset_s = claimed.store_time_s - self.now()
+        self.book = self._make_book(earlier)
         self.runner_events = runner_events.RunnerEvents(self.book)
         self._planner = planner_module.Planner(
             self.book, settings.bounds.runner_stop_s
@@ -114,13 +114,13 @@
             )
         self._journal = journal_module.Journal(
             store_client,
-            (OWNER_PLACE, owner_version),
+            (OWNER_PLACE, claimed.version),
             seconds=reactor.seconds,
             sleep=runner_link.make_sleep(reactor),
             committed=self._note_committed,
             deposed=lambda: self.stop("another host holds the row"),
         )
-        self._journal.adopt(store.Row(ALIVE_PLACE, b"", owner_version))
+        self._journal.adopt(store.Row(ALIVE_PLACE, b"", claimed.version))
         self._link_by_id: dict[str, runner_link.RunnerLink] = {}
         self._followers: list[table_follower.TableFollower] = []
         self._state_by_job: dict[str, bytes] = {}
@@ -130,6 +130,22 @@
         self._pump_call: Any = None
         self.stopped = False
 
+    def _make_book(
+        self, earlier: leadership.EarlierLeader
+    ) -> book_module.Book:
+        now = self.now()
+        lease_s = self.lease_s / (1 - runner_state.CLOCK_SLOWNESS)
+        unseen_until = now + lease_s + runner_state.LAPSE_MARGIN_S
+        if earlier.may_extend:
+            unseen_until += EXTEND_WITHOUT_STORE_S
+        book = book_module.Book(unseen_until)
+        for runner_id, lapse_s in earlier.lapse_by_runner.items():
+            lapse_at = lapse_s - self._store_offset_s
+            book.unseen_until_by_runner[runner_id] = min(
+                lapse_at, unseen_until
+            )
+        return book
+
     # Time and validity.
 
     def now(self) -> float:
@@ -151,8 +167,18 @@
         logger.info("Leadership in doubt: %s", reason)
         self._renew()
 
-    def _note_committed(self, sent_at: float) -> None:
+    def _note_committed(
+        self,
+        sent_at: float,
+        outcome: store.Committed,
+        places: Collection[store.RowKey],
+    ) -> None:
         self._committed_at = max(self._committed_at, sent_at)
+        self._store_offset_s = outcome.store_time_s - self.now()
+        if ALIVE_PLACE not in places:
+            return
+        for runner_id, state in self.book.runner_by_id.items():
+            state.lapse_published = runner_id in self._written_lapses
 
     # Start and stop.
 
@@ -421,6 +447,9 @@
         if now - self._renewed_at >= leadership.RENEW_S:
             self._renew()
         self.runner_events.missing(now)
+        for runner_id, state in list(self.book.runner_by_id.items()):
+            if state.unreachable:
+                self.runner_events.silent(runner_id, now)
         self._drop_left_runners()
         self._update_links()
         self.pump()
@@ -439,8 +468,19 @@
 
     def _encode_alive(self) -> bytes:
         self._renewals += 1
+        self._written_lapses = {}
+        for runner_id, state in self.book.runner_by_id.items():
+            if state.unreachable and state.run_by_task:
+                # From here on a later leader may read it.
+                state.lapse_published = True
+                self._written_lapses[runner_id] = (
+                    state.lapsed_at() + self._store_offset_s
+                )
         return leadership.encode_alive(
-            self.token, self._renewals, self.book.pending_by_queue()
+            self.token,
+            self._renewals,
+            self.book.pending_by_queue(),
+            self._written_lapses,
         )
 
 
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -39,6 +39,21 @@
     token: int
     owner_value: bytes
     reason: str
+    earlier: "EarlierLeader"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlierLeader:
+    """What is known of the leases that an earlier leader gave.
+
+    Attributes:
+        may_extend: whether it may still be extending leases.
+        lapse_by_runner: ends, by the store's clock, of the leases of
+            runners that it couldn't reach and doesn't extend.
+    """
+
+    may_extend: bool
+    lapse_by_runner: dict[str, float]
 
 
 def encode_owner(holder: str, token: int) -> bytes:
@@ -46,6 +61,13 @@
     return msgspec.json.encode(_Owner(holder, token))
 
 
+class _Alive(msgspec.Struct):
+    token: int
+    renewals: int
+    pending_by_queue: dict[str, int] = {}
+    lapse_by_runner: dict[str, float] = {}
+
+
 class LeaderView:
     """What this host sees of the leader; times are steady seconds."""
 
@@ -55,6 +77,7 @@
         self._owner = _Owner("", 0)
         self._owner_version = 0
         self._alive_version = 0
+        self._alive = _Alive(0, 0)
         self._changed_at = now
         self._seen_at: float | None = None
 
@@ -77,6 +100,8 @@
             if version == self._alive_version:
                 return
             self._alive_version = version
+            if value is not None:
+                self._alive = msgspec.json.decode(value, type=_Alive)
         self._changed_at = now
 
     def note_view(self, now: float) -> None:
@@ -89,11 +114,11 @@
             return None
         if self._owner.holder == self._host_name:
             # Held by an earlier life of this host.
-            reason = "own earlier life"
+            reason, may_extend = "own earlier life", False
         elif not self._owner.holder:
-            reason = "no holder"
+            reason, may_extend = "no holder", False
         elif self._seen_at - self._changed_at > LEASE_S + self._jitter_s:
-            reason = f"{self._owner.holder} silent"
+            reason, may_extend = f"{self._owner.holder} silent", True
         else:
             return None
         token = self._owner.token + 1
@@ -103,20 +128,20 @@
             token,
             encode_owner(self._host_name, token),
             reason,
+            EarlierLeader(may_extend, self._alive.lapse_by_runner),
         )
 
 
-class _Alive(msgspec.Struct):
-    token: int
-    renewals: int
-    pending_by_queue: dict[str, int] = {}
-
-
 def encode_alive(
-    token: int, renewals: int, pending_by_queue: dict[str, int]
+    token: int,
+    renewals: int,
+    pending_by_queue: dict[str, int],
+    lapse_by_runner: dict[str, float],
 ) -> bytes:
     """Return the value of the row that shows that the leader lives."""
-    return msgspec.json.encode(_Alive(token, renewals, pending_by_queue))
+    return msgspec.json.encode(
+        _Alive(token, renewals, pending_by_queue, lapse_by_runner)
+    )
 
 
 def decode_pending(value: bytes) -> dict[str, int]:
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -64,7 +64,9 @@
         state.update(entry, now)
 
     def _add(self, entry: site.Runner, now: float) -> None:
-        state = runner_state.RunnerState(entry, now, self._book.unseen_until)
+        state = runner_state.RunnerState(
+            entry, now, self._book.unseen_until_of(entry.id)
+        )
         self._book.runner_by_id[entry.id] = state
         for job in self._book.live_by_id.values():
             for run in job.present_runs():
@@ -128,11 +130,12 @@
 
     def missing(self, now: float) -> None:
         """Give up runs on runners that never registered since."""
-        if now < self._book.unseen_until:
-            return
         for job in list(self._book.live_by_id.values()):
             for run in job.present_runs():
-                if run.runner_id not in self._book.runner_by_id:
+                runner_id = run.runner_id
+                if runner_id in self._book.runner_by_id:
+                    continue
+                if now >= self._book.unseen_until_of(runner_id):
                     self._lose(run, "runner not registered", now)
 
     def _lose_all(
@@ -251,7 +254,7 @@
         if runner_state.is_new_life(state.entry, report.started_at):
             # Its entry of the new life follows within a heartbeat.
             return
-        state.note_clock(report.clock_s, sent_at)
+        state.note_clock(report.clock_s, now)
         if not state.fenced:
             state.fenced = True
             catalogue.emit(
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -121,7 +121,7 @@
         leader = self._leader
         sent_at = leader.now()
         lease_until_s = None
-        if state.clock_known and leader.may_extend():
+        if state.leasable and leader.may_extend():
             lease_until_s = state.extend_lease(sent_at, self._lease_s)
         wait_s = HOLD_WAIT_S if state.fenced else 0.0
         if state.last_seen < state.processed:
@@ -199,7 +199,7 @@
             return
         if run.phase is not runs.Phase.ASSIGNED or run.sent_at:
             return
-        if state is None or not leader.may_order() or not state.clock_known:
+        if state is None or not leader.may_order() or not state.leasable:
             leader.book.release(run, leader.now())
             leader.pump()
             return
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -29,6 +29,8 @@
         fenced: whether it has confirmed this leader's fencing token.
         last_seen: highest number of an end whose effect is stored.
         unreachable: whether the last call to it failed.
+        lapse_published: whether a later leader may rely on the end of
+            its lease, so that the lease must not be extended.
         processed: highest number of an end that was taken in.
     """
 
@@ -47,6 +49,7 @@
         self.not_before = 0.0
         self.contact_at = now
         self.unreachable = False
+        self.lapse_published = False
         self.drains_until: float | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._clock_s: float | None = None
@@ -79,15 +82,22 @@
     # Clock and lease.
 
     def note_clock(self, clock_s: float, at: float) -> None:
-        """Take in the runner's clock, read at or before ``at``."""
+        """Take in the runner's clock, which showed this by ``at``.
+
+        A later time only makes leases shorter and their ends later.
+        """
         self._clock_s = clock_s
         self._clock_read_at = at
         self.contact_at = at
 
     @property
-    def clock_known(self) -> bool:
-        """Whether a lease can be given."""
-        return self._clock_s is not None
+    def leasable(self) -> bool:
+        """Whether a lease may be given."""
+        return (
+            self._clock_s is not None
+            and not self.unreachable
+            and not self.lapse_published
+        )
 
     def extend_lease(self, now: float, length_s: float) -> float:
         """Return the end of a lease by the runner's clock, and note it."""
@@ -144,6 +154,7 @@
         self._clock_s = None
         self._lease_until_s = 0.0
         self._unseen_until = now
+        self.lapse_published = False
         self.not_before = 0.0
         self.unreachable = False
         self.drains_until = None
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -98,6 +98,20 @@
         self.register(runner)
         return runner
 
+    def restart_runner(
+        self, runner: site_runner.SiteRunner
+    ) -> site_runner.SiteRunner:
+        """End a runner and start its next life under the same id."""
+        runner.crash()
+        self._lives += 1
+        successor = runner.next_life(1_000_000 + self._lives)
+        self.runner_by_address[runner.address] = successor
+        for machine in self.machine_by_name.values():
+            if machine.runner is runner:
+                machine.runner = successor
+        self.register(successor)
+        return successor
+
     def register(self, runner: site_runner.SiteRunner) -> None:
         """Write a runner's entry."""
         value = json.dumps(runner.entry()).encode()
@@ -157,7 +171,14 @@
         if is_order and runner.lose_answers:
             runner.lose_answers -= 1
             return None
-        return answer
+        if not isinstance(answer, defer.Deferred):
+            return answer
+        # An answer that was held back is lost with the runner's link.
+        sent: defer.Deferred[Response] = defer.Deferred()
+        answer.addCallback(
+            lambda response: runner.reachable and sent.callback(response)
+        )
+        return sent
 
     # Hosts.
 
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -247,6 +247,23 @@
 
     # Faults.
 
+    def next_life(self, born_ms: int) -> "SiteRunner":
+        """Return a runner that starts anew under the same id."""
+        return SiteRunner(
+            self._reactor,
+            self.id,
+            service=self.service,
+            zone=self.zone,
+            address=self.address,
+            rack=self.rack,
+            plan=self._plan,
+            record=self._record,
+            capacity=self.capacity,
+            hold_max_s=self._hold_max_s,
+            stop_s=self._stop_s,
+            born_ms=born_ms,
+        )
+
     def crash(self) -> None:
         """End at once with all tasks; nothing of it is known any more."""
         self.reachable = False
--- /dev/null
+++ b/tests/scheduler/silent_runner.feature
@@ -0,0 +1,52 @@
+Feature: Runners that fall silent
+
+  Background:
+    Given a site with service "press" on 8 hosts and queue "fit"
+
+  Scenario: Tasks of a dark runner start elsewhere once its lease lapsed
+    Given tasks that run 2.0 s
+    When job "00000000000000c1" of 20 tasks is submitted
+    And 0.5 s pass
+    And a runner with tasks goes dark
+    And 10.0 s pass
+    Then job "00000000000000c1" is "completed"
+    And no task ran twice
+
+  Scenario: A runner that is cut off and runs on holds its tasks alone
+    Given tasks that run 20.0 s
+    When job "00000000000000c2" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks is cut off
+    And 8.0 s pass
+    Then every task of job "00000000000000c2" runs
+    And no task ran twice
+
+  Scenario: A dark runner is given up soon over a change of the leader
+    Given tasks that run 20.0 s
+    When job "00000000000000c3" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks goes dark
+    And 4.0 s pass
+    And the leader is killed
+    And 4.5 s pass
+    Then every task of job "00000000000000c3" runs
+    And no task ran twice
+
+  Scenario: An order that is carried out late doubles no task
+    Given tasks that run 6.0 s
+    When the runners carry out orders 3.0 s late
+    And job "00000000000000c4" of 10 tasks is submitted
+    And 2.0 s pass
+    And the runners are on time again
+    And 30.0 s pass
+    Then job "00000000000000c4" is "completed"
+    And no task ran twice
+
+  Scenario: A runner that starts anew holds nothing of before
+    Given tasks that run 3.0 s
+    When job "00000000000000c5" of 20 tasks is submitted
+    And 1.0 s pass
+    And a runner with tasks starts anew under its id
+    And 8.0 s pass
+    Then job "00000000000000c5" is "completed"
+    And no task ran twice
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -159,3 +159,58 @@
     ]
     seen = world.state(context.queue, job_id, host=names[0])
     assert seen == state, seen
+
+
+def _busy_runner(world):
+    runners = world.platform.runner_by_address.values()
+    return next(runner for runner in runners if runner.task_by_name)
+
+
+@when("a runner with tasks goes dark")
+def step_dark(context):
+    runner = _busy_runner(context.world)
+    runner.crash()
+    world = context.world
+    world.clock.callLater(4.5, world.platform.unregister, runner)
+
+
+@when("a runner with tasks is cut off")
+def step_cut_off(context):
+    runner = _busy_runner(context.world)
+    runner.reachable = False
+    world = context.world
+    world.clock.callLater(4.5, world.platform.unregister, runner)
+
+
+@when("the runners carry out orders {seconds:g} s late")
+def step_late_orders(context, seconds):
+    for runner in context.world.platform.runner_by_address.values():
+        runner.delay_orders_s = seconds
+
+
+@when("the runners are on time again")
+def step_on_time(context):
+    for runner in context.world.platform.runner_by_address.values():
+        runner.delay_orders_s = 0.0
+
+
+@when("a runner with tasks starts anew under its id")
+def step_reborn(context):
+    context.world.platform.restart_runner(_busy_runner(context.world))
+
+
+@then('every task of job "{job_id}" runs')
+def step_all_run(context, job_id):
+    running = {
+        name
+        for runner in context.world.platform.runner_by_address.values()
+        for name in runner.task_by_name
+        if name.startswith(job_id)
+    }
+    state = next(
+        host.leader.book.job_by_id[job_id]
+        for host in context.world.host_by_name.values()
+        if host.leader is not None
+    )
+    missing = {str(run.name) for run in state.runs()} - running
+    assert not missing, missing
