Move hosts between pools and carry out waves of maintenance

Change: the leader reads the platform's list of hosts, sizes pools by the work at hand and by what arrives, moves idle hosts to the standby pool and back, and has waves carried out: empty hosts first, others vacated a few at a time within each step's availability budget. An order follows a stored write that proves the leadership; a new leader waits out a host's lease before its first order. Long-running tasks are spread over two runners. Progress of a wave is stored.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -22,6 +22,7 @@
 from azurevane._internal.events import program_events
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
+from azurevane._internal.models import site
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import node_settings
 from azurevane._internal.platform import operator_rows
@@ -83,6 +84,7 @@
             random.uniform(0.0, CLAIM_JITTER_S),
         )
         self._zones_out: frozenset[str] = frozenset()
+        self._wave_by_number: dict[int, site.Wave] = {}
         self.leader: leader_module.Leader | None = None
         self._claiming = False
         self._followers: list[table_follower.TableFollower] = []
@@ -113,10 +115,10 @@
     def _listen(self) -> None:
         settings = self._settings
         if settings.callers_listen is not None:
-            site = job_resource.QuietSite(self._resource, IDLE_CONNECTION_S)
+            factory = job_resource.QuietSite(self._resource, IDLE_CONNECTION_S)
             self._reactor.listenTCP(
                 settings.callers_listen.port,
-                site,
+                factory,
                 backlog=LISTEN_BACKLOG,
                 interface=settings.callers_listen.ip,
             )
@@ -155,6 +157,7 @@
 
     def _operators_whole(self, rows: Sequence[store.Row]) -> None:
         self._zones_out = frozenset()
+        self._wave_by_number = {}
         self._operators_changed(rows)
 
     def _operators_changed(self, rows: Sequence[store.Row]) -> None:
@@ -167,21 +170,32 @@
                 zones_out.discard(zone)
             elif zone is not None:
                 zones_out.add(zone)
+            else:
+                self._set_wave(row)
         if zones_out != self._zones_out:
             self._zones_out = frozenset(zones_out)
             catalogue.emit(logger, events.ZonesOut(tuple(sorted(zones_out))))
         self._tell_leader()
 
+    def _set_wave(self, row: store.Row) -> None:
+        number = operator_rows.wave_number(row.place.key)
+        if number is None:
+            return
+        if row.value is None:
+            self._wave_by_number.pop(number, None)
+            return
+        try:
+            wave = operator_rows.decode_wave(row.value)
+        except msgspec.MsgspecError as error:
+            _note_unreadable(row, error)
+            return
+        self._wave_by_number[number] = wave
+
     def _set_config(self, row: store.Row) -> None:
         try:
             config = operator_rows.decode_config(row.value or b"")
         except msgspec.MsgspecError as error:
-            catalogue.emit(
-                logger,
-                events.RowUnreadable(
-                    row.place.table, row.place.key, str(error)
-                ),
-            )
+            _note_unreadable(row, error)
             return
         if self.desk.set_config(config):
             catalogue.emit(
@@ -195,7 +209,11 @@
 
     def _tell_leader(self) -> None:
         if self.leader is not None:
-            self.leader.set_site(self.desk.config, self._zones_out)
+            self.leader.set_site(
+                self.desk.config,
+                self._zones_out,
+                dict(self._wave_by_number),
+            )
 
     # Leadership.
 
@@ -302,6 +320,13 @@
         self._settings = settings
 
 
+def _note_unreadable(row: store.Row, error: Exception) -> None:
+    catalogue.emit(
+        logger,
+        events.RowUnreadable(row.place.table, row.place.key, str(error)),
+    )
+
+
 def main() -> None:
     """Run an entry host until it is told to stop."""
     lines = output.configure_output("INFO")
--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -309,6 +309,20 @@
     hosts: int
 
 
+@catalogue.event(6052)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSized(catalogue.Event):
+    """Number of hosts that a pool should have changed, or what it has."""
+
+    pool: str
+    wanted: int
+    ready: int
+    coming: int
+    busy_cpu: int
+    waiting_cpu: int
+    arriving_cpu: int
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/models/site.py
+++ b/src/azurevane/_internal/models/site.py
@@ -1,6 +1,7 @@
 """What the operators, the runners and the platform say of a site."""
 
 import dataclasses
+import enum
 
 from azurevane._internal.models import job as job_models
 
@@ -111,25 +112,37 @@
     leaves_in_s: float | None = None
 
 
+class HostState(enum.Enum):
+    """What a host is doing."""
+
+    UP = "up"
+    MOVING = "moving"
+    IN_MAINTENANCE = "in maintenance"
+    DOWN = "down"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Host:
     """A host of the fleet as the platform lists it.
 
     Attributes:
         pool: service whose pool it is in.
-        up: whether it is neither moving, in maintenance nor down.
         runner_id: runner that lives on it, or empty.
     """
 
     name: str
     pool: str
-    up: bool
-    state: str
+    state: HostState
     zone: str
     runner_id: str
     labels: frozenset[str] = frozenset()
     capacity: job_models.Capacity = job_models.Capacity()
 
+    @property
+    def up(self) -> bool:
+        """Whether it is neither moving, in maintenance nor down."""
+        return self.state is HostState.UP
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wave:
--- a/src/azurevane/_internal/platform/machine_calls.py
+++ b/src/azurevane/_internal/platform/machine_calls.py
@@ -145,12 +145,20 @@
     return outcome_by_reason.get(str(reason), OrderOutcome.BUSY)
 
 
+_STATE_BY_WORD = {
+    "up": site.HostState.UP,
+    "moving": site.HostState.MOVING,
+    "upkeep": site.HostState.IN_MAINTENANCE,
+    "down": site.HostState.DOWN,
+}
+
+
 def _host(machine: _Machine) -> site.Host:
     return site.Host(
         name=machine.machine,
         pool=machine.pool,
-        up=machine.state == "up",
-        state=machine.state,
+        # A word that isn't known names no host to order.
+        state=_STATE_BY_WORD.get(machine.state, site.HostState.DOWN),
         zone=machine.zone,
         runner_id=machine.id or "",
         labels=frozenset(machine.labels),
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from azurevane._internal.models import job as job_models
 
@@ -51,6 +52,10 @@
     runner_id: str
 
 
+# Runners over which the tasks of a long-running step are spread.
+MIN_SPREAD = 2
+
+
 class _OpenRoom:
     __slots__ = ("cpu", "gpu", "memory", "room")
 
@@ -190,10 +195,12 @@
             count_by_rack[room.rack] = count_by_rack.get(
                 room.rack, 0
             ) + count_by_runner.get(room.runner_id, 0)
+    spread = _spread(step)
     placements = []
     for index in request.indexes[:most]:
         best: _OpenRoom | None = None
         best_rank: tuple[float, ...] = ()
+        spread_out = len(count_by_runner) >= spread
         for open_room in candidates:
             if not open_room.fits(need, cpu):
                 continue
@@ -203,9 +210,10 @@
                 continue
             if step.long_running:
                 rank: tuple[float, ...] = (
+                    spread_out and not here,
                     here,
                     count_by_rack.get(room.rack, 0),
-                    -open_room.cpu,
+                    open_room.cpu,
                 )
             else:
                 away = bool(step.data_rack) and room.rack != step.data_rack
@@ -222,6 +230,17 @@
     return placements
 
 
+def _spread(step: job_models.Step) -> int:
+    """Return over how many runners a long-running step is spread.
+
+    Two runners outlive the loss of either; more would keep hosts in the
+    pool that could leave it.
+    """
+    if not step.max_per_runner:
+        return MIN_SPREAD
+    return max(MIN_SPREAD, math.ceil(step.count / step.max_per_runner))
+
+
 def _give_back(
     placements: list[Placement],
     candidates: list[_OpenRoom],
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/availability.py
@@ -0,0 +1,17 @@
+"""Whether a long-running task may be stopped without harm to its step."""
+
+from azurevane._internal.scheduler import runs
+
+
+def may_stop(run: runs.Run) -> bool:
+    """Whether stopping a run keeps its step's availability budget.
+
+    Every other task of the step that isn't at work counts as away,
+    whatever the cause and however short.
+    """
+    budget = run.step.max_unavailable
+    if not run.step.long_running or budget is None or not run.at_work:
+        return True
+    members = run.job.runs_by_step[run.name.occurrence, run.name.step]
+    away = sum(not one.at_work for one in members if one is not run)
+    return away < budget
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -0,0 +1,147 @@
+"""How much work each pool has, as the sizing of pools sees it."""
+
+import collections
+import math
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.models import site
+from azurevane._internal.policy import pool_sizing
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import runs
+
+# Time over which arriving work is averaged: short against a burst, long
+# against the time between two jobs in it.
+ARRIVAL_WINDOW_S = 1.5
+
+
+class DemandMeter:
+    """Measures demand by service from the book; times are steady seconds."""
+
+    def __init__(self, book: book_module.Book) -> None:
+        self._book = book
+        # Time and work of arrivals, in thousandths of a core-second.
+        self._arrivals_by_service: dict[
+            str, collections.deque[tuple[float, float]]
+        ] = {}
+        self._seen_jobs: set[str] = set()
+
+    def measure(
+        self,
+        hosts: list[site.Host],
+        coming_by_pool: dict[str, int],
+        now: float,
+    ) -> list[pool_sizing.PoolDemand]:
+        """Return the demand of every pool that isn't on standby."""
+        config = self._book.config
+        if config is None:
+            return []
+        waiting_by_service, least_by_service = self._waiting(now)
+        demands = []
+        for service in config.service_by_name.values():
+            if service.standby:
+                continue
+            demands.append(
+                self._pool(
+                    service.name,
+                    waiting_by_service.get(service.name, 0),
+                    least_by_service.get(service.name, 0),
+                    coming_by_pool.get(service.name, 0),
+                    hosts,
+                    now,
+                )
+            )
+        return demands
+
+    def _pool(
+        self,
+        service: str,
+        waiting_cpu: int,
+        least_hosts: int,
+        coming_hosts: int,
+        hosts: list[site.Host],
+        now: float,
+    ) -> pool_sizing.PoolDemand:
+        ready, busy_cpu, lasting_cpu, host_cpu = 0, 0, 0, 0
+        for runner in self._book.runner_by_id.values():
+            if runner.entry.service != service:
+                continue
+            busy_cpu += runner.entry.capacity.cpu - runner.free().cpu
+            lasting_cpu += sum(
+                run.step.need.cpu
+                for run in runner.run_by_task.values()
+                if run.step.long_running and not run.step.fills
+            )
+            usable = runner.listed and not runner.entry.draining
+            if usable and runner.id not in self._book.vacating:
+                ready += 1
+                host_cpu = max(host_cpu, runner.entry.capacity.cpu)
+        if not host_cpu:
+            host_cpu = max((host.capacity.cpu for host in hosts), default=0)
+        return pool_sizing.PoolDemand(
+            name=service,
+            host_cpu=host_cpu,
+            ready_hosts=ready,
+            coming_hosts=coming_hosts,
+            busy_cpu=busy_cpu,
+            waiting_cpu=waiting_cpu,
+            lasting_cpu=lasting_cpu,
+            arriving_cpu=self._arriving(service, now),
+            least_hosts=least_hosts,
+        )
+
+    def _arriving(self, service: str, now: float) -> float:
+        arrivals = self._arrivals_by_service.get(service)
+        if arrivals is None:
+            return 0.0
+        while arrivals and arrivals[0][0] < now - ARRIVAL_WINDOW_S:
+            arrivals.popleft()
+        return sum(work for _, work in arrivals) / ARRIVAL_WINDOW_S
+
+    def _waiting(self, now: float) -> tuple[dict[str, int], dict[str, int]]:
+        waiting_by_service: dict[str, int] = {}
+        least_by_service: dict[str, int] = {}
+        for job in self._book.live_by_id.values():
+            if job.status.ended:
+                continue
+            service = self._book.service(job.job)
+            self._note_arrival(job, service)
+            for step in job.job.steps:
+                if step.long_running:
+                    least = least_by_service.get(service, 0)
+                    least_by_service[service] = max(least, _hosts_of(step))
+            if not job.waiting:
+                continue
+            cpu = _waiting_cpu(job, now)
+            waiting = waiting_by_service.get(service, 0)
+            waiting_by_service[service] = waiting + cpu
+        self._seen_jobs.intersection_update(self._book.live_by_id)
+        return waiting_by_service, least_by_service
+
+    def _note_arrival(self, job: runs.JobState, service: str) -> None:
+        if job.long_running or job.job.id in self._seen_jobs:
+            return
+        self._seen_jobs.add(job.job.id)
+        work = sum(
+            step.count * step.need.cpu * step.estimate_s
+            for step in job.job.steps
+            if not step.fills
+        )
+        arrivals = self._arrivals_by_service.setdefault(
+            service, collections.deque()
+        )
+        arrivals.append((job.arrived_at, work))
+
+
+def _hosts_of(step: job_models.Step) -> int:
+    if not step.max_per_runner:
+        return 1
+    return math.ceil(step.count / step.max_per_runner)
+
+
+def _waiting_cpu(job: runs.JobState, now: float) -> int:
+    total = 0
+    for key in job.ready_steps(float("inf")):
+        for run in job.runs_by_step[key]:
+            if run.phase is runs.Phase.WAITING and run.not_before <= now:
+                total += 0 if run.step.fills else run.step.need.cpu
+    return total
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -16,10 +16,13 @@
 from azurevane._internal.models import site
 from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import http_client
+from azurevane._internal.platform import machine_calls
+from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.platform import runner_rows
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import host_keeper
 from azurevane._internal.scheduler import journal as journal_module
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import orders
@@ -40,6 +43,8 @@
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
+# Added to the time between orders for a host by two leaders.
+ORDERS_MARGIN_S = 0.5
 _RETRY_S = 0.2
 
 OWNER_PLACE = store.RowKey(
@@ -121,12 +126,14 @@
             deposed=lambda: self.stop("another host holds the row"),
         )
         self._journal.adopt(store.Row(ALIVE_PLACE, b"", claimed.version))
+        self._keeper = self._make_keeper(earlier)
         self._link_by_id: dict[str, runner_link.RunnerLink] = {}
         self._followers: list[table_follower.TableFollower] = []
         self._state_by_job: dict[str, bytes] = {}
         self._loaded: set[str] = set()
         self._ticker: Any = None
         self._renewed_at = claimed_at
+        self._wave_by_number: dict[int, site.Wave] = {}
         self._pump_call: Any = None
         self.stopped = False
 
@@ -146,12 +153,48 @@
             )
         return book
 
+    def _make_keeper(
+        self, earlier: leadership.EarlierLeader
+    ) -> host_keeper.HostKeeper | None:
+        settings = self._settings
+        if settings.hosts_api_address is None:
+            return None
+        calls = machine_calls.MachineCalls(
+            self._client,
+            settings.hosts_api_address,
+            settings.host_name,
+            self.token,
+        )
+        bounds = settings.bounds
+        orders_from = self.now()
+        if self.token > 1:
+            orders_from += bounds.host_lease_s + ORDERS_MARGIN_S
+        if earlier.may_extend:
+            # Silent for a lease; its last order followed its last sign of
+            # life within a bound.
+            orders_from -= leadership.LEASE_S - host_keeper.ORDER_WITHIN_S
+        return host_keeper.HostKeeper(
+            self,
+            calls,
+            move_s=bounds.move_s,
+            maintenance_s=bounds.maintenance_s,
+            orders_from=orders_from,
+        )
+
     # Time and validity.
 
     def now(self) -> float:
         """Return the steady time in seconds."""
         return float(self._reactor.seconds())
 
+    def store_now(self) -> float:
+        """Return the store's steady time in seconds."""
+        return self.now() + self._store_offset_s
+
+    def proven_at(self) -> float:
+        """Return when a stored write last proved the leadership."""
+        return self._committed_at
+
     def may_order(self) -> bool:
         """Whether this host certainly leads."""
         proven_until = self._committed_at + leadership.VALID_S
@@ -199,7 +242,11 @@
             return
         for row in states.rows:
             self._journal.adopt(row)
-            self._state_by_job[row.place.key] = row.value or b""
+            number = records.wave_number(row.place.key)
+            if number is None:
+                self._state_by_job[row.place.key] = row.value or b""
+            elif self._keeper is not None and row.value is not None:
+                self._keeper.restore_wave(number, row.value)
         self._follow(
             records.JOBS_TABLE,
             self._jobs_whole,
@@ -209,6 +256,20 @@
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = self._reactor
         self._ticker.start(TICK_S)
+        if self._keeper is not None:
+            spawn(self._keep_hosts(self._keeper), "keep hosts")
+
+    async def _keep_hosts(self, keeper: host_keeper.HostKeeper) -> None:
+        while not self.stopped:
+            if runner_rows.TABLE in self._loaded:
+                keeper.set_waves(self._wave_by_number)
+                try:
+                    await keeper.step()
+                except journal_module.Deposed:
+                    return
+            await twisted_task.deferLater(
+                self._reactor, host_keeper.STEP_S, lambda: None
+            )
 
     def _follow(
         self,
@@ -260,13 +321,40 @@
     # Rows of the store.
 
     def set_site(
-        self, config: site.SiteConfig | None, zones_out: frozenset[str]
+        self,
+        config: site.SiteConfig | None,
+        zones_out: frozenset[str],
+        wave_by_number: dict[int, site.Wave],
     ) -> None:
-        """Take in the operators' configuration and zones."""
+        """Take in the operators' configuration, zones and waves."""
         self.book.config = config
         self.book.zones_out = zones_out
+        self._wave_by_number = wave_by_number
         self.pump()
 
+    def write_wave(
+        self, number: int, value: bytes, *, completed: bool
+    ) -> None:
+        """Have a wave's progress and status stored."""
+        place = store.RowKey(
+            records.STATE_TABLE, records.LEADER_PART, records.wave_key(number)
+        )
+        self._journal.write(place, lambda: value)
+        key, status = operator_rows.encode_wave_status(
+            number, completed=completed
+        )
+        status_place = store.RowKey(
+            operator_rows.STATUS_TABLE, records.LEADER_PART, key
+        )
+        self._journal.write(status_place, lambda: status)
+        # Failures are repeated by the journal until it is closed.
+        self.stored().addErrback(lambda _: None)
+
+    def prove(self) -> "defer.Deferred[None]":
+        """Store something, which proves that this host leads."""
+        self._journal.write(ALIVE_PLACE, self._encode_alive)
+        return self.stored()
+
     def _jobs_whole(self, rows: Sequence[store.Row]) -> None:
         self._jobs_changed(rows)
         if records.JOBS_TABLE in self._loaded:
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -14,6 +14,7 @@
 CANCEL_SUFFIX = "-cancel"
 # Follows every suffix of a key.
 KEY_END = "~"
+_WAVE_PREFIX = "wave/"
 
 
 class _Task(msgspec.Struct, array_like=True):
@@ -41,6 +42,17 @@
     return job_id[0].lower()
 
 
+def wave_key(number: int) -> str:
+    """Return the key of the row that keeps a wave's progress."""
+    return f"{_WAVE_PREFIX}{number}"
+
+
+def wave_number(key: str) -> int | None:
+    """Return the wave whose progress a row keeps, or None."""
+    text = key.removeprefix(_WAVE_PREFIX)
+    return int(text) if text != key else None
+
+
 def encode_job(job: job_models.Job) -> bytes:
     """Return the value of a submission's row."""
     return msgspec.json.encode(job)
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -41,6 +41,8 @@
         lost_answers: number of coming store writes that are done and not
             answered.
         record: (time, event, runner, task, attempt) of all runners.
+        host_orders: (time, order, host, holder, token) of all hosts.
+        most_in_maintenance: most hosts in maintenance at once.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.host_orders: list[tuple[float, str, str, str, int]] = []
         self.standby_pools: set[str] = set()
         self._lives = 0
+        self.most_in_maintenance = 0
 
     # Building a site.
 
@@ -213,6 +216,11 @@
             self._rebuild(machine, "moving")
         else:
             self._rebuild(machine, "upkeep")
+            down = sum(
+                other.state == "upkeep"
+                for other in self.machine_by_name.values()
+            )
+            self.most_in_maintenance = max(self.most_in_maintenance, down)
         return Response(200, {})
 
     def _rebuild(self, machine: SiteMachine, state: str) -> None:
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -22,7 +22,8 @@
     And no task ran twice
 
   Scenario: A dark runner is given up soon over a change of the leader
-    Given tasks that run 20.0 s
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
     When job "00000000000000c3" of 20 tasks is submitted
     And 2.0 s pass
     And a runner with tasks goes dark
--- /dev/null
+++ b/tests/scheduler/steps/host_steps.py
@@ -0,0 +1,141 @@
+"""Steps about pools and waves."""
+
+import json
+
+from behave import then
+from behave import when
+
+_LASTING_ID = "00000000000000e1"
+
+
+def _hosts_in(context, pool):
+    machines = context.world.platform.machine_by_name.values()
+    return [machine for machine in machines if machine.pool == pool]
+
+
+@then('pool "{pool}" has {count:d} hosts')
+def step_pool_size(context, pool, count):
+    names = [machine.name for machine in _hosts_in(context, pool)]
+    assert len(names) == count, names
+
+
+@then('pool "{pool}" has more than {count:d} hosts')
+def step_pool_grown(context, pool, count):
+    names = [machine.name for machine in _hosts_in(context, pool)]
+    assert len(names) > count, names
+
+
+def _ask_wave(context, names, within_s, cap):
+    context.wave_hosts = names
+    value = {
+        "wave": 1,
+        "machines": names,
+        "durationS": within_s,
+        "cap": cap,
+    }
+    context.world.platform.store.put(
+        "op", "wave/1", json.dumps(value).encode()
+    )
+
+
+@when(
+    "a wave of {count:d} hosts within {within:g} s with {cap:d} down at once"
+    " is asked for"
+)
+def step_wave(context, count, within, cap):
+    names = sorted(context.world.platform.machine_by_name)[:count]
+    _ask_wave(context, names, within, cap)
+
+
+@when(
+    "a wave of all hosts within {within:g} s with {cap:d} down at once is"
+    " asked for"
+)
+def step_wave_of_all(context, within, cap):
+    names = sorted(context.world.platform.machine_by_name)
+    _ask_wave(context, names, within, cap)
+
+
+@when("{count:d} jobs are submitted over {seconds:g} s")
+def step_submit_over(context, count, seconds):
+    phase = {"count": 8, "cpu": 2000, "memMb": 1000, "estimateMs": 1000}
+    for number in range(count):
+        job_id = f"{number + 0xD00:016x}"
+        reply = context.world.submit(context.queue, job_id, [phase])
+        assert reply.status == 200, reply
+        context.world.run(seconds / count)
+
+
+@when(
+    "a job of {count:d} long-running tasks with {budget:d} unavailable is"
+    " submitted"
+)
+def step_lasting(context, count, budget):
+    context.world.plan(10_000.0)
+    phase = {
+        "count": count,
+        "cpu": 3000,
+        "memMb": 1000,
+        "longRunning": True,
+        "maxUnavailable": budget,
+        "antiAffinity": 2,
+    }
+    reply = context.world.submit(context.queue, _LASTING_ID, [phase])
+    assert reply.status == 200, reply
+    context.lasting_count = count
+
+
+@then("wave 1 is completed")
+def step_wave_done(context):
+    value = context.world.platform.store.value("status", "", "wave/1")
+    assert value is not None, "no status"
+    assert json.loads(value)["state"] == "completed", value
+    ordered = {
+        order[2]
+        for order in context.world.platform.host_orders
+        if order[1] == "upkeep"
+    }
+    missing = set(context.wave_hosts) - ordered
+    assert not missing, missing
+
+
+@then("at most {cap:d} hosts were in maintenance at once")
+def step_cap(context, cap):
+    most = context.world.platform.most_in_maintenance
+    assert 0 < most <= cap, most
+
+
+@then("never were {count:d} of its tasks away by order")
+def step_away(context, count):
+    running, most_away = set(), 0
+    seen_all = False
+    for _, event, _, task, _ in context.world.platform.record:
+        if event == "start":
+            running.add(task)
+        else:
+            running.discard(task)
+        seen_all = seen_all or len(running) == context.lasting_count
+        if seen_all:
+            away = context.lasting_count - len(running)
+            most_away = max(most_away, away)
+    assert seen_all, "not all tasks ever ran"
+    assert most_away < count, most_away
+
+
+@then("all long-running tasks run")
+def step_lasting_run(context):
+    running = [
+        name
+        for runner in context.world.platform.runner_by_address.values()
+        for name in runner.task_by_name
+        if name.startswith(_LASTING_ID)
+    ]
+    assert len(running) == context.lasting_count, running
+
+
+@then("no host was ordered with a lower token after a higher one")
+def step_tokens(context):
+    token_by_host = {}
+    for _, _, host, _, token in context.world.platform.host_orders:
+        assert token >= token_by_host.get(host, 0), (host, token)
+        token_by_host[host] = token
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -21,6 +21,15 @@
     context.queue = queue
 
 
+@given("hosts stay in their pools")
+def step_no_standby(context):
+    config = context.world.config
+    config["version"] += 1
+    for service in config["services"]:
+        service["standby"] = False
+    context.world.put_config()
+
+
 @given("tasks that run {seconds:g} s")
 def step_plan(context, seconds):
     context.world.plan(seconds)
