Put jobs beyond a team's share last, and test the platform's decisions

Cause: a team that sends many times its weight delays everybody.

Change: a team is owed as many jobs a second as its weight; the rest waits. The platform's changes of hosts are logged. Scenarios play the order of jobs and the sizes of pools, the order beside plain arrival.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -14,6 +14,7 @@
     job_id: str
     queue: str
     team: str
+    beyond_share: bool
     age_s: float
 
 
@@ -323,6 +324,17 @@
     arriving_cpu: int
 
 
+@catalogue.event(6053)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostChanged(catalogue.Event):
+    """The platform's list shows a host in another state or pool."""
+
+    host: str
+    pool: str
+    state: str
+    runner: str
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/job_order.py
+++ b/src/azurevane/_internal/policy/job_order.py
@@ -1,7 +1,9 @@
 """In which order jobs get their tasks' turns.
 
-A job that ends after its objective earns little, so among the jobs of one
-priority those that can still make it go first, the most urgent foremost.
+A team is owed as many jobs a second as its weight; what it sends beyond
+waits for everybody else. A job that ends after its objective helps its
+callers little, so among the jobs of one priority those that can still make
+it go first, the most urgent foremost.
 """
 
 from collections.abc import Sequence
@@ -16,10 +18,12 @@
     """What the order of a job depends on; times are steady seconds.
 
     Attributes:
+        beyond_share: whether its team had sent more than it is owed.
         remaining_s: longest chain of work that is left.
     """
 
     priority: int
+    beyond_share: bool
     long_running: bool
     arrived_at: float
     objective_at: float
@@ -32,12 +36,35 @@
     late = not outlook.long_running and start_by < now
     return (
         not outlook.long_running,
+        outlook.beyond_share,
         outlook.priority,
         late,
         outlook.arrived_at if late else start_by,
     )
 
 
+class ShareMeter:
+    """Tells which jobs of a team are beyond what it is owed.
+
+    A team is owed ``weight`` jobs a second, with as many at once as a
+    second brings. Times are steady seconds and don't go back for a team.
+    """
+
+    def __init__(self) -> None:
+        self._left_by_team: dict[str, tuple[float, float]] = {}
+
+    def take(self, team: str, weight: float, now: float) -> bool:
+        """Count a job; whether it is beyond its team's share."""
+        most = max(weight, 1.0)
+        left, since = self._left_by_team.get(team, (most, now))
+        left = min(left + max(now - since, 0.0) * weight, most)
+        beyond = left < 1.0
+        if not beyond:
+            left -= 1.0
+        self._left_by_team[team] = left, max(now, since)
+        return beyond
+
+
 def longest_chain_s(
     steps: Sequence[job_models.Step], undone: Sequence[bool] | None = None
 ) -> float:
--- a/src/azurevane/_internal/scheduler/book.py
+++ b/src/azurevane/_internal/scheduler/book.py
@@ -8,6 +8,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
+from azurevane._internal.policy import job_order
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import runner_state
@@ -53,6 +54,7 @@
         self.unseen_until_by_runner: dict[str, float] = {}
         self.advice_by_step: dict[str, Advice] = {}
         self.advice_asked: set[str] = set()
+        self._share_meter = job_order.ShareMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed: dict[str, runs.JobState] = {}
         self._orders: list[orders.Order] = []
@@ -102,6 +104,7 @@
             objective_at=arrived_at + job.objective_s,
         )
         self.job_by_id[job.id] = state
+        state.beyond_share = self._take_share(job, arrived_at)
         if stored_state is not None:
             records.restore_state(state, stored_state)
         if state.status.ended and not state.present_runs():
@@ -115,9 +118,23 @@
                 runner.run_by_task[run.name] = run
         catalogue.emit(
             logger,
-            events.JobSeen(job.id, job.queue, job.team, round(age_s, 3)),
+            events.JobSeen(
+                job.id,
+                job.queue,
+                job.team,
+                state.beyond_share,
+                round(age_s, 3),
+            ),
         )
 
+    def _take_share(self, job: job_models.Job, arrived_at: float) -> bool:
+        team = None
+        if self.config is not None:
+            team = self.config.team_by_name.get(job.team)
+        if team is None:
+            return False
+        return self._share_meter.take(team.name, team.weight, arrived_at)
+
     def service(self, job: job_models.Job) -> str:
         """Return the service whose runners run a job's tasks."""
         if self.config is None:
--- a/src/azurevane/_internal/scheduler/host_keeper.py
+++ b/src/azurevane/_internal/scheduler/host_keeper.py
@@ -215,6 +215,8 @@
     def _note_hosts(self, hosts: tuple[site.Host, ...]) -> None:
         now = self._leader.now()
         self._listed_at = now
+        for host in hosts:
+            self._note_change(host)
         self._host_by_name = {host.name: host for host in hosts}
         present = {host.runner_id for host in hosts if host.runner_id}
         for host in hosts:
@@ -228,6 +230,17 @@
                 self._down_until.pop(host.name, None)
         self._book.vacating &= present | set(self._book.runner_by_id)
 
+    def _note_change(self, host: site.Host) -> None:
+        known = self._host_by_name.get(host.name)
+        if known is not None and known.state is host.state:
+            return
+        catalogue.emit(
+            logger,
+            events.HostChanged(
+                host.name, host.pool, host.state.value, host.runner_id
+            ),
+        )
+
     def _note_idle(self, now: float) -> None:
         for runner in self._book.runner_by_id.values():
             if runner.run_by_task or runner.need_by_orphan:
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -13,6 +13,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
+from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import http_client
@@ -368,6 +369,7 @@
     def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
         now, unix_now = self.now(), self._unix_time()
         cancelled: list[str] = []
+        jobs: list[job_models.Job] = []
         for row in rows:
             key = row.place.key
             if key.endswith(records.CANCEL_SUFFIX):
@@ -375,24 +377,25 @@
             elif row.value is None:
                 self.book.forget_job(key)
             else:
-                self._add_job(row, now, unix_now)
+                jobs += self._decode_job(row)
+        for job in sorted(jobs, key=lambda job: job.accepted_at):
+            self.book.add_job(
+                job,
+                now=now,
+                unix_now=unix_now,
+                stored_state=self._state_by_job.pop(job.id, None),
+            )
         for job_id in cancelled:
             self.book.cancel(job_id, now)
         self.pump()
 
-    def _add_job(self, row: store.Row, now: float, unix_now: float) -> None:
-        assert row.value is not None
+    @staticmethod
+    def _decode_job(row: store.Row) -> list[job_models.Job]:
         try:
-            job = records.decode_job(row.value)
+            return [records.decode_job(row.value or b"")]
         except msgspec.MsgspecError as error:
             _note_unreadable(row, error)
-            return
-        self.book.add_job(
-            job,
-            now=now,
-            unix_now=unix_now,
-            stored_state=self._state_by_job.pop(job.id, None),
-        )
+            return []
 
     def _runners_whole(self, rows: Sequence[store.Row]) -> None:
         entries = [self._runner(row) for row in rows]
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -156,6 +156,7 @@
         arrived_at: steady time at which the caller handed it in.
         objective_at: steady time by which its callers want it done.
         waiting: number of its tasks that wait for a run.
+        beyond_share: whether its team had sent more than it is owed.
     """
 
     def __init__(
@@ -173,6 +174,7 @@
         self.ended_at = 0.0
         self.cancelled = False
         self.waiting = 0
+        self.beyond_share = False
         self.runs_by_step: dict[tuple[int, int], list[Run]] = {}
         for occurrence in range(job.occurrences):
             for index, step in enumerate(job.steps):
--- /dev/null
+++ b/tests/policy/pool_sizing.feature
@@ -0,0 +1,47 @@
+Feature: Sizes of pools
+
+  Scenario: A pool at rest keeps what its long-running tasks need
+    Given a pool "press" with 8 ready hosts of 32000
+    And its long-running tasks take 12000 and need 3 hosts
+    Then it wants 3 hosts
+
+  Scenario: A pool without any work keeps two hosts
+    Given a pool "press" with 8 ready hosts of 32000
+    Then it wants 2 hosts
+
+  Scenario: Work that arrives counts before it waits
+    Given a pool "press" with 2 ready hosts of 32000
+    And 200000 arrives
+    Then it wants 7 hosts
+
+  Scenario: Standby hosts come before idle hosts of other pools
+    Given a pool "press" with 2 ready hosts of 32000
+    And 90000 of it is busy and 40000 waits
+    And a pool "rings" with 6 ready hosts of 32000
+    And idle host "r1" of "rings" since 9.0 s
+    And standby hosts "s1"
+    Then the moves are "s1>press, r1>press"
+
+  Scenario: Idle hosts of a pool in need stay
+    Given a pool "press" with 2 ready hosts of 32000
+    And idle host "p1" of "press" since 9.0 s
+    Then the moves are ""
+
+  Scenario: A host leaves only after it was idle for a while
+    Given a pool "press" with 4 ready hosts of 32000
+    And idle host "p1" of "press" since 1.0 s
+    And idle host "p2" of "press" since 4.0 s
+    Then the moves are "p2>standby"
+
+  Scenario: Of idle hosts those due for maintenance leave first
+    Given a pool "press" with 3 ready hosts of 32000
+    And idle host "p1" of "press" since 8.0 s
+    And idle host "p2" of "press" since 4.0 s, due for maintenance
+    Then the moves are "p2>standby"
+
+  Scenario: Hosts on their way count, so that a burst doesn't take all
+    Given a pool "press" with 2 ready hosts of 32000
+    And 90000 of it is busy and 40000 waits
+    And 3 hosts are coming
+    And standby hosts "s1, s2, s3"
+    Then the moves are ""
--- /dev/null
+++ b/tests/policy/steps/platform_policy_steps.py
@@ -0,0 +1,213 @@
+"""Steps of the decisions that run on the platform."""
+
+import dataclasses
+import heapq
+
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.policy import job_order
+from azurevane._internal.policy import pool_sizing
+
+NOW = 1000.0
+
+
+# Order of jobs.
+
+
+@given(
+    'a job "{name}" that arrived {ago:g} s ago, due in {due:g} s, with'
+    " {left:g} s left"
+)
+def step_job(context, name, ago, due, left):
+    if not hasattr(context, "outlook_by_name"):
+        context.outlook_by_name = {}
+    context.outlook_by_name[name] = job_order.JobOutlook(
+        priority=0,
+        beyond_share=False,
+        long_running=False,
+        arrived_at=NOW - ago,
+        objective_at=NOW + due,
+        remaining_s=left,
+    )
+    context.last_job = name
+
+
+@given("it is beyond its team's share")
+def step_beyond(context):
+    outlook = context.outlook_by_name[context.last_job]
+    context.outlook_by_name[context.last_job] = dataclasses.replace(
+        outlook, beyond_share=True
+    )
+
+
+@then('the order is "{names}"')
+def step_order(context, names):
+    ordered = sorted(
+        context.outlook_by_name,
+        key=lambda name: job_order.order_key(
+            context.outlook_by_name[name], NOW
+        ),
+    )
+    assert ", ".join(ordered) == names, ordered
+
+
+@when("a team of weight {weight:g} sends {count:d} jobs over {seconds:g} s")
+def step_send(context, weight, count, seconds):
+    meter = job_order.ShareMeter()
+    context.within = sum(
+        not meter.take("north", weight, NOW + number * seconds / count)
+        for number in range(count)
+    )
+
+
+@then("between {low:d} and {high:d} of them are within its share")
+def step_within(context, low, high):
+    assert low <= context.within <= high, context.within
+
+
+@given(
+    "a pool that does {rate:d} jobs a second of {run:g} s each, due after"
+    " {due:g} s"
+)
+def step_pool(context, rate, run, due):
+    context.slots = round(rate * run)
+    context.run_s, context.due_s = run, due
+    context.arrivals = []
+    context.weight_by_team = {}
+
+
+@when(
+    'team "{team}" of weight {weight:g} sends {rate:d} jobs a second for'
+    " {seconds:g} s"
+)
+def step_team_sends(context, team, weight, rate, seconds):
+    context.weight_by_team[team] = weight
+    for number in range(round(rate * seconds)):
+        context.arrivals.append((number / rate, team))
+
+
+def _share_in_time(context, team, key):
+    """Play the load and return the share of a team's jobs in time."""
+    meter = job_order.ShareMeter()
+    arrivals = sorted(context.arrivals)
+    waiting, busy_until = [], [0.0] * context.slots
+    in_time, number = 0, 0
+    while number < len(arrivals) or waiting:
+        free_at = heapq.heappop(busy_until)
+        if not waiting and number < len(arrivals):
+            free_at = max(free_at, arrivals[number][0])
+        while number < len(arrivals) and arrivals[number][0] <= free_at:
+            at, name = arrivals[number]
+            beyond = meter.take(name, context.weight_by_team[name], at)
+            outlook = job_order.JobOutlook(
+                priority=0,
+                beyond_share=beyond,
+                long_running=False,
+                arrived_at=at,
+                objective_at=at + context.due_s,
+                remaining_s=context.run_s,
+            )
+            waiting.append((outlook, name))
+            number += 1
+        waiting.sort(key=lambda item: key(item[0], free_at))
+        outlook, name = waiting.pop(0)
+        end = free_at + context.run_s
+        heapq.heappush(busy_until, end)
+        in_time += name == team and end <= outlook.objective_at
+    return in_time / sum(name == team for _, name in arrivals)
+
+
+@then('at least {share:g} of the jobs of "{team}" end in time')
+def step_in_time(context, share, team):
+    context.team = team
+    got = _share_in_time(context, team, job_order.order_key)
+    assert got >= share, got
+
+
+@then("with jobs in order of arrival under {share:g} of them do")
+def step_by_arrival(context, share):
+    got = _share_in_time(
+        context, context.team, lambda outlook, now: outlook.arrived_at
+    )
+    assert got < share, got
+
+
+# Sizes of pools.
+
+
+@given('a pool "{name}" with {count:d} ready hosts of {cpu:d}')
+def step_sized_pool(context, name, count, cpu):
+    if not hasattr(context, "pools"):
+        context.pools, context.idle, context.standby = [], [], []
+    context.pools.append(
+        pool_sizing.PoolDemand(
+            name=name,
+            host_cpu=cpu,
+            ready_hosts=count,
+            coming_hosts=0,
+            busy_cpu=0,
+            waiting_cpu=0,
+            lasting_cpu=0,
+            arriving_cpu=0.0,
+            least_hosts=0,
+        )
+    )
+
+
+def _change(context, **fields):
+    context.pools[-1] = dataclasses.replace(context.pools[-1], **fields)
+
+
+@given("its long-running tasks take {cpu:d} and need {count:d} hosts")
+def step_lasting(context, cpu, count):
+    _change(context, lasting_cpu=cpu, busy_cpu=cpu, least_hosts=count)
+
+
+@given("{cpu:d} arrives")
+def step_arriving(context, cpu):
+    _change(context, arriving_cpu=float(cpu))
+
+
+@given("{busy:d} of it is busy and {waiting:d} waits")
+def step_busy(context, busy, waiting):
+    _change(context, busy_cpu=busy, waiting_cpu=waiting)
+
+
+@given("{count:d} hosts are coming")
+def step_coming(context, count):
+    _change(context, coming_hosts=count)
+
+
+@given('idle host "{name}" of "{pool}" since {seconds:g} s')
+def step_idle(context, name, pool, seconds):
+    context.idle.append(pool_sizing.IdleHost(name, pool, seconds))
+
+
+@given(
+    'idle host "{name}" of "{pool}" since {seconds:g} s, due for maintenance'
+)
+def step_idle_due(context, name, pool, seconds):
+    context.idle.append(pool_sizing.IdleHost(name, pool, seconds, True))
+
+
+@given('standby hosts "{names}"')
+def step_standby(context, names):
+    context.standby = names.split(", ")
+
+
+@then("it wants {count:d} hosts")
+def step_wants(context, count):
+    wanted = pool_sizing.hosts_wanted(context.pools[-1])
+    assert wanted == count, wanted
+
+
+@then('the moves are "{moves}"')
+@then('the moves are ""')
+def step_moves(context, moves=""):
+    planned = pool_sizing.plan_moves(
+        context.pools, context.idle, context.standby, "standby"
+    )
+    seen = ", ".join(f"{move.host}>{move.target}" for move in planned)
+    assert seen == moves, seen
