Share hosts by what pools want, and vacate busy ones for it

Change: each pool is due what its long-running tasks need and a share of the rest by what it wants; hosts of pools with more than their due are vacated, the emptiest first, and move when they are empty.

Two scenarios.

--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -53,12 +53,30 @@
     Attributes:
         idle_s: time since its last task ended.
         due: whether maintenance is due, so that it should leave first.
+        vacated: whether it was vacated for a move; it isn't part of its
+            pool's ready hosts then.
     """
 
     name: str
     pool: str
     idle_s: float
     due: bool = False
+    vacated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BusyHost:
+    """A host with tasks that end by themselves.
+
+    Attributes:
+        tasks: number of its tasks.
+        vacating: whether it gets no new tasks for a move.
+    """
+
+    name: str
+    pool: str
+    tasks: int
+    vacating: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +89,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MovePlan:
+    """Hosts that move now, and those that should be vacated."""
+
+    moves: tuple[Move, ...]
+    vacate: frozenset[str]
+
+
 def hosts_wanted(pool: PoolDemand) -> int:
     """Return how many hosts a pool should have now."""
     least = max(pool.least_hosts, MIN_HOSTS)
@@ -81,22 +107,52 @@
     return max(math.ceil(max(at_hand, steady) / pool.host_cpu), least)
 
 
+def hosts_due(
+    pools: Sequence[PoolDemand], standby_count: int
+) -> dict[str, int]:
+    """Return how many hosts each pool should have of those there are.
+
+    Where all pools together want more than there is, each keeps what its
+    long-running tasks need, and the rest is shared by what each wants.
+    """
+    wanted_by_pool = {pool.name: hosts_wanted(pool) for pool in pools}
+    there = standby_count + sum(
+        pool.ready_hosts + pool.coming_hosts for pool in pools
+    )
+    if sum(wanted_by_pool.values()) <= there:
+        return wanted_by_pool
+    least_by_pool = {
+        pool.name: max(pool.least_hosts, MIN_HOSTS) for pool in pools
+    }
+    left = max(there - sum(least_by_pool.values()), 0)
+    more_by_pool = {
+        name: wanted - least_by_pool[name]
+        for name, wanted in wanted_by_pool.items()
+    }
+    more = max(sum(more_by_pool.values()), 1)
+    return {
+        name: least_by_pool[name] + round(left * more_by_pool[name] / more)
+        for name in wanted_by_pool
+    }
+
+
 def plan_moves(
     pools: Sequence[PoolDemand],
     idle_hosts: Sequence[IdleHost],
+    busy_hosts: Sequence[BusyHost],
     standby_hosts: Sequence[str],
     standby_pool: str,
-) -> list[Move]:
-    """Return the hosts that should move now.
+) -> MovePlan:
+    """Return the hosts that should move now or be vacated for a move.
 
     Args:
         standby_hosts: hosts of the standby pool that may leave it.
     """
-    wanted_by_pool = {pool.name: hosts_wanted(pool) for pool in pools}
+    due_by_pool = hosts_due(pools, len(standby_hosts))
     surplus_by_pool = {
         pool.name: pool.ready_hosts
         + pool.coming_hosts
-        - wanted_by_pool[pool.name]
+        - due_by_pool[pool.name]
         for pool in pools
     }
     # The longest idle leave first, and those that are due before others.
@@ -106,26 +162,52 @@
     moves: list[Move] = []
     reserve = list(standby_hosts)
     lacking = sorted(
-        (pool for pool in pools if surplus_by_pool[pool.name] < 0),
-        key=lambda pool: surplus_by_pool[pool.name],
+        (pool.name for pool in pools if surplus_by_pool[pool.name] < 0),
+        key=lambda name: surplus_by_pool[name],
     )
     taken: set[str] = set()
-    for pool in lacking:
-        for _ in range(-surplus_by_pool[pool.name]):
+    missing = 0
+    for name in lacking:
+        count = -surplus_by_pool[name]
+        for number in range(count):
             move = _find_host(
-                pool.name, reserve, spare, surplus_by_pool, taken, standby_pool
+                name, reserve, spare, surplus_by_pool, taken, standby_pool
             )
             if move is None:
+                missing += count - number
                 break
             moves.append(move)
             taken.add(move.host)
+    vacate = _choose_vacated(busy_hosts, surplus_by_pool, missing)
     for host in spare:
         if host.name in taken or host.idle_s < IDLE_BEFORE_LEAVING_S:
             continue
         if surplus_by_pool.get(host.pool, 0) > 0:
             surplus_by_pool[host.pool] -= 1
             moves.append(Move(host.name, host.pool, standby_pool, "idle"))
-    return moves
+    return MovePlan(tuple(moves), vacate)
+
+
+def _choose_vacated(
+    busy_hosts: Sequence[BusyHost],
+    surplus_by_pool: dict[str, int],
+    missing: int,
+) -> frozenset[str]:
+    """Choose hosts of pools with more than their due, the emptiest first."""
+    chosen: set[str] = set()
+    left_by_pool = dict(surplus_by_pool)
+    for host in sorted(
+        busy_hosts, key=lambda host: (not host.vacating, host.tasks, host.name)
+    ):
+        if len(chosen) >= missing:
+            break
+        # Hosts that are vacated already aren't part of the surplus.
+        if host.vacating:
+            chosen.add(host.name)
+        elif left_by_pool.get(host.pool, 0) > 0:
+            left_by_pool[host.pool] -= 1
+            chosen.add(host.name)
+    return frozenset(chosen)
 
 
 def _find_host(
@@ -141,6 +223,8 @@
     for host in spare:
         if host.name in taken or host.pool == pool:
             continue
+        if host.vacated:
+            return Move(host.name, host.pool, pool, "vacated")
         if surplus_by_pool.get(host.pool, 0) > 0:
             surplus_by_pool[host.pool] -= 1
             return Move(host.name, host.pool, pool, "work waits")
--- a/src/azurevane/_internal/scheduler/host_keeper.py
+++ b/src/azurevane/_internal/scheduler/host_keeper.py
@@ -144,6 +144,8 @@
         # Hosts on their way: pool and the time until which they count.
         self._coming_by_host: dict[str, tuple[str, float]] = {}
         self._size_by_pool: dict[str, tuple[int, int, int]] = {}
+        # Hosts that are vacated for a move.
+        self._leaving: set[str] = set()
         self._unregistered_since: dict[str, float] = {}
         self._down_until: dict[str, float] = {}
         self._pause_until: dict[str, float] = {}
@@ -430,14 +432,16 @@
         hosts = list(self._host_by_name.values())
         demands = self._demand.measure(hosts, coming_by_pool, now)
         self._note_sizes(demands)
-        moves = pool_sizing.plan_moves(
+        plan = pool_sizing.plan_moves(
             demands,
             self._idle_hosts(due_names, now),
+            self._busy_hosts(now),
             self._standby_hosts(due_names, now),
             standby_pools[0],
         )
+        self._set_leaving(plan.vacate)
         orders = []
-        for move in moves:
+        for move in plan.moves:
             if (move.host, move.target) in self._refused_moves:
                 continue
             host = self._host_by_name[move.host]
@@ -481,15 +485,54 @@
             if not self._free_to_order(host, now):
                 continue
             since = self._idle_since.get(host.runner_id)
-            if since is None or host.runner_id in self._book.vacating:
+            vacated = host.name in self._leaving
+            if since is None:
+                continue
+            if host.runner_id in self._book.vacating and not vacated:
                 continue
             idle.append(
                 pool_sizing.IdleHost(
-                    host.name, host.pool, now - since, host.name in due_names
+                    host.name,
+                    host.pool,
+                    now - since,
+                    host.name in due_names,
+                    vacated,
                 )
             )
         return idle
 
+    def _busy_hosts(self, now: float) -> list[pool_sizing.BusyHost]:
+        """Return hosts that would be empty after a while without starts."""
+        busy = []
+        for host in self._host_by_name.values():
+            runner = self._runner(host)
+            if runner is None or not self._free_to_order(host, now):
+                continue
+            leaving = host.name in self._leaving
+            if runner.id in self._book.vacating and not leaving:
+                continue
+            tasks = list(runner.run_by_task.values())
+            if not tasks or any(run.step.long_running for run in tasks):
+                continue
+            busy.append(
+                pool_sizing.BusyHost(host.name, host.pool, len(tasks), leaving)
+            )
+        return busy
+
+    def _set_leaving(self, names: frozenset[str]) -> None:
+        """Vacate hosts for a move; the others of before take tasks again."""
+        for name in self._leaving - names:
+            host = self._host_by_name.get(name)
+            if host is not None and self._idle_since.get(host.runner_id):
+                # Empty by now: it moves in this step or the next one.
+                continue
+            self._leaving.discard(name)
+            if host is not None:
+                self._book.vacating.discard(host.runner_id)
+        for name in names:
+            self._leaving.add(name)
+            self._vacate(self._host_by_name[name])
+
     def _standby_hosts(self, due_names: set[str], now: float) -> list[str]:
         hosts = [
             host
@@ -540,6 +583,7 @@
                 state.done.add(host.name)
                 self._store_wave(state)
         if taken:
+            self._leaving.discard(host.name)
             self._leader.runner_events.gone(
                 host.runner_id, "host ordered away", now
             )
--- a/tests/policy/pool_sizing.feature
+++ b/tests/policy/pool_sizing.feature
@@ -45,3 +45,21 @@
     And 3 hosts are coming
     And standby hosts "s1, s2, s3"
     Then the moves are ""
+
+  Scenario: A pool that wants little gets it from one that has too much
+    Given a pool "press" with 2 ready hosts of 32000
+    And 60000 of it is busy and 500000 waits
+    And a pool "rings" with 18 ready hosts of 32000
+    And 570000 of it is busy and 600000 waits
+    And busy host "r1" of "rings" with 9 tasks
+    And busy host "r2" of "rings" with 2 tasks
+    And busy host "p1" of "press" with 1 tasks
+    Then the hosts to vacate are "r1, r2"
+    And the moves are ""
+
+  Scenario: Busy hosts stay where no pool lacks any
+    Given a pool "press" with 2 ready hosts of 32000
+    And a pool "rings" with 18 ready hosts of 32000
+    And 570000 of it is busy and 600000 waits
+    And busy host "r2" of "rings" with 2 tasks
+    Then the hosts to vacate are ""
--- a/tests/policy/steps/platform_policy_steps.py
+++ b/tests/policy/steps/platform_policy_steps.py
@@ -141,6 +141,7 @@
 def step_sized_pool(context, name, count, cpu):
     if not hasattr(context, "pools"):
         context.pools, context.idle, context.standby = [], [], []
+        context.busy = []
     context.pools.append(
         pool_sizing.PoolDemand(
             name=name,
@@ -206,8 +207,28 @@
 @then('the moves are "{moves}"')
 @then('the moves are ""')
 def step_moves(context, moves=""):
-    planned = pool_sizing.plan_moves(
-        context.pools, context.idle, context.standby, "standby"
-    )
-    seen = ", ".join(f"{move.host}>{move.target}" for move in planned)
+    planned = _plan(context)
+    seen = ", ".join(f"{move.host}>{move.target}" for move in planned.moves)
     assert seen == moves, seen
+
+
+def _plan(context):
+    return pool_sizing.plan_moves(
+        context.pools,
+        context.idle,
+        context.busy,
+        context.standby,
+        "standby",
+    )
+
+
+@given('busy host "{name}" of "{pool}" with {tasks:d} tasks')
+def step_busy_host(context, name, pool, tasks):
+    context.busy.append(pool_sizing.BusyHost(name, pool, tasks))
+
+
+@then('the hosts to vacate are "{names}"')
+@then('the hosts to vacate are ""')
+def step_vacate(context, names=""):
+    seen = ", ".join(sorted(_plan(context).vacate))
+    assert seen == names, seen
