Move idle hosts of other pools first, and average work over a chain

Cause: a host that had become idle went to the standby pool while another came from there; single large jobs counted as a burst; each renewal of a runner's entry was a read of its own.

Change: idle hosts of other pools go before standby hosts; arriving work is averaged over the usual chain of a service's jobs, 1 to 5 s; renewals of 0.2 s are read together.

--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -218,8 +218,7 @@
     taken: set[str],
     standby_pool: str,
 ) -> Move | None:
-    if reserve:
-        return Move(reserve.pop(0), standby_pool, pool, "work waits")
+    # A host that would leave its pool anyway is moved once, not twice.
     for host in spare:
         if host.name in taken or host.pool == pool:
             continue
@@ -228,4 +227,6 @@
         if surplus_by_pool.get(host.pool, 0) > 0:
             surplus_by_pool[host.pool] -= 1
             return Move(host.name, host.pool, pool, "work waits")
+    if reserve:
+        return Move(reserve.pop(0), standby_pool, pool, "work waits")
     return None
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -5,13 +5,18 @@
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
+from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import runs
 
-# Time over which arriving work is averaged: short against a burst, long
-# against the time between two jobs in it.
-ARRIVAL_WINDOW_S = 1.5
+# Arriving work is averaged over the usual longest chain of work of a job,
+# within these bounds: short against a burst, long against the time between
+# two jobs in it.
+MIN_WINDOW_S = 1.0
+MAX_WINDOW_S = 5.0
+# Weight of the newest job in the usual chain.
+CHAIN_WEIGHT = 0.1
 
 
 class DemandMeter:
@@ -23,6 +28,7 @@
         self._arrivals_by_service: dict[
             str, collections.deque[tuple[float, float]]
         ] = {}
+        self._chain_by_service: dict[str, float] = {}
         self._seen_jobs: set[str] = set()
 
     def measure(
@@ -93,9 +99,11 @@
         arrivals = self._arrivals_by_service.get(service)
         if arrivals is None:
             return 0.0
-        while arrivals and arrivals[0][0] < now - ARRIVAL_WINDOW_S:
+        chain_s = self._chain_by_service.get(service, MIN_WINDOW_S)
+        window_s = min(max(chain_s, MIN_WINDOW_S), MAX_WINDOW_S)
+        while arrivals and arrivals[0][0] < now - window_s:
             arrivals.popleft()
-        return sum(work for _, work in arrivals) / ARRIVAL_WINDOW_S
+        return sum(work for _, work in arrivals) / window_s
 
     def _waiting(self, now: float) -> tuple[dict[str, int], dict[str, int]]:
         waiting_by_service: dict[str, int] = {}
@@ -130,6 +138,11 @@
             service, collections.deque()
         )
         arrivals.append((job.arrived_at, work))
+        chain_s = job_order.longest_chain_s(job.job.steps)
+        usual_s = self._chain_by_service.get(service, chain_s)
+        self._chain_by_service[service] = usual_s + CHAIN_WEIGHT * (
+            chain_s - usual_s
+        )
 
 
 def _hosts_of(step: job_models.Step) -> int:
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -41,6 +41,9 @@
 PUMP_S = 0.004
 # How long the store may hold back an answer about changes.
 FEED_WAIT_S = 2.0
+# Every runner renews its entry each heartbeat; the renewals of this long
+# are read together.
+RUNNERS_PAUSE_S = 0.2
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
@@ -281,6 +284,7 @@
         changed: Callable[[Sequence[store.Row]], None],
         *,
         parted: bool = False,
+        pause_s: float = 0.0,
     ) -> None:
         follower = table_follower.TableFollower(
             self._reactor,
@@ -290,6 +294,7 @@
             whole=whole,
             changed=changed,
             parted=parted,
+            pause_s=pause_s,
         )
         self._followers.append(follower)
         spawn(follower.run(), f"follow {table}")
@@ -365,7 +370,10 @@
         self._loaded.add(records.JOBS_TABLE)
         # A runner's lists can be judged only once all jobs are known.
         self._follow(
-            runner_rows.TABLE, self._runners_whole, self._runners_changed
+            runner_rows.TABLE,
+            self._runners_whole,
+            self._runners_changed,
+            pause_s=RUNNERS_PAUSE_S,
         )
 
     def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -26,6 +26,7 @@
 
     Args:
         parted: whether the table has several parts.
+        pause_s: time between two reads, in which changes gather.
         wait_s: how long the store may wait for a change.
         whole: called with all rows after a whole read.
         changed: called with rows that changed since.
@@ -46,6 +47,7 @@
         viewed: Callable[[float], None] = lambda sent_at: None,
         lost: Callable[[bool], None] = lambda lost: None,
         parted: bool = False,
+        pause_s: float = 0.0,
     ) -> None:
         self._reactor = reactor
         self._client = client
@@ -56,6 +58,7 @@
         self._viewed = viewed
         self._lost = lost
         self._parted = parted
+        self._pause_s = pause_s
         self._version: int | None = None
         self._lost_at: float | None = None
         self._stopped = False
@@ -93,6 +96,10 @@
                 continue
             retry_s = FIRST_RETRY_S
             self._note_regained()
+            if self._pause_s:
+                await task.deferLater(
+                    self._reactor, self._pause_s, lambda: None
+                )
 
     async def _step(self, sent_at: float) -> None:
         if self._version is None:
