Let idle hosts leave after the price of a move

Cause: hosts stood idle for 2.5 s before they left, and pools wanted a tenth more than their work.

Change: an idle host leaves after 1.15 s, about what a move costs by the ratio of the sites' prices; no reserve on the work at hand.

--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -10,11 +10,9 @@
 import dataclasses
 import math
 
-# Reserve above the work at hand, for sizes that were declared too small.
-HEADROOM = 1.1
-# A host that goes and comes back costs two moves, each about as much as a
-# second of a host in a pool; it stays idle at least that long.
-IDLE_BEFORE_LEAVING_S = 2.5
+# A move costs about as much as a host in a pool for this long, by the ratio
+# of the sites' prices; a host that leaves sooner may cost more than it saves.
+IDLE_BEFORE_LEAVING_S = 1.15
 # Hosts that every pool keeps, so that the loss of one leaves another.
 MIN_HOSTS = 2
 
@@ -102,7 +100,7 @@
     least = max(pool.least_hosts, MIN_HOSTS)
     if not pool.host_cpu:
         return least
-    at_hand = (pool.busy_cpu + pool.waiting_cpu) * HEADROOM
+    at_hand = pool.busy_cpu + pool.waiting_cpu
     steady = pool.lasting_cpu + pool.arriving_cpu
     return max(math.ceil(max(at_hand, steady) / pool.host_cpu), least)
 
