Give up the runner of a host that the platform shows as down

Change: when the list shows a host down, or with another runner, the runner that it had is given up at once; the list is read each 0.5 s.

A scenario fails before and passes after.

--- a/src/azurevane/_internal/scheduler/host_keeper.py
+++ b/src/azurevane/_internal/scheduler/host_keeper.py
@@ -26,8 +26,7 @@
 # How often pools and waves are looked at, and how often the platform's
 # list of hosts is read.
 STEP_S = 0.25
-LIST_S = 1.0
-LIST_WHILE_COMING_S = 0.5
+LIST_S = 0.5
 # An order must follow the write that proves the leadership within this.
 ORDER_WITHIN_S = 0.7
 # A host that was ordered counts as coming until its runner registers, at
@@ -179,8 +178,7 @@
     async def step(self) -> None:
         """Read the list of hosts if it is old, then order what is due."""
         now = self._leader.now()
-        list_s = LIST_WHILE_COMING_S if self._coming_by_host else LIST_S
-        if now - self._listed_at >= list_s:
+        if now - self._listed_at >= LIST_S:
             try:
                 hosts = await self._calls.hosts()
             except exceptions.CallFailed as failure:
@@ -219,6 +217,7 @@
         self._listed_at = now
         for host in hosts:
             self._note_change(host)
+            self._note_death(host, now)
         self._host_by_name = {host.name: host for host in hosts}
         present = {host.runner_id for host in hosts if host.runner_id}
         for host in hosts:
@@ -243,6 +242,21 @@
             ),
         )
 
+    def _note_death(self, host: site.Host, now: float) -> None:
+        """Give up the runner of a host that is down or has another one.
+
+        A runner is one life of its host, and lists are read one after the
+        other; so this needs no lease to lapse.
+        """
+        known = self._host_by_name.get(host.name)
+        if known is None or not known.runner_id:
+            return
+        if host.up and host.runner_id == known.runner_id:
+            return
+        if known.runner_id in self._book.runner_by_id:
+            reason = f"its host is {host.state.value}"
+            self._leader.runner_events.gone(known.runner_id, reason, now)
+
     def _note_idle(self, now: float) -> None:
         for runner in self._book.runner_by_id.values():
             if runner.run_by_task or runner.need_by_orphan:
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -12,6 +12,15 @@
     Then job "00000000000000c1" is "completed"
     And no task ran twice
 
+  Scenario: Tasks of a host that is down start elsewhere at once
+    Given tasks that run 2.0 s
+    When job "00000000000000c6" of 20 tasks is submitted
+    And 0.5 s pass
+    And a runner with tasks goes dark and its host is shown as down
+    And 4.5 s pass
+    Then job "00000000000000c6" is "completed"
+    And no task ran twice
+
   Scenario: A runner that is cut off and runs on holds its tasks alone
     Given tasks that run 20.0 s
     When job "00000000000000c2" of 20 tasks is submitted
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -183,6 +183,17 @@
     world.clock.callLater(4.5, world.platform.unregister, runner)
 
 
+@when("a runner with tasks goes dark and its host is shown as down")
+def step_dark_shown(context):
+    world = context.world
+    runner = _busy_runner(world)
+    runner.crash()
+    for machine in world.platform.machine_by_name.values():
+        if machine.runner is runner:
+            machine.state = "down"
+            machine.runner = None
+
+
 @when("a runner with tasks is cut off")
 def step_cut_off(context):
     runner = _busy_runner(context.world)
