--- a/src/azurevane/_internal/scheduler/availability.py
+++ b/src/azurevane/_internal/scheduler/availability.py
@@ -6,11 +6,12 @@
 def may_stop(run: runs.Run) -> bool:
     """Whether stopping a run keeps its step's availability budget.
 
-    Every other task of the step that isn't at work counts as away,
-    whatever the cause and however short.
+    Every other task of the step that isn't known to be at work counts as
+    away, whatever the cause and however short. The run itself may have
+    come to work since its last report, so it always counts as at work.
     """
     budget = run.step.max_unavailable
-    if not run.step.long_running or budget is None or not run.at_work:
+    if not run.step.long_running or budget is None:
         return True
     members = run.job.runs_by_step[run.name.occurrence, run.name.step]
     away = sum(not one.at_work for one in members if one is not run)
