Slow filling tasks for serving ones, and fetch hosts by label

Cause: steps that fill had no speed but full, whatever the serving tasks beside them suffered; and a step that needs a label waited for ever when all hosts with it were on standby.

Change: the speed of filling tasks follows the worst tail latency of the serving tasks on their runner, halved near the target and raised with room; a pool counts labels that its waiting tasks lack, and standby hosts with wanted labels or racks come first.

--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -31,6 +31,8 @@
         arriving_cpu: processors that the jobs of the last moments keep
             busy if they go on arriving like this.
         least_hosts: hosts that its long-running tasks need.
+        missing_labels: labels that waiting tasks need, that none of its
+            hosts has and some host elsewhere does.
     """
 
     name: str
@@ -42,6 +44,7 @@
     lasting_cpu: int
     arriving_cpu: float
     least_hosts: int
+    missing_labels: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,7 +105,13 @@
         return least
     at_hand = pool.busy_cpu + pool.waiting_cpu
     steady = pool.lasting_cpu + pool.arriving_cpu
-    return max(math.ceil(max(at_hand, steady) / pool.host_cpu), least)
+    enough = max(math.ceil(max(at_hand, steady) / pool.host_cpu), least)
+    if not pool.missing_labels:
+        return enough
+    there = pool.ready_hosts + pool.coming_hosts
+    # Hosts that are on their way may bring the label.
+    more = max(pool.missing_labels - pool.coming_hosts, 0)
+    return max(enough, there + more)
 
 
 def hosts_due(
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -1,6 +1,7 @@
 """How much work each pool has, as the sizing of pools sees it."""
 
 import collections
+from collections.abc import Iterator
 import math
 
 from azurevane._internal.models import job as job_models
@@ -42,6 +43,7 @@
         if config is None:
             return []
         waiting_by_service, least_by_service = self._waiting(now)
+        missing_by_service = self._missing_labels(hosts)
         demands = []
         for service in config.service_by_name.values():
             if service.standby:
@@ -52,18 +54,54 @@
                     waiting_by_service.get(service.name, 0),
                     least_by_service.get(service.name, 0),
                     coming_by_pool.get(service.name, 0),
+                    missing_by_service.get(service.name, 0),
                     hosts,
                     now,
                 )
             )
         return demands
 
+    def wanted_labels(self) -> frozenset[str]:
+        """Return the labels and racks that waiting jobs ask for."""
+        labels: set[str] = set()
+        for job in self._waiting_jobs():
+            for step in job.job.steps:
+                labels |= {step.required_label, step.data_rack}
+        labels.discard("")
+        return frozenset(labels)
+
+    def _waiting_jobs(self) -> Iterator[runs.JobState]:
+        for job in self._book.live_by_id.values():
+            if job.waiting and not job.status.ended:
+                yield job
+
+    def _missing_labels(self, hosts: list[site.Host]) -> dict[str, int]:
+        """Return how many labels each service lacks that hosts have."""
+        labels_by_service: dict[str, set[str]] = {}
+        for job in self._waiting_jobs():
+            needed = {step.required_label for step in job.job.steps} - {""}
+            if needed:
+                service = self._book.service(job.job)
+                labels_by_service.setdefault(service, set()).update(needed)
+        if not labels_by_service:
+            return {}
+        known = frozenset().union(*(host.labels for host in hosts))
+        for runner in self._book.runner_by_id.values():
+            labels = labels_by_service.get(runner.entry.service)
+            if labels and runner.id not in self._book.vacating:
+                labels -= runner.entry.labels
+        return {
+            service: len(labels & known)
+            for service, labels in labels_by_service.items()
+        }
+
     def _pool(
         self,
         service: str,
         waiting_cpu: int,
         least_hosts: int,
         coming_hosts: int,
+        missing_labels: int,
         hosts: list[site.Host],
         now: float,
     ) -> pool_sizing.PoolDemand:
@@ -93,6 +131,7 @@
             lasting_cpu=lasting_cpu,
             arriving_cpu=self._arriving(service, now),
             least_hosts=least_hosts,
+            missing_labels=missing_labels,
         )
 
     def _arriving(self, service: str, now: float) -> float:
--- a/src/azurevane/_internal/scheduler/host_keeper.py
+++ b/src/azurevane/_internal/scheduler/host_keeper.py
@@ -555,7 +555,14 @@
             and self._free_to_order(host, now)
             and host.zone not in self._book.zones_out
         ]
-        hosts.sort(key=lambda host: (host.name in due_names, host.name))
+        labels = self._demand.wanted_labels()
+        hosts.sort(
+            key=lambda host: (
+                labels.isdisjoint(host.labels),
+                host.name in due_names,
+                host.name,
+            )
+        )
         return [host.name for host in hosts]
 
     # Orders.
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -8,6 +8,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
+from azurevane._internal.policy import pacing
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import runner_state
@@ -286,6 +287,29 @@
         state.need_by_orphan.clear()
         for running in runner_state.orphans(state, report):
             self._stop_orphan(state, running)
+        self._set_paces(state)
+
+    def _set_paces(self, state: runner_state.RunnerState) -> None:
+        """Adapt the speed of filling tasks to the serving ones beside."""
+        running = [
+            run
+            for run in state.run_by_task.values()
+            if run.phase is _Phase.RUNNING
+        ]
+        shares = [
+            run.load / 1000 / run.step.latency_target_s
+            for run in running
+            if run.step.latency_target_s
+        ]
+        worst_share = max(shares, default=0.0)
+        for run in running:
+            if not run.step.fills or run.step.long_running:
+                continue
+            speed = pacing.next_speed(run.pace, worst_share)
+            if speed != run.pace:
+                self._book.send(
+                    orders.SendPace(state.id, run, run.attempt, speed)
+                )
 
     def _note_running(
         self, run: runs.Run, running: messages.RunningTask, now: float
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -258,7 +258,7 @@
         except (exceptions.CallFailed, runner_calls.OtherRunner) as failure:
             logger.debug("Pace of %s: %s", run.name, failure)
             return
-        if taken:
+        if taken and run.attempt == order.attempt:
             run.pace = order.percent
 
 
--- a/tests/scheduler/hosts.feature
+++ b/tests/scheduler/hosts.feature
@@ -44,3 +44,10 @@
     Then wave 1 is completed
     And at most 1 hosts were in maintenance at once
     And no host was ordered with a lower token after a higher one
+
+  Scenario: Standby hosts with the label that a step needs come first
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And a job of 4 tasks that needs label "r0-0" is submitted
+    And 4.0 s pass
+    Then every task of job "00000000000000e2" runs
--- a/tests/scheduler/steps/host_steps.py
+++ b/tests/scheduler/steps/host_steps.py
@@ -139,3 +139,15 @@
     for _, _, host, _, token in context.world.platform.host_orders:
         assert token >= token_by_host.get(host, 0), (host, token)
         token_by_host[host] = token
+
+
+@when('a job of {count:d} tasks that needs label "{label}" is submitted')
+def step_needs_label(context, count, label):
+    phase = {
+        "count": count,
+        "cpu": 1000,
+        "memMb": 1000,
+        "requirements": label,
+    }
+    reply = context.world.submit(context.queue, "00000000000000e2", [phase])
+    assert reply.status == 200, reply
