--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -1,5 +1,6 @@
 """The program of an entry host on the users' platform."""
 
+import argparse
 from collections.abc import Callable, Sequence
 import logging
 import os
@@ -46,6 +47,8 @@
 # Left of the grace period for the end of the process.
 STOP_MARGIN_S = 1.0
 IDLE_CONNECTION_S = 15.0
+# Start of the metrics after that of the host.
+METRICS_AFTER_S = 2.0
 # New connections that may wait to be accepted in a burst.
 LISTEN_BACKLOG = 1024
 
@@ -334,20 +337,58 @@
     )
 
 
+def _start_metrics(reactor: Any, address: str, port: int) -> None:
+    # The SDK takes a while to load, so the host serves first.
+    from azurevane._internal.metrics import exposition
+
+    exposition.start_site_metrics(reactor, address, port)
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="azurevane-host",
+        description="Serves callers and schedules a site's jobs.",
+        epilog=f"The settings file is named by {SETTINGS_VARIABLE}.",
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        help="port for Prometheus, path /metrics; 0 for none",
+    )
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="only check the settings file",
+    )
+    return parser.parse_args()
+
+
 def main() -> None:
     """Run an entry host until it is told to stop."""
+    options = _parse_arguments()
     lines = output.configure_output("INFO")
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         settings = node_settings.load(path)
     except exceptions.SettingsError as error:
         sys.exit(f"settings of {SETTINGS_VARIABLE}: {error}")
+    if options.check:
+        sys.exit(0)
     from twisted.internet import reactor
 
     reactor.seconds = boot_seconds
     output.start_output(reactor, lines)
     host = SiteHost(reactor, settings)
     host.start()
+    if options.metrics_port and settings.callers_listen is not None:
+        reactor.callLater(
+            METRICS_AFTER_S,
+            _start_metrics,
+            reactor,
+            settings.callers_listen.ip,
+            options.metrics_port,
+        )
 
     def hang_up(*_: Any) -> None:
         try:
--- a/src/azurevane/_internal/metrics/exposition.py
+++ b/src/azurevane/_internal/metrics/exposition.py
@@ -39,6 +39,16 @@
     reactor.addSystemEventTrigger("after", "shutdown", provider.shutdown)
 
 
+def start_site_metrics(reactor: Any, address: str, port: int) -> None:
+    """Serve the instruments of an entry host for Prometheus."""
+    from azurevane._internal.metrics import site_instruments
+
+    del site_instruments  # Imported for the instruments it registers.
+    provider = sdk_metrics.MeterProvider([_listen(reactor, address, port)])
+    meter = instruments.EventMeter(provider)
+    catalogue.listeners.append(meter.record)
+
+
 def _listen(reactor: Any, address: str, port: int) -> Any:
     from opentelemetry.exporter import prometheus
     from prometheus_client import twisted as prometheus_twisted
--- /dev/null
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -0,0 +1,180 @@
+"""OpenTelemetry instruments of the scheduler and the callers' side."""
+
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.metrics import instruments
+
+
+@instruments.instrument(
+    "azurevane.job.accepted",
+    "counter",
+    "{job}",
+    events.JobAccepted,
+    ("queue", "team"),
+)
+def _accepted(occurrence: events.JobAccepted) -> float:
+    """Jobs stored and accepted."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.job.accept.duration",
+    "histogram",
+    "s",
+    events.JobAccepted,
+    ("queue",),
+)
+def _accept_duration(occurrence: events.JobAccepted) -> float:
+    """Time to store a submission."""
+    return occurrence.took_s
+
+
+@instruments.instrument(
+    "azurevane.call.refused",
+    "counter",
+    "{request}",
+    events.CallRefused,
+    ("status", "verdict"),
+)
+def _refused(occurrence: events.CallRefused) -> float:
+    """Callers' requests that were refused."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.job.ended",
+    "counter",
+    "{job}",
+    events.JobEnded,
+    ("queue", "status"),
+)
+def _ended(occurrence: events.JobEnded) -> float:
+    """Jobs that reached a final state."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.job.duration",
+    "histogram",
+    "s",
+    events.JobEnded,
+    ("queue", "status"),
+)
+def _job_duration(occurrence: events.JobEnded) -> float:
+    """Time from a job's submission to its final state."""
+    return occurrence.took_s
+
+
+@instruments.instrument(
+    "azurevane.run.wait.duration",
+    "histogram",
+    "s",
+    events.RunAssigned,
+)
+def _wait_duration(occurrence: events.RunAssigned) -> float:
+    """Time from a job's submission to the assignment of a task."""
+    return occurrence.waited_s
+
+
+@instruments.instrument(
+    "azurevane.run.rejected",
+    "counter",
+    "{run}",
+    events.RunRejected,
+    ("outcome",),
+)
+def _rejected(occurrence: events.RunRejected) -> float:
+    """Starts that a runner didn't take or didn't answer."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.run.ended",
+    "counter",
+    "{run}",
+    events.RunEnded,
+    ("reason",),
+)
+def _run_ended(occurrence: events.RunEnded) -> float:
+    """Runs that ended on their runner."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.run.lost",
+    "counter",
+    "{run}",
+    events.RunLost,
+    ("reason",),
+)
+def _run_lost(occurrence: events.RunLost) -> float:
+    """Runs given up without an end."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.runner.lost",
+    "counter",
+    "{runner}",
+    events.RunnerLost,
+)
+def _runner_lost(occurrence: events.RunnerLost) -> float:
+    """Runners given up."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.leadership.taken",
+    "counter",
+    "{takeover}",
+    events.LeadershipTaken,
+)
+def _taken(occurrence: events.LeadershipTaken) -> float:
+    """Times that this host became the leader."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.store.write.failed",
+    "counter",
+    "{write}",
+    events.WriteFailed,
+    ("verdict",),
+)
+def _write_failed(occurrence: events.WriteFailed) -> float:
+    """Leader's writes that failed and were repeated."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.store.lost.duration",
+    "histogram",
+    "s",
+    events.StoreRegained,
+    ("call",),
+)
+def _store_lost(occurrence: events.StoreRegained) -> float:
+    """Time during which the store didn't answer."""
+    return occurrence.lost_s
+
+
+@instruments.instrument(
+    "azurevane.host.ordered",
+    "counter",
+    "{order}",
+    events.HostOrdered,
+    ("order", "outcome"),
+)
+def _ordered(occurrence: events.HostOrdered) -> float:
+    """Hosts ordered to move or to have their maintenance."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.log.dropped",
+    "counter",
+    "{line}",
+    events.LinesDropped,
+)
+def _dropped(occurrence: events.LinesDropped) -> float:
+    """Log lines dropped because standard output was too slow."""
+    return occurrence.lines
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -10,6 +10,7 @@
 from azurevane._internal import events
 from azurevane._internal.events import catalogue
 from azurevane._internal.metrics import instruments
+from azurevane._internal.metrics import site_instruments  # noqa: F401
 from azurevane._internal.operators import manifest_check
 from azurevane._internal.settings import schema
 
@@ -69,7 +70,8 @@
         "# Metrics",
         "",
         "OpenTelemetry instruments, exposed for Prometheus on the port of",
-        "the setting `[metrics] port`. Made from the code by `make docs`.",
+        "the setting `[metrics] port`, or of the argument `--metrics-port` of",
+        "`azurevane-host`. Made from the code by `make docs`.",
         "",
         "| name | kind | unit | attributes | meaning |",
         "|---|---|---|---|---|",
