Wait for the store's writes as long as its usual answers take

A lost answer to the leader cost 1.5 s.

Change: the wait follows the usual time of the store's answers and grows with silence; a submission is written again, for 1.8 s in all, only when that passes without an answer; a host without any answer of the store for 1.7 s refuses at once.

--- a/src/azurevane/_internal/callers/job_desk.py
+++ b/src/azurevane/_internal/callers/job_desk.py
@@ -20,10 +20,12 @@
 
 logger = logging.getLogger(__name__)
 
-# Time for one write of a submission; an answer takes about 10 ms.
-WRITE_TIMEOUT_S = 0.7
-# A write is repeated once, so that one lost answer isn't passed on.
-WRITE_ATTEMPTS = 2
+# Time for all attempts to write a submission; the shortest time that
+# callers wait is about three seconds.
+WRITE_WITHIN_S = 1.8
+# The operators' rows are read at least this often, so without any answer
+# for longer the store is away.
+SILENCE_S = 1.7
 # When the store is away for this host, another one may reach it.
 STORE_AWAY_RETRY_S = 1
 # A new host has its configuration within about a second.
@@ -126,7 +128,12 @@
         return self._config is not None and not self._away()
 
     def _away(self) -> bool:
-        return self._store_lost or self.config_age_s() > CONFIG_MAX_AGE_S
+        silent_s = self._seconds() - self._client.answered_at
+        return (
+            self._store_lost
+            or silent_s > SILENCE_S
+            or self.config_age_s() > CONFIG_MAX_AGE_S
+        )
 
     async def answer(self, call: Call) -> Reply:
         """Carry out a request; a refusal says if it may have run."""
@@ -226,22 +233,24 @@
         value_by_place: dict[store.RowKey, bytes],
     ) -> None:
         """Write rows; a row that exists already counts as written."""
-        outcome = verdict.Verdict.NOT_RUN
-        for _ in range(WRITE_ATTEMPTS):
+        give_up_at = self._seconds() + WRITE_WITHIN_S
+        unknown = ""
+        while (left_s := give_up_at - self._seconds()) > 0:
             try:
                 await self._client.transact(
-                    expected_by_place,
-                    value_by_place,
-                    timeout_s=WRITE_TIMEOUT_S,
+                    expected_by_place, value_by_place, most_s=left_s
                 )
                 return
             except exceptions.CallFailed as failure:
-                reason = str(failure)
-                if failure.verdict is not verdict.Verdict.NOT_RUN:
-                    outcome = verdict.Verdict.MAY_HAVE_RUN
-        if outcome is verdict.Verdict.NOT_RUN:
-            raise _Refused(503, reason, STORE_AWAY_RETRY_S)
-        raise _Refused(504, reason, None, outcome)
+                if failure.verdict is verdict.Verdict.NOT_RUN:
+                    if not unknown:
+                        raise _Refused(
+                            503, str(failure), STORE_AWAY_RETRY_S
+                        ) from failure
+                    break
+                # The same write again tells whether this one took effect.
+                unknown = str(failure)
+        raise _Refused(504, unknown, None, verdict.Verdict.MAY_HAVE_RUN)
 
     # State and cancel.
 
--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -73,7 +73,9 @@
         self._settings = settings
         self._unix_time = unix_time
         self._client = client or http_client.HttpClient(reactor)
-        self._store = store.StoreClient(self._client, settings.store_address)
+        self._store = store.StoreClient(
+            self._client, settings.store_address, reactor.seconds
+        )
         self.desk = job_desk.JobDesk(
             self._store, seconds=reactor.seconds, unix_time=unix_time
         )
--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -1,7 +1,7 @@
 """Rows of the platform's store: transactions, reads and changes."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import dataclasses
 from typing import Any
 from urllib import parse
@@ -12,9 +12,12 @@
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_client
+from azurevane._internal.utils import latency
 
 # An answer takes about 10 ms; a slow store takes about 50 times as long.
 CALL_TIMEOUT_S = 1.5
+# A write takes a transaction and a round trip while the store is well.
+USUAL_WRITE_S = 0.015
 # Most rows of a read, by the platform's protocol.
 PAGE_ROWS = 500
 # Most entries of a transaction, by the platform's protocol.
@@ -104,15 +107,23 @@
 
 
 class StoreClient:
-    """Calls the store; every host has one."""
+    """Calls the store; every host has one.
+
+    Attributes:
+        answered_at: steady time of the last answer of any kind.
+    """
 
     def __init__(
         self,
         client: http_client.HttpClient,
         address: host_settings.Address,
+        seconds: Callable[[], float],
     ) -> None:
         self._client = client
         self._address = address
+        self._seconds = seconds
+        self._write_latency = latency.LatencyEstimate(USUAL_WRITE_S)
+        self.answered_at = seconds()
 
     async def transact(
         self,
@@ -120,13 +131,17 @@
         value_by_place: dict[RowKey, bytes],
         deletions: Sequence[RowKey] = (),
         *,
-        timeout_s: float = CALL_TIMEOUT_S,
+        most_s: float = CALL_TIMEOUT_S,
     ) -> Committed | Conflict:
         """Write rows at once if the rows of the condition are as expected.
 
+        An answer that takes several times as long as usual is taken as
+        lost.
+
         Args:
             expected_by_place: version that each row must have; 0 for a
                 row that must not exist.
+            most_s: longest time to wait for the answer.
 
         Raises:
             CallFailed: the verdict says whether the write may have taken
@@ -146,9 +161,18 @@
             ],
             "delete": [_place(place) for place in deletions],
         }
-        status, answer = await self._call(
-            b"POST", "/azurevane/rows-tx", body, timeout_s
-        )
+        began_at = self._seconds()
+        timeout_s = self._write_latency.timeout_s(most_s)
+        try:
+            status, answer = await self._call(
+                b"POST", "/azurevane/rows-tx", body, timeout_s
+            )
+        except exceptions.CallFailed:
+            waited_s = self._seconds() - began_at
+            if waited_s >= timeout_s:
+                self._write_latency.note_silence(waited_s)
+            raise
+        self._write_latency.note_answer(self._seconds() - began_at)
         if status == 412:
             rows = [_row(row) for row in answer.rows]
             return Conflict({row.place: row for row in rows})
@@ -235,6 +259,7 @@
         answer = await self._client.call(
             self._address, method, path, body, timeout_s=timeout_s
         )
+        self.answered_at = self._seconds()
         if answer.status in (200, 410, 412):
             try:
                 return answer.status, msgspec.json.decode(
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -56,9 +56,11 @@
             lambda task, attempt: site_runner.TaskPlan(0.5)
         )
         self._move_s = move_s
-        self._latency_s = latency_s
+        self.latency_s = latency_s
         self.store_down_for: set[str] = set()
         self.store_down = False
+        self.store_silent = False
+        self.store_delay_s = 0.0
         self.lost_answers = 0
         self.record: list[tuple[float, str, str, str, int]] = []
         self.host_orders: list[tuple[float, str, str, str, int]] = []
@@ -140,6 +142,8 @@
     ) -> "Response | defer.Deferred[Response] | None":
         """Carry out a call; None when no answer will come."""
         if request.address == STORE_ADDRESS:
+            if self.store_silent:
+                return None
             if self.store_down or host_name in self.store_down_for:
                 return Response(503)
             answer = self.store.handle(
@@ -300,17 +304,20 @@
             answer = self._platform.call(self._host_name, request)
             if answer is None:
                 return
+            delay_s = self._platform.latency_s
+            if address == STORE_ADDRESS:
+                delay_s += self._platform.store_delay_s
             defer.maybeDeferred(lambda: answer).addCallback(
-                lambda response: reactor.callLater(
-                    self._platform._latency_s, deliver, response
-                )
+                lambda response: reactor.callLater(delay_s, deliver, response)
             )
 
         def deliver(response: Response) -> None:
+            if address == STORE_ADDRESS and self._platform.store_silent:
+                return
             if not answered.called and not self.silent:
                 answered.callback(response)
 
-        reactor.callLater(self._platform._latency_s, arrive)
+        reactor.callLater(self._platform.latency_s, arrive)
         answered.addTimeout(timeout_s, reactor)
         try:
             response = await answered
--- /dev/null
+++ b/tests/scheduler/slow_store.feature
@@ -0,0 +1,29 @@
+Feature: A store that is slow or loses answers
+
+  Background:
+    Given a site with service "press" on 8 hosts and queue "fit"
+    And tasks that run 0.5 s
+
+  Scenario: A lost answer to a submission costs a fraction of a second
+    When the store loses its next 1 answers
+    And job "00000000000000b5" of 1 task is submitted within 0.5 s
+    Then job "00000000000000b5" is known at every host
+
+  Scenario: Lost answers to the leader delay starts by a fraction of a second
+    When job "00000000000000b6" of 4 tasks is submitted
+    And the store loses its next 2 answers
+    And 1.6 s pass
+    Then job "00000000000000b6" is "completed"
+    And no task ran twice
+
+  Scenario: A slow store is waited for, and its answers aren't given up
+    When the store takes 0.4 s for each answer
+    And 5.0 s pass
+    And 12 jobs of 1 task are submitted
+    And 6.0 s pass
+    Then all submitted jobs are "completed"
+
+  Scenario: A silent store is noticed within two seconds
+    When the store falls silent
+    And 1.9 s pass
+    Then a submission is refused with 503 at once, as not run
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -259,3 +259,40 @@
         if order[0] >= context.killed_at
     ]
     assert orders, context.world.platform.host_orders
+
+
+@when('job "{job_id}" of 1 task is submitted within {seconds:g} s')
+def step_submit_within(context, job_id, seconds):
+    began = context.world.clock.seconds()
+    reply = context.world.submit(context.queue, job_id, [_job(1)])
+    took = context.world.clock.seconds() - began
+    assert reply.status == 200, reply
+    assert took <= seconds, took
+
+
+@then('job "{job_id}" is known at every host')
+def step_known(context, job_id):
+    for host in context.world.host_by_name:
+        state = context.world.state(context.queue, job_id, host=host)
+        assert state in ("queued", "running", "completed"), state
+
+
+@when("the store takes {seconds:g} s for each answer")
+def step_slow(context, seconds):
+    context.world.platform.store_delay_s = seconds
+
+
+@when("the store falls silent")
+def step_silent(context):
+    context.world.platform.store_silent = True
+
+
+@then("a submission is refused with {status:d} at once, as not run")
+def step_refused_at_once(context, status):
+    began = context.world.clock.seconds()
+    reply = context.world.submit(context.queue, "0" * 16, [_job(1)])
+    took = context.world.clock.seconds() - began
+    assert reply.status == status, reply
+    assert b"not-run" in reply.body, reply
+    assert reply.retry_after_s, reply
+    assert took < 0.05, took
