Notice at once that the store is back

Cause: after a failure the first read that worked was held back by the store for up to 1.2 s, and pauses between failed reads grew to 1.2 s, so that hosts refused requests up to 2.4 s after the store's return.

Change: reads after a failure aren't held back; pauses end at 0.75 s.

A scenario fails before and passes after.

--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -18,7 +18,7 @@
 # Pause before a failed read is repeated; a random share is added so that
 # the hosts don't return to the store together.
 FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 0.8
+MAX_RETRY_S = 0.5
 
 
 class TableFollower:
@@ -105,8 +105,10 @@
         if self._version is None:
             await self._read_whole(sent_at)
             return
+        # After a failure an answer shows at once that the store is back.
+        wait_s = self._wait_s if self._lost_at is None else 0.0
         changes = await self._client.changes(
-            self._table, self._version, self._wait_s
+            self._table, self._version, wait_s
         )
         if self._stopped:
             return
@@ -116,7 +118,7 @@
             self._viewed(sent_at)
             return
         # The store saw no change for as long as it held the answer back.
-        held_until = min(sent_at + self._wait_s, self._reactor.seconds())
+        held_until = min(sent_at + wait_s, self._reactor.seconds())
         self._viewed(held_until)
 
     async def _read_whole(self, sent_at: float) -> None:
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -296,3 +296,12 @@
     assert b"not-run" in reply.body, reply
     assert reply.retry_after_s, reply
     assert took < 0.05, took
+
+
+@then("every host accepts a job")
+def step_all_accept(context):
+    for number, host in enumerate(context.world.host_by_name):
+        reply = context.world.submit(
+            context.queue, f"{number + 0xCC0:016x}", [_job(1)], host=host
+        )
+        assert reply.status == 200, (host, reply)
--- a/tests/scheduler/store_outage.feature
+++ b/tests/scheduler/store_outage.feature
@@ -46,3 +46,8 @@
     And the store comes back
     And 5.0 s pass
     Then job "00000000000000b4" is "410"
+
+  Scenario: Hosts serve again within a second of the store's return
+    When the store is down for 5.0 s
+    And 0.8 s pass
+    Then every host accepts a job
