Soak the entry hosts as processes under faults from outside

Change: tools/site_soak.py runs entry hosts against the stand-in over HTTP; it kills, pauses, stops and restarts them, cuts, slows, swallows and resets their links to the store, and crashes runners, makes them late or loses their answers, in overlapping series; callers submit, cancel and ask all the while. It checks doubled tasks, refused and cancelled jobs, the team's cap and that accepted jobs end.

--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -66,6 +66,9 @@
         self.host_orders: list[tuple[float, str, str, str, int]] = []
         self.standby_pools: set[str] = set()
         self._lives = 0
+        self.allocate_address: Callable[[], str] = lambda: (
+            f"10.9.0.{self._lives}:8000"
+        )
         self.most_in_maintenance = 0
 
     # Building a site.
@@ -85,7 +88,7 @@
     ) -> site_runner.SiteRunner:
         """Start a new runner on a host and register it."""
         self._lives += 1
-        address = f"10.9.0.{self._lives}:8000"
+        address = self.allocate_address()
         runner = site_runner.SiteRunner(
             self.reactor,
             f"i-{self._lives:04d}",
--- /dev/null
+++ b/tools/site_soak.py
@@ -0,0 +1,416 @@
+"""Run entry hosts as processes and inject faults from outside.
+
+The platform's stand-in runs here; the hosts are processes of the real
+program, each behind a link to the store that can delay, reset or swallow.
+Faults come in overlapping series; callers keep submitting and cancelling
+jobs and asking for their state. Checked all the while, from what callers
+and runners see: no task runs twice or after its end, none starts without
+an accepted or possibly accepted submission, none after its cancel, no team
+over its cap, and every accepted job ends. Exits non-zero on a violation.
+"""
+
+import argparse
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+
+from azurevane._internal.standins import site_runner
+from azurevane._internal.standins import site_server
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KEY = "soak-key"
+HOST_NAME = "soak.example"
+CAP_CPU = 100_000
+TASK_CPU = 2000
+# After the last fault, jobs have this long to end.
+SETTLE_S = 30.0
+# A cancel binds the runners this long after its answer.
+CANCEL_S = 3.0
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed, seconds, host_count, folder):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.folder = folder
+        self.server = site_server.SiteServer(reactor)
+        self.platform = self.server.platform
+        self.platform.plan_by_spec = self.plan
+        self.process_by_name = {}
+        self.paused = set()
+        self.settings_by_name = {}
+        self.outcome_by_job = {}
+        self.queue_state = {}
+        self.cancelled_at = {}
+        self.violations = []
+        self.faults = []
+        self.agent = client.Agent(reactor, connectTimeout=1.0)
+        for number in range(host_count):
+            self.add_host(f"entry-{number}")
+
+    def plan(self, task_name, attempt):
+        kind = int(task_name[:2], 16) % 10
+        how = "failed" if kind == 0 and attempt == 1 else "done"
+        run_s = 0.2 + int(task_name[2:4], 16) / 256
+        return site_runner.TaskPlan(run_s, how, {"cpu": TASK_CPU})
+
+    # Site.
+
+    def put_site(self):
+        self.platform.standby_pools.add("reserve")
+        config = {
+            "version": 3,
+            "routes": [
+                {
+                    "name": "fit",
+                    "host": HOST_NAME,
+                    "pathPrefix": "/fit/",
+                    "service": "press",
+                    "attempts": 2,
+                    "deadlineFactor": 1.6,
+                    "targetLatencyMs": 600,
+                }
+            ],
+            "services": [
+                {"name": "press"},
+                {"name": "reserve", "standby": True},
+            ],
+            "tenants": [
+                {
+                    "name": "north",
+                    "apiKeys": [KEY],
+                    "weight": 100,
+                    "cap": {"cpu": CAP_CPU},
+                }
+            ],
+        }
+        value = json.dumps(config).encode()
+        self.platform.store.put("op", "config", value)
+        for number in range(8):
+            self.platform.add_machine(
+                f"m-{number}", "press", "east", f"r0-{number // 4}"
+            )
+
+    def add_host(self, name):
+        ports = [self.free_port() for _ in range(2)]
+        settings = {
+            "nodeName": name,
+            "zone": "east",
+            "listenAddrs": {
+                "frontend": f"127.0.0.1:{ports[0]}",
+                "readiness": f"127.0.0.1:{ports[1]}",
+            },
+            "bounds": {},
+            "platform": {
+                "address": f"127.0.0.1:{self.server.link_host(name)}"
+            },
+            "cloudApi": {"address": f"127.0.0.1:{self.server.hosts_port}"},
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.settings_by_name[name] = path, ports[0]
+        self.start(name)
+
+    @staticmethod
+    def free_port():
+        from twisted.internet import protocol
+
+        port = reactor.listenTCP(0, protocol.Factory(), interface="127.0.0.1")
+        number = port.getHost().port
+        port.stopListening()
+        return number
+
+    def start(self, name):
+        path, _ = self.settings_by_name[name]
+        log = (self.folder / f"{name}.log").open("ab")
+        self.process_by_name[name] = subprocess.Popen(
+            [sys.executable, str(ROOT / "deploy" / "host.py")],
+            env={**os.environ, "AZUREVANE_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    # Faults.
+
+    async def inject(self):
+        end = reactor.seconds() + self.seconds
+        while reactor.seconds() < end:
+            await sleep(self.random.uniform(0.3, 2.0))
+            fault = self.random.choice(
+                [self.kill, self.pause, self.stop, self.cut, self.crash]
+            )
+            self.faults.append(fault.__name__)
+            defer.ensureDeferred(fault()).addErrback(self.note_error)
+
+    def some_host(self):
+        return self.random.choice(sorted(self.process_by_name))
+
+    async def kill(self):
+        await self.end(self.some_host(), signal.SIGKILL, 0.0)
+
+    async def stop(self):
+        await self.end(self.some_host(), signal.SIGTERM, 6.0)
+
+    async def end(self, name, number, grace_s):
+        process = self.process_by_name[name]
+        if process.poll() is not None or name in self.paused:
+            return
+        process.send_signal(number)
+        for _ in range(int(grace_s * 10)):
+            if process.poll() is not None:
+                break
+            await sleep(0.1)
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+        await sleep(self.random.uniform(0.1, 1.5))
+        if self.process_by_name[name] is process:
+            self.start(name)
+
+    async def pause(self):
+        name = self.some_host()
+        process = self.process_by_name[name]
+        if process.poll() is not None or name in self.paused:
+            return
+        self.paused.add(name)
+        process.send_signal(signal.SIGSTOP)
+        await sleep(self.random.uniform(0.5, 6.0))
+        process.send_signal(signal.SIGCONT)
+        self.paused.discard(name)
+
+    async def cut(self):
+        names = sorted(self.server.link_by_host)
+        count = self.random.choice([1, 1, len(names)])
+        mode = self.random.choice(["silent", "answers", "reset", "slow"])
+        chosen = self.random.sample(names, count)
+        links = [self.server.link_by_host[name] for name in chosen]
+        for link in links:
+            link.delay_s = 0.3 if mode == "slow" else 0.0
+            link.set_mode("pass" if mode == "slow" else mode)
+        await sleep(self.random.uniform(0.5, 5.0))
+        for link in links:
+            link.delay_s = 0.0
+            link.set_mode("pass")
+
+    async def crash(self):
+        machines = [
+            machine
+            for machine in self.platform.machine_by_name.values()
+            if machine.runner is not None and machine.state == "up"
+        ]
+        if len(machines) < 2:
+            return
+        machine = self.random.choice(machines)
+        runner = machine.runner
+        kind = self.random.choice(["dark", "late", "lose"])
+        if kind == "late":
+            runner.delay_orders_s = self.random.uniform(1.0, 4.0)
+            await sleep(1.0)
+            runner.delay_orders_s = 0.0
+            return
+        if kind == "lose":
+            runner.lose_answers = self.random.randint(1, 5)
+            return
+        runner.crash()
+        machine.state, machine.runner = "down", None
+        await sleep(self.random.uniform(1.0, 4.0))
+        self.platform.unregister(runner)
+        if machine.runner is None and machine.state == "down":
+            machine.state = "up"
+            self.platform.add_runner(machine)
+
+    # Callers.
+
+    async def submit_jobs(self):
+        end = reactor.seconds() + self.seconds
+        while reactor.seconds() < end:
+            await sleep(self.random.uniform(0.05, 0.4))
+            job_id = f"{self.random.getrandbits(64):016x}"
+            call = self.submit(job_id)
+            defer.ensureDeferred(call).addErrback(self.note_error)
+
+    async def submit(self, job_id):
+        phases = [
+            {"count": self.random.randint(1, 6), "cpu": TASK_CPU},
+            {"count": 2, "cpu": TASK_CPU, "after": [0]},
+        ]
+        body = json.dumps({"spec": "soak", "phases": phases}).encode()
+        self.outcome_by_job[job_id] = "unknown"
+        for _ in range(6):
+            status = await self.call(b"POST", job_id, body)
+            if status == 200:
+                self.outcome_by_job[job_id] = "accepted"
+                break
+            if status in (429, 503):
+                if self.outcome_by_job[job_id] == "unknown":
+                    self.outcome_by_job[job_id] = "refused"
+            else:
+                self.outcome_by_job[job_id] = "doubtful"
+            await sleep(0.5)
+        if self.random.random() < 0.1:
+            await sleep(self.random.uniform(0.0, 1.0))
+            if await self.call(b"DELETE", job_id) == 200:
+                self.cancelled_at[job_id] = reactor.seconds()
+
+    async def call(self, method, job_id, body=None):
+        name = self.some_host()
+        _, port = self.settings_by_name[name]
+        headers = http_headers.Headers(
+            {"Host": [HOST_NAME], "Authorization": [f"Bearer {KEY}"]}
+        )
+        producer = None
+        if body is not None:
+            import io
+
+            producer = client.FileBodyProducer(io.BytesIO(body))
+        url = f"http://127.0.0.1:{port}/fit/{job_id}".encode()
+        asked = self.agent.request(method, url, headers, producer)
+        asked.addTimeout(3.0, reactor)
+        try:
+            response = await asked
+            reading = client.readBody(response)
+            reading.addTimeout(1.0, reactor)
+            data = await reading
+        except Exception:
+            # A broken connection: the caller can't know.
+            return 0
+        if method == b"GET" and response.code == 200:
+            self.queue_state[job_id] = json.loads(data)["state"]
+        return response.code
+
+    # Checks.
+
+    def note_error(self, failure):
+        self.violations.append(f"soak failed: {failure.getTraceback()}")
+
+    async def settle(self):
+        for link in self.server.link_by_host.values():
+            link.set_mode("pass")
+        end = reactor.seconds() + SETTLE_S
+        waiting = {
+            job
+            for job, outcome in self.outcome_by_job.items()
+            if outcome == "accepted"
+        }
+        while waiting and reactor.seconds() < end:
+            for job_id in sorted(waiting):
+                status = await self.call(b"GET", job_id)
+                if status == 410:
+                    self.violations.append(f"{job_id}: accepted, then 410")
+                    waiting.discard(job_id)
+                state = self.queue_state.get(job_id)
+                if state in ("completed", "failed", "cancelled"):
+                    waiting.discard(job_id)
+                    self.check_end(job_id, state)
+            await sleep(0.5)
+        for job_id in sorted(waiting):
+            self.violations.append(f"{job_id}: never ended")
+
+    def check_end(self, job_id, state):
+        if state == "failed":
+            self.violations.append(f"{job_id}: failed, but could be done")
+        if state == "cancelled" and job_id not in self.cancelled_at:
+            self.violations.append(f"{job_id}: cancelled by nobody")
+
+    def check_runs(self):
+        running, done, used = {}, set(), 0
+        for at, event, runner, name, attempt in self.platform.record:
+            job_id = name.split(".")[0]
+            if event == "start":
+                if name in running or name in done:
+                    self.violations.append(f"{name}: run {attempt} doubled")
+                if self.outcome_by_job.get(job_id) == "refused":
+                    self.violations.append(f"{name}: started, though refused")
+                cancelled = self.cancelled_at.get(job_id)
+                if cancelled is not None and at > cancelled + CANCEL_S:
+                    self.violations.append(f"{name}: started after cancel")
+                running[name] = runner
+                used = len(running) * TASK_CPU
+                if used > CAP_CPU:
+                    self.violations.append(f"{name}: team over its cap")
+            else:
+                running.pop(name, None)
+                if event == "done":
+                    done.add(name)
+        return len(done)
+
+    async def run(self):
+        self.put_site()
+        await sleep(3.0)
+        await defer.gatherResults(
+            [
+                defer.ensureDeferred(self.inject()),
+                defer.ensureDeferred(self.submit_jobs()),
+            ]
+        )
+        await sleep(8.0)
+        await self.settle()
+        done = self.check_runs()
+        outcomes = list(self.outcome_by_job.values())
+        print(
+            f"jobs: {len(outcomes)}, accepted {outcomes.count('accepted')},"
+            f" refused {outcomes.count('refused')}, tasks done {done},"
+            f" faults {len(self.faults)}"
+        )
+        if not done:
+            self.violations.append("no task was done")
+
+    def close(self):
+        for process in self.process_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+
+
+def sleep(seconds):
+    return task.deferLater(reactor, seconds, lambda: None)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--hosts", type=int, default=3)
+    parser.add_argument("--keep", help="folder for the hosts' logs")
+    options = parser.parse_args()
+    reactor.seconds = time.monotonic
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(options.keep or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = Soak(options.seed, options.seconds, options.hosts, folder)
+
+        def finish(result):
+            if result is not None:
+                soak.violations.append(str(result))
+            reactor.stop()
+
+        reactor.callWhenRunning(
+            lambda: defer.ensureDeferred(soak.run()).addBoth(finish)
+        )
+        try:
+            reactor.run()
+        finally:
+            soak.close()
+    for violation in soak.violations[:20]:
+        print(violation)
+    print(f"seed {options.seed}: {len(soak.violations)} violations")
+    return 1 if soak.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
