--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 SECONDS ?= 20
 
-.PHONY: all demo test lint docs format bench soak clean
+.PHONY: all demo test lint docs format bench soak site-soak clean
 
 all: test
 
@@ -42,5 +42,9 @@
 soak: $(STAMP)
 	$(BIN)/python tools/soak.py --seed $(SEED) --seconds $(SECONDS)
 
+site-soak: $(STAMP)
+	$(BIN)/python -W ignore tools/site_soak.py --seed $(SEED) \
+	    --seconds $(SECONDS)
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/tests/soak/environment.py
@@ -0,0 +1,1 @@
+"""The soak runs as a process of its own; nothing to set up."""
--- /dev/null
+++ b/tests/soak/steps/soak_steps.py
@@ -0,0 +1,40 @@
+"""Steps that run the soak of the entry hosts."""
+
+import pathlib
+import re
+import subprocess
+import sys
+
+from behave import then
+from behave import when
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+# A run of some seconds, its settling and the ends of the processes.
+SOAK_TIMEOUT_S = 240
+
+
+@when("the soak runs with seed {seed:d} for {seconds:d} s")
+def step_run(context, seed, seconds):
+    context.soak = subprocess.run(
+        [
+            sys.executable,
+            "-W",
+            "ignore",
+            str(ROOT / "tools" / "site_soak.py"),
+            "--seed",
+            str(seed),
+            "--seconds",
+            str(seconds),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=SOAK_TIMEOUT_S,
+        check=False,
+    )
+
+
+@then("it reports no violation and tasks that were done")
+def step_passed(context):
+    output = context.soak.stdout + context.soak.stderr
+    assert context.soak.returncode == 0, output
+    assert re.search(r"tasks done [1-9]", output), output
