Delete the rows of ended jobs

Cause: submissions and states stayed in the store for ever.

Change: the leader deletes a job's rows a minute after its end was shown for as long as the settings ask, 200 jobs each 5 s at most.

Conclusion: the store's size follows the jobs of the last minutes.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -47,6 +47,12 @@
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
+# A submission may be repeated this long after its answer; the row of a job
+# that ended keeps it from running again.
+REPEATED_AFTER_S = 60.0
+# Rows of ended jobs are deleted this many jobs at a time.
+DROP_PAUSE_S = 5.0
+DROP_JOBS = 200
 # Added to the time between orders for a host by two leaders.
 ORDERS_MARGIN_S = 0.5
 _RETRY_S = 0.2
@@ -262,9 +268,45 @@
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = self._reactor
         self._ticker.start(TICK_S)
+        spawn(self._drop_ended(), "drop ended jobs")
         if self._keeper is not None:
             spawn(self._keep_hosts(self._keeper), "keep hosts")
 
+    async def _drop_ended(self) -> None:
+        """Delete the rows of jobs that were shown for long enough."""
+        while not self.stopped:
+            await twisted_task.deferLater(
+                self._reactor, DROP_PAUSE_S, lambda: None
+            )
+            shown_s = self._settings.bounds.job_kept_s + REPEATED_AFTER_S
+            oldest = self.now() - shown_s
+            ended = [
+                state.job.id
+                for state in self.book.job_by_id.values()
+                if state.status.ended
+                and state.ended_at < oldest
+                and not state.present_runs()
+            ]
+            for job_id in ended[:DROP_JOBS]:
+                if self.stopped or not self.may_order():
+                    break
+                await self._drop_job(job_id)
+
+    async def _drop_job(self, job_id: str) -> None:
+        part = records.job_part(job_id)
+        rows = [
+            store.RowKey(records.JOBS_TABLE, part, key)
+            for key in (job_id, job_id + records.CANCEL_SUFFIX)
+        ]
+        try:
+            await self._store.transact({}, {}, rows)
+        except exceptions.CallFailed as failure:
+            logger.info("Rows of job %s stay for now: %s", job_id, failure)
+            return
+        self.book.forget_job(job_id)
+        place = store.RowKey(records.STATE_TABLE, records.LEADER_PART, job_id)
+        self._journal.write(place, lambda: None)
+
     async def _keep_hosts(self, keeper: host_keeper.HostKeeper) -> None:
         while not self.stopped:
             if runner_rows.TABLE in self._loaded:
--- a/tests/scheduler/jobs.feature
+++ b/tests/scheduler/jobs.feature
@@ -149,3 +149,13 @@
     When 5 jobs of 1 task of 1000 are submitted
     And 2.0 s pass
     Then every host shows 4 waiting jobs
+
+  Scenario: The rows of an ended job go after it was shown long enough
+    When a job is submitted with phases
+      | count | cpu  |
+      | 2     | 1000 |
+    And 100.0 s pass
+    Then the job is "completed"
+    When 100.0 s pass
+    Then the state of job "00000000000000f1" is refused with 410
+    And the store has no row of the job
--- a/tests/scheduler/steps/job_steps.py
+++ b/tests/scheduler/steps/job_steps.py
@@ -293,3 +293,11 @@
         assert reply.status == 200, reply
         seen = json.loads(reply.body)["pending"]
         assert seen == count, (host, seen)
+
+
+@then("the store has no row of the job")
+def step_no_rows(context):
+    store = context.world.platform.store
+    keys = store.keys("azurevane-jobs") + store.keys("azurevane-state")
+    left = [key for key in keys if key.startswith(JOB_ID)]
+    assert not left, left
