Split the leader and the keeper of hosts by job

Change: host_table, wave_keeper, move_keeper and host_keeper; job_rows, order_sender and background beside the leader; one capacity type; steps go on after an unexpected error; a host gets one order a step; a runner that comes back under its id gets a new link. Scenarios for the decoding of rows, settings, bodies and lists.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -28,6 +28,7 @@
 from azurevane._internal.platform import node_settings
 from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import leader as leader_module
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import table_follower
@@ -173,7 +174,7 @@
             pause_s=pause_s,
         )
         self._followers.append(follower)
-        leader_module.spawn(follower.run(), f"follow {table}")
+        background.spawn(follower.run(), f"follow {table}")
 
     # Rows of the operators.
 
@@ -209,7 +210,7 @@
         try:
             wave = operator_rows.decode_wave(row.value)
         except msgspec.MsgspecError as error:
-            _note_unreadable(row, error)
+            table_follower.note_unreadable(row, error)
             return
         self._wave_by_number[number] = wave
 
@@ -217,7 +218,7 @@
         try:
             config = operator_rows.decode_config(row.value or b"")
         except msgspec.MsgspecError as error:
-            _note_unreadable(row, error)
+            table_follower.note_unreadable(row, error)
             return
         if self.desk.set_config(config):
             catalogue.emit(
@@ -253,7 +254,7 @@
         claim = self._view.claim(self._reactor.seconds())
         if claim is not None:
             self._claiming = True
-            leader_module.spawn(self._take_over(claim), "take over")
+            background.spawn(self._take_over(claim), "take over")
 
     async def _take_over(self, claim: leadership.Claim) -> None:
         claimed_at = self._reactor.seconds()
@@ -329,7 +330,7 @@
             ),
         )
         if self.leader is not None:
-            leader_module.spawn(self.leader.hand_over(), "hand over")
+            background.spawn(self.leader.hand_over(), "hand over")
         self._reactor.callLater(LEAVE_ROTATION_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
@@ -352,13 +353,6 @@
         self._settings = settings
 
 
-def _note_unreadable(row: store.Row, error: Exception) -> None:
-    catalogue.emit(
-        logger,
-        events.RowUnreadable(row.place.table, row.place.key, str(error)),
-    )
-
-
 def _start_metrics(reactor: Any, address: str, port: int) -> None:
     # The SDK takes a while to load, so the host serves first.
     from azurevane._internal.metrics import exposition
--- /dev/null
+++ b/src/azurevane/_internal/platform/capacity.py
@@ -0,0 +1,17 @@
+"""Capacities as the platform writes them."""
+
+import msgspec
+
+from azurevane._internal.models import job as job_models
+
+
+class WireCapacity(msgspec.Struct):
+    """Processors in thousandths of a core, memory in MB, accelerators."""
+
+    cpu: int = 0
+    memory: int = msgspec.field(name="memMb", default=0)
+    gpu: int = 0
+
+    def decode(self) -> job_models.Capacity:
+        """Return it as the project's type."""
+        return job_models.Capacity(self.cpu, self.memory, self.gpu)
--- a/src/azurevane/_internal/platform/machine_calls.py
+++ b/src/azurevane/_internal/platform/machine_calls.py
@@ -8,9 +8,9 @@
 
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
-from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.models import verdict
+from azurevane._internal.platform import capacity as wire_capacity
 from azurevane._internal.platform import http_client
 
 # An answer takes a few milliseconds; the platform may be slow.
@@ -29,19 +29,15 @@
     UNKNOWN = "no answer"
 
 
-class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    memory: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
-
-
 class _Machine(msgspec.Struct):
     machine: str
     pool: str
     state: str
     zone: str = ""
     labels: list[str] = []
-    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    capacity: wire_capacity.WireCapacity = msgspec.field(
+        default_factory=wire_capacity.WireCapacity
+    )
     # The runner that lives on it, not the machine's own identity.
     id: str | None = None
 
@@ -162,9 +158,5 @@
         zone=machine.zone,
         runner_id=machine.id or "",
         labels=frozenset(machine.labels),
-        capacity=job_models.Capacity(
-            machine.capacity.cpu,
-            machine.capacity.memory,
-            machine.capacity.gpu,
-        ),
+        capacity=machine.capacity.decode(),
     )
--- a/src/azurevane/_internal/platform/operator_rows.py
+++ b/src/azurevane/_internal/platform/operator_rows.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
+from azurevane._internal.platform import capacity as wire_capacity
 
 TABLE = "op"
 STATUS_TABLE = "status"
@@ -14,12 +14,6 @@
 _WAVE_PREFIX = "wave/"
 
 
-class _Cap(msgspec.Struct):
-    cpu: int = 0
-    memory: int = msgspec.field(name="memMb", default=0)
-    gpu: int = 0
-
-
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -47,7 +41,9 @@
     name: str
     api_keys: list[str] = msgspec.field(name="apiKeys", default_factory=list)
     weight: float = 1.0
-    cap: _Cap = msgspec.field(default_factory=_Cap)
+    cap: wire_capacity.WireCapacity = msgspec.field(
+        default_factory=wire_capacity.WireCapacity
+    )
 
 
 class _Limits(msgspec.Struct):
@@ -94,9 +90,7 @@
                 tenant.name,
                 frozenset(tenant.api_keys),
                 tenant.weight,
-                job_models.Capacity(
-                    tenant.cap.cpu, tenant.cap.memory, tenant.cap.gpu
-                ),
+                tenant.cap.decode(),
             )
             for tenant in config.tenants
         },
--- a/src/azurevane/_internal/platform/runner_calls.py
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -213,6 +213,15 @@
             return answer.status, _Answer()
 
 
+def decode_report(body: bytes) -> messages.RunnerReport:
+    """Return a runner's lists; rows that can't be read are left out.
+
+    Raises:
+        msgspec.MsgspecError: the body can't be read.
+    """
+    return _report(msgspec.json.decode(body, type=_Answer))
+
+
 def _start_outcome(status: int, answer: _Answer) -> messages.StartOutcome:
     if status == 200:
         return messages.StartOutcome.STARTED
--- a/src/azurevane/_internal/platform/runner_rows.py
+++ b/src/azurevane/_internal/platform/runner_rows.py
@@ -2,24 +2,18 @@
 
 import msgspec
 
-from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
+from azurevane._internal.platform import capacity as wire_capacity
 
 TABLE = "servers"
 
 
-class _Capacity(msgspec.Struct):
-    cpu: int
-    memory: int = msgspec.field(name="memMb")
-    gpu: int = 0
-
-
 class _Entry(msgspec.Struct):
     service: str
     address: str
     zone: str
     state: str
-    capacity: _Capacity
+    capacity: wire_capacity.WireCapacity
     # The kind of the runner, then its rack.
     labels: list[str]
     clock_ms: float = msgspec.field(name="clockMs")
@@ -40,6 +34,8 @@
     entry = msgspec.json.decode(value, type=_Entry)
     if entry.state not in ("ready", "draining"):
         raise msgspec.ValidationError(f"unknown state {entry.state!r}")
+    if entry.capacity.cpu <= 0 or entry.capacity.memory <= 0:
+        raise msgspec.ValidationError("capacity lacks cpu or memMb")
     draining = entry.state == "draining"
     remaining_s = (entry.remaining_ms or 0.0) / 1000
     return site.Runner(
@@ -49,9 +45,7 @@
         service=entry.service,
         zone=entry.zone,
         draining=draining,
-        capacity=job_models.Capacity(
-            entry.capacity.cpu, entry.capacity.memory, entry.capacity.gpu
-        ),
+        capacity=entry.capacity.decode(),
         labels=frozenset(entry.labels),
         rack=entry.labels[1] if len(entry.labels) > 1 else "",
         clock_s=entry.clock_ms / 1000,
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -195,12 +195,12 @@
             count_by_rack[room.rack] = count_by_rack.get(
                 room.rack, 0
             ) + count_by_runner.get(room.runner_id, 0)
-    spread = _spread(step)
+    runners = spread(step)
     placements = []
     for index in request.indexes[:most]:
         best: _OpenRoom | None = None
         best_rank: tuple[float, ...] = ()
-        spread_out = len(count_by_runner) >= spread
+        spread_out = len(count_by_runner) >= runners
         for open_room in candidates:
             if not open_room.fits(need, cpu):
                 continue
@@ -230,7 +230,7 @@
     return placements
 
 
-def _spread(step: job_models.Step) -> int:
+def spread(step: job_models.Step) -> int:
     """Return over how many runners a long-running step is spread.
 
     Two runners outlive the loss of either; more would keep hosts in the
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -2,12 +2,11 @@
 
 import collections
 from collections.abc import Iterator
-import math
 
-from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
+from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import runs
 
@@ -155,7 +154,9 @@
             for step in job.job.steps:
                 if step.long_running:
                     least = least_by_service.get(service, 0)
-                    least_by_service[service] = max(least, _hosts_of(step))
+                    least_by_service[service] = max(
+                        least, task_placement.spread(step)
+                    )
             if not job.waiting:
                 continue
             cpu = _waiting_cpu(job, now)
@@ -184,12 +185,6 @@
         )
 
 
-def _hosts_of(step: job_models.Step) -> int:
-    if not step.max_per_runner:
-        return 1
-    return math.ceil(step.count / step.max_per_runner)
-
-
 def _waiting_cpu(job: runs.JobState, now: float) -> int:
     total = 0
     for key in job.ready_steps(float("inf")):
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -0,0 +1,129 @@
+"""Jobs as the store's rows have them, and the end of these rows."""
+
+from collections.abc import Callable, Sequence
+import logging
+from typing import Any
+
+import msgspec
+from twisted.internet import task as twisted_task
+
+from azurevane import exceptions
+from azurevane._internal.models import job as job_models
+from azurevane._internal.platform import store
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import journal as journal_module
+from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import table_follower
+
+logger = logging.getLogger(__name__)
+
+# A submission may be repeated this long after its answer; the row of a job
+# that ended keeps it from running again.
+REPEATED_AFTER_S = 60.0
+# Rows of ended jobs are deleted this many jobs at a time.
+DROP_PAUSE_S = 5.0
+DROP_JOBS = 200
+
+
+class JobRows:
+    """Brings submissions and cancels into the book, and deletes old rows.
+
+    Args:
+        shown_s: least time that an ended job's state is shown.
+        may_order: whether this host certainly leads.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        client: store.StoreClient,
+        journal: journal_module.Journal,
+        book: book_module.Book,
+        *,
+        shown_s: float,
+        unix_time: Callable[[], float],
+        may_order: Callable[[], bool],
+    ) -> None:
+        self._reactor = reactor
+        self._client = client
+        self._journal = journal
+        self._book = book
+        self._shown_s = shown_s
+        self._unix_time = unix_time
+        self._may_order = may_order
+        self._state_by_job: dict[str, bytes] = {}
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Delete nothing more."""
+        self._stopped = True
+
+    def restore_state(self, job_id: str, value: bytes) -> None:
+        """Keep a job's stored state until its submission is read."""
+        self._state_by_job[job_id] = value
+
+    def changed(self, rows: Sequence[store.Row]) -> None:
+        """Take in rows of submissions and cancels."""
+        now, unix_now = self._reactor.seconds(), self._unix_time()
+        cancelled: list[str] = []
+        jobs: list[job_models.Job] = []
+        for row in rows:
+            key = row.place.key
+            if key.endswith(records.CANCEL_SUFFIX):
+                cancelled.append(key.removesuffix(records.CANCEL_SUFFIX))
+            elif row.value is None:
+                self._book.forget_job(key)
+            else:
+                jobs += self._decode_job(row)
+        for job in sorted(jobs, key=lambda job: job.accepted_at):
+            self._book.add_job(
+                job,
+                now=now,
+                unix_now=unix_now,
+                stored_state=self._state_by_job.pop(job.id, None),
+            )
+        for job_id in cancelled:
+            self._book.cancel(job_id, now)
+
+    @staticmethod
+    def _decode_job(row: store.Row) -> list[job_models.Job]:
+        try:
+            return [records.decode_job(row.value or b"")]
+        except msgspec.MsgspecError as error:
+            table_follower.note_unreadable(row, error)
+            return []
+
+    async def drop_ended(self) -> None:
+        """Delete the rows of jobs that were shown for long enough."""
+        while not self._stopped:
+            await twisted_task.deferLater(
+                self._reactor, DROP_PAUSE_S, lambda: None
+            )
+            kept_s = self._shown_s + REPEATED_AFTER_S
+            oldest = self._reactor.seconds() - kept_s
+            ended = [
+                state.job.id
+                for state in self._book.job_by_id.values()
+                if state.status.ended
+                and state.ended_at < oldest
+                and not state.present_runs()
+            ]
+            for job_id in ended[:DROP_JOBS]:
+                if self._stopped or not self._may_order():
+                    break
+                await self._drop_job(job_id)
+
+    async def _drop_job(self, job_id: str) -> None:
+        part = records.job_part(job_id)
+        rows = [
+            store.RowKey(records.JOBS_TABLE, part, key)
+            for key in (job_id, job_id + records.CANCEL_SUFFIX)
+        ]
+        try:
+            await self._client.transact({}, {}, rows)
+        except exceptions.CallFailed as failure:
+            logger.info("Rows of job %s stay for now: %s", job_id, failure)
+            return
+        self._book.forget_job(job_id)
+        place = store.RowKey(records.STATE_TABLE, records.LEADER_PART, job_id)
+        self._journal.write(place, lambda: None)
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -1,6 +1,6 @@
 """The leader's task: reads the site's jobs, plans and has orders sent."""
 
-from collections.abc import Callable, Collection, Coroutine, Sequence
+from collections.abc import Callable, Collection, Sequence
 import functools
 import logging
 from typing import Any
@@ -13,7 +13,6 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
-from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import http_client
@@ -22,10 +21,13 @@
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.platform import runner_rows
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import host_keeper
+from azurevane._internal.scheduler import job_rows
 from azurevane._internal.scheduler import journal as journal_module
 from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import order_sender
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import planner as planner_module
 from azurevane._internal.scheduler import records
@@ -47,12 +49,6 @@
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
-# A submission may be repeated this long after its answer; the row of a job
-# that ended keeps it from running again.
-REPEATED_AFTER_S = 60.0
-# Rows of ended jobs are deleted this many jobs at a time.
-DROP_PAUSE_S = 5.0
-DROP_JOBS = 200
 # Added to the time between orders for a host by two leaders.
 ORDERS_MARGIN_S = 0.5
 _RETRY_S = 0.2
@@ -65,20 +61,6 @@
 )
 
 
-def spawn(coroutine: Coroutine[Any, Any, Any], step: str) -> None:
-    """Run a step on its own; an unexpected error is logged."""
-
-    def note_failure(failure: Any) -> None:
-        catalogue.emit(
-            logger,
-            events.StepFailed(
-                step, repr(failure.value), failure.getTraceback()
-            ),
-        )
-
-    defer.ensureDeferred(coroutine).addErrback(note_failure)
-
-
 class Leader:
     """One reign of this host; made when the leader's row was taken.
 
@@ -121,12 +103,9 @@
         self._planner = planner_module.Planner(
             self.book, settings.bounds.runner_stop_s
         )
-        self._calls = runner_calls.RunnerCalls(client, token)
-        self._advice: advice_calls.AdviceCalls | None = None
+        advice: advice_calls.AdviceCalls | None = None
         if settings.advisor_address is not None:
-            self._advice = advice_calls.AdviceCalls(
-                client, settings.advisor_address
-            )
+            advice = advice_calls.AdviceCalls(client, settings.advisor_address)
         self._journal = journal_module.Journal(
             store_client,
             (OWNER_PLACE, claimed.version),
@@ -138,9 +117,23 @@
         self._journal.adopt(store.Row(ALIVE_PLACE, b"", claimed.version))
         self._orders_from = 0.0
         self._keeper = self._make_keeper(earlier)
-        self._link_by_id: dict[str, runner_link.RunnerLink] = {}
+        self._sender = order_sender.OrderSender(
+            reactor,
+            self,
+            runner_calls.RunnerCalls(client, token),
+            advice,
+            self.lease_s,
+        )
+        self._jobs = job_rows.JobRows(
+            reactor,
+            store_client,
+            self._journal,
+            self.book,
+            shown_s=settings.bounds.job_kept_s,
+            unix_time=unix_time,
+            may_order=self.may_order,
+        )
         self._followers: list[table_follower.TableFollower] = []
-        self._state_by_job: dict[str, bytes] = {}
         self._loaded: set[str] = set()
         self._ticker: Any = None
         self._renewed_at = claimed_at
@@ -256,9 +249,9 @@
             self._journal.adopt(row)
             number = records.wave_number(row.place.key)
             if number is None:
-                self._state_by_job[row.place.key] = row.value or b""
+                self._jobs.restore_state(row.place.key, row.value or b"")
             elif self._keeper is not None and row.value is not None:
-                self._keeper.restore_wave(number, row.value)
+                self._keeper.waves.restore_wave(number, row.value)
         self._follow(
             records.JOBS_TABLE,
             self._jobs_whole,
@@ -268,53 +261,20 @@
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = self._reactor
         self._ticker.start(TICK_S)
-        spawn(self._drop_ended(), "drop ended jobs")
+        background.spawn(self._jobs.drop_ended(), "drop ended jobs")
         if self._keeper is not None:
-            spawn(self._keep_hosts(self._keeper), "keep hosts")
-
-    async def _drop_ended(self) -> None:
-        """Delete the rows of jobs that were shown for long enough."""
-        while not self.stopped:
-            await twisted_task.deferLater(
-                self._reactor, DROP_PAUSE_S, lambda: None
-            )
-            shown_s = self._settings.bounds.job_kept_s + REPEATED_AFTER_S
-            oldest = self.now() - shown_s
-            ended = [
-                state.job.id
-                for state in self.book.job_by_id.values()
-                if state.status.ended
-                and state.ended_at < oldest
-                and not state.present_runs()
-            ]
-            for job_id in ended[:DROP_JOBS]:
-                if self.stopped or not self.may_order():
-                    break
-                await self._drop_job(job_id)
-
-    async def _drop_job(self, job_id: str) -> None:
-        part = records.job_part(job_id)
-        rows = [
-            store.RowKey(records.JOBS_TABLE, part, key)
-            for key in (job_id, job_id + records.CANCEL_SUFFIX)
-        ]
-        try:
-            await self._store.transact({}, {}, rows)
-        except exceptions.CallFailed as failure:
-            logger.info("Rows of job %s stay for now: %s", job_id, failure)
-            return
-        self.book.forget_job(job_id)
-        place = store.RowKey(records.STATE_TABLE, records.LEADER_PART, job_id)
-        self._journal.write(place, lambda: None)
+            background.spawn(self._keep_hosts(self._keeper), "keep hosts")
 
     async def _keep_hosts(self, keeper: host_keeper.HostKeeper) -> None:
         while not self.stopped:
             if runner_rows.TABLE in self._loaded:
-                keeper.set_waves(self._wave_by_number)
+                keeper.waves.set_waves(self._wave_by_number)
                 try:
                     await keeper.step()
                 except journal_module.Deposed:
                     return
+                except Exception as error:
+                    background.note_failure("keep hosts", error)
             await twisted_task.deferLater(
                 self._reactor, host_keeper.STEP_S, lambda: None
             )
@@ -339,7 +299,7 @@
             pause_s=pause_s,
         )
         self._followers.append(follower)
-        spawn(follower.run(), f"follow {table}")
+        background.spawn(follower.run(), f"follow {table}")
 
     def stop(self, reason: str) -> None:
         """End this reign; nothing is ordered any more."""
@@ -349,8 +309,8 @@
         self._journal.close()
         for follower in self._followers:
             follower.stop()
-        for link in self._link_by_id.values():
-            link.stop()
+        self._sender.stop()
+        self._jobs.stop()
         if self._ticker is not None and self._ticker.running:
             self._ticker.stop()
         catalogue.emit(logger, events.LeadershipLost(self.token, reason))
@@ -405,6 +365,10 @@
         self._journal.write(ALIVE_PLACE, self._encode_alive)
         return self.stored()
 
+    def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
+        self._jobs.changed(rows)
+        self.pump()
+
     def _jobs_whole(self, rows: Sequence[store.Row]) -> None:
         self._jobs_changed(rows)
         if records.JOBS_TABLE in self._loaded:
@@ -418,37 +382,6 @@
             pause_s=RUNNERS_PAUSE_S,
         )
 
-    def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
-        now, unix_now = self.now(), self._unix_time()
-        cancelled: list[str] = []
-        jobs: list[job_models.Job] = []
-        for row in rows:
-            key = row.place.key
-            if key.endswith(records.CANCEL_SUFFIX):
-                cancelled.append(key.removesuffix(records.CANCEL_SUFFIX))
-            elif row.value is None:
-                self.book.forget_job(key)
-            else:
-                jobs += self._decode_job(row)
-        for job in sorted(jobs, key=lambda job: job.accepted_at):
-            self.book.add_job(
-                job,
-                now=now,
-                unix_now=unix_now,
-                stored_state=self._state_by_job.pop(job.id, None),
-            )
-        for job_id in cancelled:
-            self.book.cancel(job_id, now)
-        self.pump()
-
-    @staticmethod
-    def _decode_job(row: store.Row) -> list[job_models.Job]:
-        try:
-            return [records.decode_job(row.value or b"")]
-        except msgspec.MsgspecError as error:
-            _note_unreadable(row, error)
-            return []
-
     def _runners_whole(self, rows: Sequence[store.Row]) -> None:
         entries = [self._runner(row) for row in rows]
         self.runner_events.set_entries(
@@ -457,7 +390,7 @@
         if runner_rows.TABLE not in self._loaded:
             self._loaded.add(runner_rows.TABLE)
             self._note_loaded()
-        self._update_links()
+        self._sender.update_links()
 
     def _runners_changed(self, rows: Sequence[store.Row]) -> None:
         now = self.now()
@@ -467,7 +400,7 @@
                 self.runner_events.unlisted(row.place.key, now)
             else:
                 self.runner_events.listed(entry, now)
-        self._update_links()
+        self._sender.update_links()
         self.pump()
 
     @staticmethod
@@ -475,7 +408,7 @@
         try:
             return runner_rows.decode_runner(row.place.key, row.value or b"")
         except msgspec.MsgspecError as error:
-            _note_unreadable(row, error)
+            table_follower.note_unreadable(row, error)
             return None
 
     def _note_loaded(self) -> None:
@@ -490,20 +423,6 @@
             ),
         )
 
-    def _update_links(self) -> None:
-        for runner_id in self.book.runner_by_id:
-            if runner_id not in self._link_by_id:
-                link = runner_link.RunnerLink(
-                    self._reactor, self, self._calls, runner_id, self.lease_s
-                )
-                self._link_by_id[runner_id] = link
-                spawn(link.run(), f"runner {runner_id}")
-        for runner_id in list(self._link_by_id):
-            if runner_id not in self.book.runner_by_id:
-                self._link_by_id.pop(runner_id).stop()
-            else:
-                self._link_by_id[runner_id].wake()
-
     # Planning and storing.
 
     def pump(self) -> None:
@@ -523,10 +442,10 @@
             if isinstance(order, orders.SendStart):
                 starts.append(order)
             else:
-                self._send(order)
+                self._sender.send(order)
         if starts:
             self._journal.stored().addCallbacks(
-                self._send_starts, lambda _: None, callbackArgs=(starts,)
+                lambda _: self._sender.send_starts(starts), lambda _: None
             )
 
     def _write_changed(self) -> None:
@@ -543,46 +462,6 @@
         self._write_changed()
         return self._journal.stored()
 
-    def _send_starts(
-        self, _: None, starts: Sequence[orders.SendStart]
-    ) -> None:
-        for order in starts:
-            link = self._link_by_id.get(order.runner_id)
-            if link is not None:
-                spawn(link.send_start(order), "start")
-
-    def _send(self, order: orders.Order) -> None:
-        if isinstance(order, orders.AskAdvice):
-            spawn(self._ask_advice(order), "advice")
-            return
-        link = self._link_by_id.get(order.runner_id)
-        if link is None:
-            return
-        if isinstance(order, orders.SendStop):
-            spawn(link.send_stop(order), "stop")
-        elif isinstance(order, orders.SendPace):
-            spawn(link.send_pace(order), "pace")
-
-    async def _ask_advice(self, order: orders.AskAdvice) -> None:
-        try:
-            if self._advice is None or not order.runner_ids:
-                return
-            advice = await self._advice.advise(
-                order.step_name, order.runner_ids
-            )
-        except exceptions.CallFailed as failure:
-            logger.info("Advice on %s: %s", order.step_name, failure)
-            await twisted_task.deferLater(
-                self._reactor, _RETRY_S, lambda: None
-            )
-            return
-        finally:
-            self.book.advice_asked.discard(order.step_name)
-        self.book.advice_by_step[order.step_name] = book_module.Advice(
-            advice.ticket_by_runner, self.now() + advice.valid_s * 0.8
-        )
-        self.pump()
-
     # Periodic work.
 
     def _tick(self) -> None:
@@ -594,7 +473,7 @@
             if state.unreachable:
                 self.runner_events.silent(runner_id, now)
         self._drop_left_runners()
-        self._update_links()
+        self._sender.update_links()
         self.pump()
 
     def _drop_left_runners(self) -> None:
@@ -626,10 +505,3 @@
             self._written_lapses,
             self._orders_from + self._store_offset_s,
         )
-
-
-def _note_unreadable(row: store.Row, error: Exception) -> None:
-    catalogue.emit(
-        logger,
-        events.RowUnreadable(row.place.table, row.place.key, str(error)),
-    )
--- /dev/null
+++ b/src/azurevane/_internal/scheduler/move_keeper.py
@@ -0,0 +1,172 @@
+"""Moves hosts between pools as their work changes."""
+
+import logging
+
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.policy import pool_sizing
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import demand
+from azurevane._internal.scheduler import host_orders
+from azurevane._internal.scheduler import host_table
+
+logger = logging.getLogger(__name__)
+
+
+class MoveKeeper:
+    """Chooses the hosts that move, or are vacated to move later."""
+
+    def __init__(
+        self, book: book_module.Book, table: host_table.HostTable
+    ) -> None:
+        self._book = book
+        self._table = table
+        self._demand = demand.DemandMeter(book)
+        self._size_by_pool: dict[str, tuple[int, int, int]] = {}
+        # Hosts that are vacated for a move.
+        self._leaving: set[str] = set()
+        self._refused_moves: set[tuple[str, str]] = set()
+
+    def orders(
+        self, due_names: set[str], now: float
+    ) -> list[host_orders.HostOrder]:
+        """Return the hosts to move now, and vacate those to come.
+
+        Args:
+            due_names: hosts that are due for maintenance.
+        """
+        config = self._book.config
+        if config is None:
+            return []
+        standby_pools = [
+            service.name
+            for service in config.service_by_name.values()
+            if service.standby
+        ]
+        if not standby_pools:
+            return []
+        hosts = list(self._table.host_by_name.values())
+        demands = self._demand.measure(
+            hosts, self._table.coming_by_pool(now), now
+        )
+        self._note_sizes(demands)
+        plan = pool_sizing.plan_moves(
+            demands,
+            self._idle_hosts(due_names, now),
+            self._busy_hosts(now),
+            self._standby_hosts(due_names, now),
+            standby_pools[0],
+        )
+        self._set_leaving(plan.vacate)
+        orders = []
+        for move in plan.moves:
+            if (move.host, move.target) in self._refused_moves:
+                continue
+            host = self._table.host_by_name[move.host]
+            self._table.vacate(host)
+            orders.append(
+                host_orders.HostOrder(host, move.reason, pool=move.target)
+            )
+        return orders
+
+    def note_moved(self, host_name: str) -> None:
+        """Record that a host is on its way."""
+        self._leaving.discard(host_name)
+
+    def note_refused(self, host_name: str, pool: str) -> None:
+        """Record that a host can't be in a pool."""
+        self._refused_moves.add((host_name, pool))
+
+    def _note_sizes(self, demands: list[pool_sizing.PoolDemand]) -> None:
+        for pool in demands:
+            wanted = pool_sizing.hosts_wanted(pool)
+            size = wanted, pool.ready_hosts, pool.coming_hosts
+            if self._size_by_pool.get(pool.name) == size:
+                continue
+            self._size_by_pool[pool.name] = size
+            catalogue.emit(
+                logger,
+                events.PoolSized(
+                    pool.name,
+                    wanted,
+                    pool.ready_hosts,
+                    pool.coming_hosts,
+                    pool.busy_cpu,
+                    pool.waiting_cpu,
+                    round(pool.arriving_cpu),
+                ),
+            )
+
+    def _idle_hosts(
+        self, due_names: set[str], now: float
+    ) -> list[pool_sizing.IdleHost]:
+        idle = []
+        for host in self._table.host_by_name.values():
+            if not self._table.free_to_order(host, now):
+                continue
+            since = self._table.idle_since.get(host.runner_id)
+            vacated = host.name in self._leaving
+            if since is None:
+                continue
+            if host.runner_id in self._book.vacating and not vacated:
+                continue
+            idle.append(
+                pool_sizing.IdleHost(
+                    host.name,
+                    host.pool,
+                    now - since,
+                    host.name in due_names,
+                    vacated,
+                )
+            )
+        return idle
+
+    def _busy_hosts(self, now: float) -> list[pool_sizing.BusyHost]:
+        """Return hosts that would be empty after a while without starts."""
+        busy = []
+        for host in self._table.host_by_name.values():
+            runner = self._table.runner(host)
+            if runner is None or not self._table.free_to_order(host, now):
+                continue
+            leaving = host.name in self._leaving
+            if runner.id in self._book.vacating and not leaving:
+                continue
+            tasks = list(runner.run_by_task.values())
+            if not tasks or any(run.step.long_running for run in tasks):
+                continue
+            busy.append(
+                pool_sizing.BusyHost(host.name, host.pool, len(tasks), leaving)
+            )
+        return busy
+
+    def _set_leaving(self, names: frozenset[str]) -> None:
+        """Vacate hosts for a move; the others of before take tasks again."""
+        for name in self._leaving - names:
+            host = self._table.host_by_name.get(name)
+            if host is not None and self._table.idle_since.get(host.runner_id):
+                # Empty by now: it moves in this step or the next one.
+                continue
+            self._leaving.discard(name)
+            if host is not None:
+                self._table.occupy(host)
+        for name in names:
+            self._leaving.add(name)
+            self._table.vacate(self._table.host_by_name[name])
+
+    def _standby_hosts(self, due_names: set[str], now: float) -> list[str]:
+        hosts = [
+            host
+            for host in self._table.host_by_name.values()
+            if self._table.on_standby(host.pool)
+            and self._table.free_to_order(host, now)
+            and host.zone not in self._book.zones_out
+        ]
+        labels = self._demand.wanted_labels()
+        hosts.sort(
+            key=lambda host: (
+                labels.isdisjoint(host.labels),
+                host.name in due_names,
+                host.name,
+            )
+        )
+        return [host.name for host in hosts]
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -12,6 +12,7 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.platform import runner_calls
+from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import runner_events
@@ -54,7 +55,11 @@
 
 
 class RunnerLink:
-    """Carries orders to one runner and its lists back."""
+    """Carries orders to one runner and its lists back.
+
+    Attributes:
+        ended: whether it has stopped asking the runner.
+    """
 
     def __init__(
         self,
@@ -71,6 +76,7 @@
         self._lease_s = lease_s
         self._wake: defer.Deferred[None] | None = None
         self._stopped = False
+        self.ended = False
 
     def stop(self) -> None:
         """Send nothing more."""
@@ -98,7 +104,12 @@
                 await self._pause(UNSTORED_PAUSE_S)
                 if self._state() is not state:
                     continue
-            await self._hold(state)
+            try:
+                await self._hold(state)
+            except Exception as error:
+                background.note_failure(f"runner {self._id}", error)
+                await self._pause(UNSTORED_PAUSE_S)
+        self.ended = True
 
     @staticmethod
     def _idle(state: runner_state.RunnerState) -> bool:
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -160,3 +160,11 @@
             logger,
             events.StoreRegained(f"follow {self._table}", round(lost_s, 3)),
         )
+
+
+def note_unreadable(row: store.Row, error: Exception) -> None:
+    """Log a row that can't be read; it is ignored."""
+    catalogue.emit(
+        logger,
+        events.RowUnreadable(row.place.table, row.place.key, str(error)),
+    )
