Show a job through a killed leader in make demo

Cause: the demo knew only the earlier programs. Change: make demo first runs three entry hosts against the platform's stand-in, submits a job, kills the leader and shows the job's end.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
+	$(BIN)/python -W ignore tools/site_demo.py
 	$(BIN)/python examples/demo.py --seed $(SEED)
 
 test: $(STAMP)
