--- a/src/azurevane/_internal/scheduler/book.py
+++ b/src/azurevane/_internal/scheduler/book.py
@@ -107,8 +107,10 @@
         state.beyond_share = self._take_share(job, arrived_at)
         if stored_state is not None:
             records.restore_state(state, stored_state)
-        if state.status.ended and not state.present_runs():
+        if state.status.ended:
+            # When it ended isn't stored; its rows are kept from now on.
             state.ended_at = now
+        if state.status.ended and not state.present_runs():
             return
         self.live_by_id[job.id] = state
         for run in state.present_runs():
--- a/tests/scheduler/jobs.feature
+++ b/tests/scheduler/jobs.feature
@@ -159,3 +159,8 @@
     When 100.0 s pass
     Then the state of job "00000000000000f1" is refused with 410
     And the store has no row of the job
+
+  Scenario: A job that ended just before a take-over stays known
+    Guards against a new leader that drops a job whose tasks still stop.
+    When a leader reads a job that failed while a task of it still stops
+    Then the job counts as ended from now on
--- a/tests/scheduler/steps/job_steps.py
+++ b/tests/scheduler/steps/job_steps.py
@@ -6,6 +6,11 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import book as book_module
+from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import runs
+
 JOB_ID = "00000000000000f1"
 _FLAGS = {"longRunning", "gang", "checkpointing", "speculative"}
 _TEXTS = {"requirements", "affinity"}
@@ -301,3 +306,26 @@
     keys = store.keys("azurevane-jobs") + store.keys("azurevane-state")
     left = [key for key in keys if key.startswith(JOB_ID)]
     assert not left, left
+
+
+@when("a leader reads a job that failed while a task of it still stops")
+def step_read_ended(context):
+    step = job_models.Step(2, job_models.Capacity(1000, 100), 1.0)
+    job = job_models.Job(JOB_ID, "fit", "press", "", "", (step,), 0.0)
+    state = runs.JobState(job, now=0.0, arrived_at=0.0, objective_at=1.0)
+    state.runs_by_step[0, 0][0].assign("i-1", 1)
+    state.status = runs.JobStatus.FAILED
+    context.book = book_module.Book(0.0)
+    context.book.add_job(
+        job,
+        now=5000.0,
+        unix_now=5000.0,
+        stored_state=records.encode_state(state),
+    )
+
+
+@then("the job counts as ended from now on")
+def step_ended_now(context):
+    state = context.book.job_by_id[JOB_ID]
+    assert state.present_runs(), "no task is left"
+    assert state.ended_at == 5000.0, state.ended_at
