Move a host's claim to lead into a module of its own

Change: scheduler/candidate.py follows the leader's rows, claims and holds the reign; site_host.py keeps callers and operators. No behaviour changes.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -5,14 +5,12 @@
 import logging
 import os
 import pathlib
-import random
 import signal
 import sys
 import time
 from typing import Any
 
 import msgspec
-from twisted.internet import task as twisted_task
 
 import azurevane
 from azurevane import exceptions
@@ -29,8 +27,8 @@
 from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import background
+from azurevane._internal.scheduler import candidate
 from azurevane._internal.scheduler import leader as leader_module
-from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import table_follower
 
 logger = logging.getLogger(__name__)
@@ -38,13 +36,6 @@
 SETTINGS_VARIABLE = "AZUREVANE_CONFIG"
 # How long the store may hold back an answer about changes.
 OPERATORS_WAIT_S = 1.2
-# Below the freshness that a take-over needs.
-LEADER_WAIT_S = 0.6
-# Pause of a host that leaves take-overs to others.
-WEAK_PAUSE_S = 0.8
-CLAIM_TICK_S = 0.1
-# Spreads the hosts' attempts to take over.
-CLAIM_JITTER_S = 0.3
 # The balancer asks every second and takes a host out after two misses.
 LEAVE_ROTATION_S = 2.5
 # Time to read requests that were on their way when the host stopped
@@ -89,46 +80,43 @@
         self._resource = job_resource.JobResource(
             self.desk, lambda: self._stopping_at is not None
         )
-        delay_s = leadership.claim_delay_s(
-            settings.processors, settings.link_mbps
-        )
-        self._strong = not delay_s
-        self._view = leadership.LeaderView(
-            settings.host_name,
-            reactor.seconds(),
-            delay_s + random.uniform(0.0, CLAIM_JITTER_S),
+        self._candidate = candidate.Candidate(
+            reactor,
+            self._client,
+            self._store,
+            settings,
+            unix_time=unix_time,
+            set_pending=self.desk.set_pending,
+            began=self._tell_leader,
         )
         self._zones_out: frozenset[str] = frozenset()
         self._wave_by_number: dict[int, site.Wave] = {}
-        self.leader: leader_module.Leader | None = None
-        self._claiming = False
-        self._followers: list[table_follower.TableFollower] = []
-        self._loop: Any = None
+        self._operators: table_follower.TableFollower | None = None
         self._callers_port: Any = None
         self._end: Callable[[], None] = lambda: None
 
+    @property
+    def leader(self) -> leader_module.Leader | None:
+        """The reign of this host, if it leads."""
+        return self._candidate.leader
+
     def start(self) -> None:
         """Listen and follow the store."""
         self._listen()
-        self._follow(
+        self._operators = table_follower.TableFollower(
+            self._reactor,
+            self._store,
             operator_rows.TABLE,
-            OPERATORS_WAIT_S,
-            self._operators_whole,
-            self._operators_changed,
-            self.desk.note_view,
-            self.desk.set_store_lost,
+            wait_s=OPERATORS_WAIT_S,
+            whole=self._operators_whole,
+            changed=self._operators_changed,
+            viewed=self.desk.note_view,
+            lost=self.desk.set_store_lost,
         )
-        self._follow(
-            leadership.TABLE,
-            LEADER_WAIT_S,
-            self._leader_changed,
-            self._leader_changed,
-            self._view.note_view,
-            pause_s=0.0 if self._strong else WEAK_PAUSE_S,
+        background.spawn(
+            self._operators.run(), f"follow {operator_rows.TABLE}"
         )
-        self._loop = twisted_task.LoopingCall(self._tick)
-        self._loop.clock = self._reactor
-        self._loop.start(CLAIM_TICK_S)
+        self._candidate.start()
 
     def _listen(self) -> None:
         settings = self._settings
@@ -151,31 +139,6 @@
     def _ready(self) -> bool:
         return self._stopping_at is None and self.desk.ready()
 
-    def _follow(
-        self,
-        table: str,
-        wait_s: float,
-        whole: Any,
-        changed: Any,
-        viewed: Any,
-        lost: Any = lambda lost: None,
-        *,
-        pause_s: float = 0.0,
-    ) -> None:
-        follower = table_follower.TableFollower(
-            self._reactor,
-            self._store,
-            table,
-            wait_s=wait_s,
-            whole=whole,
-            changed=changed,
-            viewed=viewed,
-            lost=lost,
-            pause_s=pause_s,
-        )
-        self._followers.append(follower)
-        background.spawn(follower.run(), f"follow {table}")
-
     # Rows of the operators.
 
     def _operators_whole(self, rows: Sequence[store.Row]) -> None:
@@ -238,84 +201,13 @@
                 dict(self._wave_by_number),
             )
 
-    # Leadership.
-
-    def _leader_changed(self, rows: Sequence[store.Row]) -> None:
-        now = self._reactor.seconds()
-        for row in rows:
-            key, value = row.place.key, row.value
-            self._view.note_row(key, value, row.version, now)
-            if key == leadership.ALIVE_KEY and value is not None:
-                self.desk.set_pending(leadership.decode_pending(value))
-
-    def _tick(self) -> None:
-        if self._claiming or self.leader is not None or self._stopping_at:
-            return
-        claim = self._view.claim(self._reactor.seconds())
-        if claim is not None:
-            self._claiming = True
-            background.spawn(self._take_over(claim), "take over")
-
-    async def _take_over(self, claim: leadership.Claim) -> None:
-        claimed_at = self._reactor.seconds()
-        try:
-            outcome = await self._store.transact(
-                {
-                    leader_module.OWNER_PLACE: claim.owner_version,
-                    leader_module.ALIVE_PLACE: claim.alive_version,
-                },
-                {
-                    leader_module.OWNER_PLACE: claim.owner_value,
-                    leader_module.ALIVE_PLACE: leadership.encode_alive(
-                        claim.token,
-                        0,
-                        {},
-                        claim.earlier.lapse_by_runner,
-                        claim.earlier.orders_from,
-                    ),
-                },
-            )
-        except exceptions.CallFailed as failure:
-            logger.info("Take-over: %s", failure)
-            return
-        finally:
-            self._claiming = False
-        if isinstance(outcome, store.Conflict):
-            now = self._reactor.seconds()
-            for row in outcome.row_by_place.values():
-                self._view.note_row(row.place.key, row.value, row.version, now)
-            return
-        catalogue.emit(
-            logger, events.LeadershipTaken(claim.token, claim.reason)
-        )
-        self.leader = leader_module.Leader(
-            self._reactor,
-            self._client,
-            self._store,
-            self._settings,
-            token=claim.token,
-            claimed_at=claimed_at,
-            claimed=outcome,
-            earlier=claim.earlier,
-            unix_time=self._unix_time,
-            over=self._reign_over,
-        )
-        self._tell_leader()
-        await self.leader.run()
-
-    def _reign_over(self, reason: str) -> None:
-        self.leader = None
-
     # Stop.
 
     def abandon(self) -> None:
         """End at once, as when the process is killed."""
-        for follower in self._followers:
-            follower.stop()
-        if self._loop is not None and self._loop.running:
-            self._loop.stop()
-        if self.leader is not None:
-            self.leader.stop("process ends")
+        if self._operators is not None:
+            self._operators.stop()
+        self._candidate.abandon()
 
     def stop(self, end: Callable[[], None]) -> None:
         """Leave the rotation, answer what was sent, then end."""
@@ -329,8 +221,7 @@
                 "azurevane-host", self._resource.in_flight
             ),
         )
-        if self.leader is not None:
-            background.spawn(self.leader.hand_over(), "hand over")
+        self._candidate.leave()
         self._reactor.callLater(LEAVE_ROTATION_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
