Ask a silent leader whether it still leads

Change: the leader's row names an address; after 0.8 s of silence the other hosts ask there. Nothing listening means that the process has ended; a leader whose writes are rejected or unanswered gives up before it answers. Either way the asker takes over without the lease. Without an answer the lease decides as before. A host asks only after a read that was sent during the silence, and after a gap of 2 s in its own view it counts anew. Ruled out: a shorter lease (a slow store takes 0.5 s an answer), asking on a read that was held back (deposed the leader when the store went down for all; "Running tasks outlive an outage of the store" failed).

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -22,6 +22,7 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import site
+from azurevane._internal.peers import leader_line
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import node_settings
 from azurevane._internal.platform import operator_rows
@@ -80,7 +81,7 @@
         self._resource = job_resource.JobResource(
             self.desk, lambda: self._stopping_at is not None
         )
-        self._candidate = candidate.Candidate(
+        self.candidate = candidate.Candidate(
             reactor,
             self._client,
             self._store,
@@ -98,7 +99,7 @@
     @property
     def leader(self) -> leader_module.Leader | None:
         """The reign of this host, if it leads."""
-        return self._candidate.leader
+        return self.candidate.leader
 
     def start(self) -> None:
         """Listen and follow the store."""
@@ -110,13 +111,13 @@
             wait_s=OPERATORS_WAIT_S,
             whole=self._operators_whole,
             changed=self._operators_changed,
-            viewed=self.desk.note_view,
+            viewed=lambda at, sent_at: self.desk.note_view(at),
             lost=self.desk.set_store_lost,
         )
         background.spawn(
             self._operators.run(), f"follow {operator_rows.TABLE}"
         )
-        self._candidate.start()
+        self.candidate.start()
 
     def _listen(self) -> None:
         settings = self._settings
@@ -128,6 +129,15 @@
                 backlog=LISTEN_BACKLOG,
                 interface=settings.callers_listen.ip,
             )
+        if settings.hosts_listen is not None:
+            self._reactor.listenTCP(
+                settings.hosts_listen.port,
+                job_resource.QuietSite(
+                    leader_line.LeaderResource(self.candidate.leads),
+                    IDLE_CONNECTION_S,
+                ),
+                interface=settings.hosts_listen.ip,
+            )
         if settings.readiness_listen is not None:
             root = job_resource.ReadinessResource(self._ready)
             self._reactor.listenTCP(
@@ -207,7 +217,7 @@
         """End at once, as when the process is killed."""
         if self._operators is not None:
             self._operators.stop()
-        self._candidate.abandon()
+        self.candidate.abandon()
 
     def stop(self, end: Callable[[], None]) -> None:
         """Leave the rotation, answer what was sent, then end."""
@@ -221,7 +231,7 @@
                 "azurevane-host", self._resource.in_flight
             ),
         )
-        self._candidate.leave()
+        self.candidate.leave()
         self._reactor.callLater(LEAVE_ROTATION_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -187,6 +187,17 @@
     took_s: float
 
 
+@catalogue.event(6023)
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderAsked(catalogue.Event):
+    """Silent leader asked by its address whether it still leads."""
+
+    holder: str
+    token: int
+    silent_s: float
+    answer: str
+
+
 @catalogue.event(6030)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigInForce(catalogue.Event):
--- a/src/azurevane/_internal/models/host_settings.py
+++ b/src/azurevane/_internal/models/host_settings.py
@@ -62,6 +62,7 @@
         host_name: unique name of this host.
         callers_listen: address for callers; None if it serves none.
         readiness_listen: address of the readiness check.
+        hosts_listen: address for the site's other entry hosts.
         store_address: address of the platform's store.
         hosts_api_address: address of the platform's list of hosts.
         host_orders_per_s: moves and maintenance orders of all entry hosts.
@@ -84,3 +85,4 @@
     bounds: Bounds
     processors: float = 1.0
     link_mbps: float = 1000.0
+    hosts_listen: Address | None = None
--- /dev/null
+++ b/src/azurevane/_internal/peers/leader_line.py
@@ -0,0 +1,107 @@
+"""The question that one entry host asks another: do you still lead?"""
+
+from collections.abc import Callable
+import enum
+import logging
+
+import msgspec
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from azurevane import exceptions
+from azurevane._internal.models import host_settings
+from azurevane._internal.platform import http_client
+
+logger = logging.getLogger(__name__)
+
+PATH = "/azurevane/leader"
+# Many round trips inside a region; without an answer the lease decides.
+ANSWER_TIMEOUT_S = 0.4
+
+
+class _Question(msgspec.Struct):
+    token: int
+    asker: str
+
+
+class _Answer(msgspec.Struct):
+    leads: bool
+
+
+class Standing(enum.Enum):
+    """What is known of a reign after its host was asked."""
+
+    LEADS = "leads"
+    GAVE_UP = "gave up"
+    GONE = "gone"
+    UNKNOWN = "no answer"
+
+
+class LeaderLine:
+    """Asks hosts whether they lead."""
+
+    def __init__(self, client: http_client.HttpClient, host_name: str) -> None:
+        self._client = client
+        self._host_name = host_name
+
+    async def ask(
+        self, address: host_settings.Address, token: int
+    ) -> Standing:
+        """Return whether the host at an address leads under a token.
+
+        A host's process listens for as long as it may lead, so an address
+        at which nothing listens shows that the process has ended.
+        """
+        try:
+            answer = await self._client.call(
+                address,
+                b"POST",
+                PATH,
+                {"token": token, "asker": self._host_name},
+                timeout_s=ANSWER_TIMEOUT_S,
+            )
+        except exceptions.CallFailed as failure:
+            return Standing.GONE if failure.refused else Standing.UNKNOWN
+        if answer.status != http.OK:
+            return Standing.UNKNOWN
+        try:
+            leads = msgspec.json.decode(answer.body, type=_Answer).leads
+        except msgspec.MsgspecError as error:
+            logger.warning("Answer of %s about its reign: %s", address, error)
+            return Standing.UNKNOWN
+        return Standing.LEADS if leads else Standing.GAVE_UP
+
+
+def answer(body: bytes, leads: Callable[[int, str], bool]) -> bytes:
+    """Return the answer to a question.
+
+    Args:
+        leads: whether this host leads under a token, asked by a host.
+
+    Raises:
+        MsgspecError: the question is malformed.
+    """
+    question = msgspec.json.decode(body, type=_Question)
+    return msgspec.json.encode(_Answer(leads(question.token, question.asker)))
+
+
+class LeaderResource(resource.Resource):
+    """Answers other hosts' questions."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, leads: Callable[[int, str], bool]) -> None:
+        super().__init__()
+        self._leads = leads
+
+    def render(self, request: server.Request) -> bytes:
+        """Return 200 with the answer, or 400."""
+        if request.method != b"POST" or request.path.decode() != PATH:
+            request.setResponseCode(http.NOT_FOUND)
+            return b""
+        try:
+            return answer(request.content.read(), self._leads)
+        except msgspec.MsgspecError as error:
+            request.setResponseCode(http.BAD_REQUEST)
+            return str(error).encode()
--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -29,10 +29,10 @@
     error.ConnectBindError,
     error.ConnectingCancelledError,
 )
+_TIMED_OUT = (defer.TimeoutError, defer.CancelledError)
 _UNKNOWN = (
     error.ConnectionClosed,
-    defer.TimeoutError,
-    defer.CancelledError,
+    *_TIMED_OUT,
     client.ResponseFailed,
     client.PartialDownloadError,
     client.RequestTransmissionFailed,
@@ -129,6 +129,7 @@
             raise exceptions.CallFailed(
                 f"{method.decode()} {path} at {address}: {failure!r}",
                 verdict.Verdict.MAY_HAVE_RUN,
+                timed_out=isinstance(failure, _TIMED_OUT),
             ) from failure
 
     async def _call(
--- a/src/azurevane/_internal/platform/node_settings.py
+++ b/src/azurevane/_internal/platform/node_settings.py
@@ -50,7 +50,10 @@
     node_name: str
     zone: str
     platform: _Store
+    ip: str = ""
     listen_addrs: dict[str, str] = {}
+    # First and last port that this host's processes may use among hosts.
+    internal_ports: list[int] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     cloud_api: _HostsApi | None = None
@@ -92,6 +95,7 @@
         bounds=_bounds(settings.bounds),
         processors=settings.limits.cpu_share * settings.limits.cores,
         link_mbps=settings.limits.link_mbps,
+        hosts_listen=_hosts_listen(settings),
     )
 
 
@@ -100,6 +104,12 @@
     return addresses.parse_address(text) if text else None
 
 
+def _hosts_listen(settings: _Settings) -> host_settings.Address | None:
+    if not settings.ip or not settings.internal_ports:
+        return None
+    return host_settings.Address(settings.ip, settings.internal_ports[0])
+
+
 def _bounds(bounds: _Bounds) -> host_settings.Bounds:
     return host_settings.Bounds(
         stop_grace_s=bounds.grace_s,
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -11,6 +11,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
+from azurevane._internal.peers import leader_line
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import background
@@ -20,14 +21,19 @@
 
 logger = logging.getLogger(__name__)
 
-# Below the freshness that a take-over needs.
-LEADER_WAIT_S = 0.6
+# How long the store holds back an answer about the leader's rows: above the
+# time between two signs of life, and below the freshness that a take-over
+# needs; less once the leader is silent.
+LEADER_WAIT_S = 0.9
+SILENT_WAIT_S = 0.1
 # Pause of a host that leaves take-overs to others.
 WEAK_PAUSE_S = 0.8
 CLAIM_TICK_S = 0.1
 # Spreads the hosts' attempts to take over.
 CLAIM_JITTER_S = 0.3
 
+_OVER = (leader_line.Standing.GAVE_UP, leader_line.Standing.GONE)
+
 
 class Candidate:
     """Follows the leader's rows and takes them over when it may.
@@ -64,8 +70,11 @@
         self._view = leadership.LeaderView(
             settings.host_name,
             reactor.seconds(),
-            delay_s + random.uniform(0.0, CLAIM_JITTER_S),
+            delay_s=delay_s,
+            jitter_s=random.uniform(0.0, CLAIM_JITTER_S),
+            address=settings.hosts_listen,
         )
+        self._line = leader_line.LeaderLine(client, settings.host_name)
         self._follower = table_follower.TableFollower(
             reactor,
             store_client,
@@ -73,12 +82,13 @@
             wait_s=LEADER_WAIT_S,
             whole=self._rows_changed,
             changed=self._rows_changed,
-            viewed=self._view.note_view,
+            viewed=self._note_view,
             pause_s=WEAK_PAUSE_S if delay_s else 0.0,
         )
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = reactor
         self._claiming = False
+        self._asking = False
         self._left = False
         self.leader: leader_module.Leader | None = None
 
@@ -109,13 +119,56 @@
             if key == leadership.ALIVE_KEY and value is not None:
                 self._set_pending(leadership.decode_pending(value))
 
+    def _note_view(self, now: float, sent_at: float) -> None:
+        self._view.note_view(now, sent_at)
+        self._follower.wait_s = (
+            SILENT_WAIT_S if self._view.silent(now) else LEADER_WAIT_S
+        )
+
     def _tick(self) -> None:
         if self._claiming or self.leader is not None or self._left:
             return
-        claim = self._view.claim(self._reactor.seconds())
+        now = self._reactor.seconds()
+        claim = self._view.claim(now)
         if claim is not None:
             self._claiming = True
             background.spawn(self._take_over(claim), "take over")
+            return
+        doubt = None if self._asking else self._view.doubt(now)
+        if doubt is not None:
+            self._asking = True
+            background.spawn(self._ask(doubt), "ask the leader")
+
+    async def _ask(self, doubt: leadership.Doubt) -> None:
+        try:
+            standing = await self._line.ask(doubt.address, doubt.token)
+            catalogue.emit(
+                logger,
+                events.LeaderAsked(
+                    doubt.holder,
+                    doubt.token,
+                    round(doubt.silent_s, 3),
+                    standing.value,
+                ),
+            )
+            if standing in _OVER:
+                self._view.note_over(doubt.token, standing.value)
+                self._tick()
+                return
+            await twisted_task.deferLater(
+                self._reactor, leadership.ASK_PAUSE_S, lambda: None
+            )
+        finally:
+            self._asking = False
+
+    def leads(self, token: int, asker: str) -> bool:
+        """Whether this host leads under a token, as another host asks."""
+        if self._claiming:
+            # The store may have granted it already.
+            return True
+        if self.leader is None or self.leader.token != token:
+            return False
+        return self.leader.asked(asker)
 
     async def _take_over(self, claim: leadership.Claim) -> None:
         claimed_at = self._reactor.seconds()
--- a/src/azurevane/_internal/scheduler/journal.py
+++ b/src/azurevane/_internal/scheduler/journal.py
@@ -55,6 +55,10 @@
         committed: called with a write that took effect and the time at
             which it was sent, which proves that this host led then.
         deposed: called once when another host leads.
+
+    Attributes:
+        turned_away: whether the store rejected the last write, or cut its
+            connection.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         self._waiting: list[defer.Deferred[None]] = []
         self._running = False
         self.closed = False
+        self.turned_away = False
 
     def adopt(self, row: store.Row) -> None:
         """Take in the version of a row that was read."""
@@ -161,6 +166,7 @@
                     ],
                 )
             except exceptions.CallFailed as failure:
+                self.turned_away = not failure.timed_out
                 catalogue.emit(
                     logger,
                     events.WriteFailed(
@@ -170,6 +176,7 @@
                 await self._sleep(retry_s)
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
+            self.turned_away = False
             if isinstance(outcome, store.Committed):
                 self._note_committed(batch, outcome, sent_at)
                 return True
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -173,10 +173,9 @@
         orders_from = earlier.orders_from - self._store_offset_s
         if self.token > 1 and not earlier.same_host:
             orders_from = self.now() + bounds.host_lease_s + ORDERS_MARGIN_S
-        if earlier.may_extend:
-            # Silent for a lease; its last order followed its last sign of
-            # life within a bound.
-            orders_from -= leadership.LEASE_S - host_keeper.ORDER_WITHIN_S
+            # Its last order followed its last sign of life within a bound.
+            unordered_s = earlier.silent_s - host_keeper.ORDER_WITHIN_S
+            orders_from -= max(unordered_s, 0.0)
         self._orders_from = orders_from
         return host_keeper.HostKeeper(
             self,
@@ -210,6 +209,20 @@
         until = self._committed_at + EXTEND_WITHOUT_STORE_S
         return not self.stopped and self.now() < until
 
+    def asked(self, host: str) -> bool:
+        """Whether this host still leads, when another one asks.
+
+        The other one sees the store and no sign of this host, so a leader
+        that can't write gives up instead of waiting for its lease.
+        """
+        now = self.now()
+        if now - self._committed_at < leadership.YIELD_AFTER_S:
+            return not self.stopped
+        silent_s = now - self._store.answered_at
+        if self._journal.turned_away or silent_s > leadership.YIELD_AFTER_S:
+            self.stop(f"the store turns it away, but not {host}")
+        return not self.stopped
+
     def doubt(self, reason: str) -> None:
         """Ask the store whether this host still leads."""
         logger.info("Leadership in doubt: %s", reason)
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -27,12 +27,15 @@
     Args:
         parted: whether the table has several parts.
         pause_s: time between two reads, in which changes gather.
-        wait_s: how long the store may wait for a change.
         whole: called with all rows after a whole read.
         changed: called with rows that changed since.
-        viewed: called with a time that all rows known are as new as.
+        viewed: called with a time that all rows known are as new as, and
+            the time at which the read that shows it was sent.
         lost: called with True when reads begin to fail, and with False
             when they work again.
+
+    Attributes:
+        wait_s: how long the store may wait for a change.
     """
 
     def __init__(
@@ -44,7 +47,7 @@
         wait_s: float,
         whole: Callable[[Sequence[store.Row]], None],
         changed: Callable[[Sequence[store.Row]], None],
-        viewed: Callable[[float], None] = lambda sent_at: None,
+        viewed: Callable[[float, float], None] = lambda at, sent_at: None,
         lost: Callable[[bool], None] = lambda lost: None,
         parted: bool = False,
         pause_s: float = 0.0,
@@ -52,7 +55,7 @@
         self._reactor = reactor
         self._client = client
         self._table = table
-        self._wait_s = wait_s
+        self.wait_s = wait_s
         self._whole = whole
         self._changed = changed
         self._viewed = viewed
@@ -106,7 +109,7 @@
             await self._read_whole(sent_at)
             return
         # After a failure an answer shows at once that the store is back.
-        wait_s = self._wait_s if self._lost_at is None else 0.0
+        wait_s = self.wait_s if self._lost_at is None else 0.0
         changes = await self._client.changes(
             self._table, self._version, wait_s
         )
@@ -115,11 +118,11 @@
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._changed(changes.rows)
-            self._viewed(sent_at)
+            self._viewed(sent_at, sent_at)
             return
         # The store saw no change for as long as it held the answer back.
         held_until = min(sent_at + wait_s, self._reactor.seconds())
-        self._viewed(held_until)
+        self._viewed(held_until, sent_at)
 
     async def _read_whole(self, sent_at: float) -> None:
         parts: Sequence[str] = ("",)
@@ -140,7 +143,7 @@
             logger, events.TableReadAnew(self._table, len(rows), version)
         )
         self._whole(rows)
-        self._viewed(sent_at)
+        self._viewed(sent_at, sent_at)
 
     def _note_lost(self, error: str) -> None:
         if self._lost_at is None:
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -38,6 +38,7 @@
 
     Attributes:
         store_down_for: names of the entry hosts that the store refuses.
+        store_silent_for: names of those that it doesn't answer.
         lost_answers: number of coming store writes that are done and not
             answered.
         record: (time, event, runner, task, attempt) of all runners.
@@ -45,6 +46,8 @@
             late and didn't answer.
         host_orders: (time, order, host, holder, token) of all hosts.
         most_in_maintenance: most hosts in maintenance at once.
+        entry_host_by_address: answers questions of other entry hosts; None
+            where the process has ended, so that nothing listens.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self._move_s = move_s
         self.latency_s = latency_s
         self.store_down_for: set[str] = set()
+        self.store_silent_for: set[str] = set()
         self.store_down = False
         self.store_silent = False
         self.store_delay_s = 0.0
@@ -73,6 +77,9 @@
             f"10.9.0.{self._lives}:8000"
         )
         self.most_in_maintenance = 0
+        self.entry_host_by_address: dict[
+            str, Callable[[bytes], bytes | None] | None
+        ] = {}
 
     # Building a site.
 
@@ -148,7 +155,7 @@
     ) -> "Response | defer.Deferred[Response] | None":
         """Carry out a call; None when no answer will come."""
         if request.address == STORE_ADDRESS:
-            if self.store_silent:
+            if self.store_is_silent_to(host_name):
                 return None
             if self.store_down or host_name in self.store_down_for:
                 return Response(503)
@@ -161,8 +168,24 @@
             return answer
         if request.address == HOSTS_ADDRESS:
             return self._call_hosts(request)
+        if str(request.address) in self.entry_host_by_address:
+            return self._call_entry_host(request)
         return self._call_runner(request)
 
+    def store_is_silent_to(self, host_name: str) -> bool:
+        """Whether the store answers nothing to an entry host."""
+        return self.store_silent or host_name in self.store_silent_for
+
+    def refuses(self, address: host_settings.Address) -> bool:
+        """Whether nothing listens at an entry host's address."""
+        return self.entry_host_by_address.get(str(address), ...) is None
+
+    def _call_entry_host(self, request: "Request") -> Response | None:
+        answer = self.entry_host_by_address[str(request.address)]
+        assert answer is not None, "nothing listens"
+        body = answer(json.dumps(request.body).encode())
+        return None if body is None else Response(200, json.loads(body))
+
     def _call_runner(
         self, request: "Request"
     ) -> "Response | defer.Deferred[Response] | None":
@@ -262,6 +285,16 @@
     }
 
 
+def _failure(request: "Request", error: Exception) -> exceptions.CallFailed:
+    refused = isinstance(error, ConnectionRefusedError)
+    return exceptions.CallFailed(
+        f"{request.method} {request.path} at {request.address}: {error!r}",
+        verdict.Verdict.NOT_RUN if refused else verdict.Verdict.MAY_HAVE_RUN,
+        refused=refused,
+        timed_out=not refused,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A call as it arrives."""
@@ -283,6 +316,13 @@
         # An entry host that was cut off or killed.
         self.silent = False
 
+    def _lost(self, address: host_settings.Address) -> bool:
+        """Whether an answer from an address doesn't arrive now."""
+        platform = self._platform
+        if address == STORE_ADDRESS:
+            return self.silent or platform.store_is_silent_to(self._host_name)
+        return self.silent
+
     async def call(
         self,
         address: host_settings.Address,
@@ -309,6 +349,9 @@
         def arrive() -> None:
             if self.silent:
                 return
+            if self._platform.refuses(address):
+                answered.errback(ConnectionRefusedError())
+                return
             answer = self._platform.call(self._host_name, request)
             if answer is None:
                 return
@@ -320,20 +363,20 @@
             )
 
         def deliver(response: Response) -> None:
-            if address == STORE_ADDRESS and self._platform.store_silent:
+            if self._lost(address) or answered.called:
                 return
-            if not answered.called and not self.silent:
-                answered.callback(response)
+            answered.callback(response)
 
         reactor.callLater(self._platform.latency_s, arrive)
         answered.addTimeout(timeout_s, reactor)
         try:
             response = await answered
-        except (defer.TimeoutError, defer.CancelledError) as error:
-            raise exceptions.CallFailed(
-                f"{request.method} {name} at {address}: timed out",
-                verdict.Verdict.MAY_HAVE_RUN,
-            ) from error
+        except (
+            ConnectionRefusedError,
+            defer.TimeoutError,
+            defer.CancelledError,
+        ) as error:
+            raise _failure(request, error) from error
         data = b"" if response.body is None else json.dumps(response.body)
         if isinstance(data, str):
             data = data.encode()
--- a/src/azurevane/exceptions.py
+++ b/src/azurevane/exceptions.py
@@ -61,14 +61,21 @@
     Attributes:
         verdict: whether the call may have run.
         refused: whether nothing listened at the address.
+        timed_out: whether the peer was silent for as long as it had.
     """
 
     def __init__(
-        self, text: str, outcome: verdict.Verdict, *, refused: bool = False
+        self,
+        text: str,
+        outcome: verdict.Verdict,
+        *,
+        refused: bool = False,
+        timed_out: bool = False,
     ) -> None:
         super().__init__(text)
         self.verdict = outcome
         self.refused = refused
+        self.timed_out = timed_out
 
 
 class StoreHistoryLost(AzurevaneError):
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -52,3 +52,36 @@
     When the leader other than "entry-1" is killed
     And 6.0 s pass
     Then a host other than "entry-1" leads
+
+  Scenario: A leader whose process has ended is replaced within 1.2 seconds
+    Guards against waiting for the lease of a process that can't lead.
+    When the leader is killed
+    And 1.2 s pass
+    Then a host leads
+
+  Scenario: A leader that the store turns away gives up within 1.3 seconds
+    Guards against waiting for the lease of a leader that can be asked.
+    When the store refuses the leader for 6.0 s
+    And 1.3 s pass
+    Then another host leads than before
+
+  Scenario: A leader that the store doesn't answer gives up within 1.8 seconds
+    When the store is silent to the leader for 6.0 s
+    And 1.8 s pass
+    Then another host leads than before
+
+  Scenario: A leader that is cut off is replaced only after its lease
+    When the leader is cut off
+    And 1.7 s pass
+    Then no other host leads than before
+    When 1.1 s pass
+    Then another host leads than before
+
+  Scenario: A leader stays while the store is slow for all
+    When the store takes 0.5 s to answer
+    And 10.0 s pass
+    Then no other host leads than before
+
+  Scenario: A leader stays while the store is down for all
+    When the store is down for 1.5 s
+    Then no other host leads than before
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -121,6 +121,7 @@
 
 @when("the store is down for {seconds:g} s")
 def step_store_down(context, seconds):
+    context.former_leader = context.world.leader_name
     context.world.platform.store_down = True
     context.world.run(seconds)
     context.world.platform.store_down = False
@@ -144,7 +145,7 @@
 @when("the store refuses the leader for {seconds:g} s")
 def step_refuse_leader(context, seconds):
     world = context.world
-    name = world.leader_name
+    name = context.former_leader = world.leader_name
     world.platform.store_down_for.add(name)
     world.clock.callLater(seconds, world.platform.store_down_for.discard, name)
 
@@ -313,6 +314,8 @@
 def step_weak_host(context, name, processors, link):
     world = context.world
     world.kill_host(name)
+    # Any host may have been the first leader; a later one is another.
+    world.run(4.0)
     world.start_host(name, processors=processors, link_mbps=link)
     world.run(4.0)
 
@@ -328,3 +331,42 @@
 def step_other_leads(context, name):
     leader = context.world.leader_name
     assert leader not in (None, name), leader
+
+
+@when("the store is silent to the leader for {seconds:g} s")
+def step_silent_to_leader(context, seconds):
+    world = context.world
+    name = context.former_leader = world.leader_name
+    silent_for = world.platform.store_silent_for
+    silent_for.add(name)
+    world.clock.callLater(seconds, silent_for.discard, name)
+
+
+@when("the leader is cut off")
+def step_cut_leader_off(context):
+    context.former_leader = context.world.leader_name
+    context.world.cut_host_off(context.former_leader)
+
+
+@when("the store takes {seconds:g} s to answer")
+def step_slow_for_all(context, seconds):
+    context.former_leader = context.world.leader_name
+    context.world.platform.store_delay_s = seconds
+
+
+def _others_that_lead(context):
+    return [
+        name
+        for name, host in context.world.host_by_name.items()
+        if host.leader is not None and name != context.former_leader
+    ]
+
+
+@then("another host leads than before")
+def step_other_leads(context):
+    assert len(_others_that_lead(context)) == 1, _others_that_lead(context)
+
+
+@then("no other host leads than before")
+def step_same_leads(context):
+    assert not _others_that_lead(context), _others_that_lead(context)
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -8,6 +8,7 @@
 from azurevane._internal.callers import job_desk
 from azurevane._internal.daemons import site_host
 from azurevane._internal.models import host_settings
+from azurevane._internal.peers import leader_line
 from azurevane._internal.standins import site_platform
 from azurevane._internal.standins import site_runner
 
@@ -33,6 +34,13 @@
 )
 
 
+class WorldClock(twisted_task.Clock):
+    """Virtual time; what is listened to is called without a network."""
+
+    def listenTCP(self, port, factory, **options):  # noqa: N802
+        """Take no connections."""
+
+
 class SiteWorld:
     """Hosts, platform and callers of one site.
 
@@ -41,7 +49,7 @@
     """
 
     def __init__(self, host_count=3):
-        self.clock = twisted_task.Clock()
+        self.clock = WorldClock()
         self.clock.advance(1000.0)
         self.platform = site_platform.SitePlatform(self.clock)
         self.host_by_name = {}
@@ -108,6 +116,7 @@
         self.run(1.0)
 
     def start_host(self, name, **limits):
+        address = self._address(name)
         settings = host_settings.HostSettings(
             host_name=name,
             zone="east",
@@ -120,6 +129,7 @@
             advisor_address=None,
             store_row_bytes=65536,
             bounds=BOUNDS,
+            hosts_listen=address,
             **limits,
         )
         client = self.platform.client(name)
@@ -131,9 +141,20 @@
         )
         self.host_by_name[name] = host
         self.client_by_name[name] = client
+
+        def answer(question):
+            if client.silent:
+                return None
+            return leader_line.answer(question, host.candidate.leads)
+
+        self.platform.entry_host_by_address[str(address)] = answer
         host.start()
         return host
 
+    def _address(self, name):
+        number = int(name.rpartition("-")[2])
+        return host_settings.Address(f"10.1.0.{number}", 7000)
+
     # Time and faults.
 
     def run(self, seconds):
@@ -141,9 +162,24 @@
         end = self.clock.seconds() + seconds
         while self.clock.seconds() < end:
             self.clock.advance(STEP_S)
+            self._check_one_leader()
+
+    def _check_one_leader(self):
+        ordering = [
+            name
+            for name, host in self.host_by_name.items()
+            if host.leader is not None and host.leader.may_order()
+        ]
+        assert len(ordering) <= 1, ordering
+
+    def cut_host_off(self, name):
+        """Let nothing in or out of an entry host, which runs on."""
+        self.client_by_name[name].silent = True
 
     def kill_host(self, name):
-        """Cut an entry host off for good, as SIGKILL does."""
+        """End an entry host's process, as SIGKILL does."""
+        address = str(self._address(name))
+        self.platform.entry_host_by_address[address] = None
         self.client_by_name[name].silent = True
         host = self.host_by_name.pop(name)
         host.abandon()
