Ask a silent leader only where its part of the store answers

Change: a host reads the leader's rows before it asks, and asks only if that succeeds; so the time at which the last read was sent isn't needed any more. Rows older than the known ones are ignored. That a part of the store can be down while others serve holds for the leader's rows too: nothing starts meanwhile.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -111,7 +111,7 @@
             wait_s=OPERATORS_WAIT_S,
             whole=self._operators_whole,
             changed=self._operators_changed,
-            viewed=lambda at, sent_at: self.desk.note_view(at),
+            viewed=self.desk.note_view,
             lost=self.desk.set_store_lost,
         )
         background.spawn(
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -17,6 +17,7 @@
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import leader as leader_module
 from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import table_follower
 
 logger = logging.getLogger(__name__)
@@ -119,8 +120,8 @@
             if key == leadership.ALIVE_KEY and value is not None:
                 self._set_pending(leadership.decode_pending(value))
 
-    def _note_view(self, now: float, sent_at: float) -> None:
-        self._view.note_view(now, sent_at)
+    def _note_view(self, now: float) -> None:
+        self._view.note_view(now)
         self._follower.wait_s = (
             SILENT_WAIT_S if self._view.silent(now) else LEADER_WAIT_S
         )
@@ -139,8 +140,26 @@
             self._asking = True
             background.spawn(self._ask(doubt), "ask the leader")
 
+    async def _serves_leaders(self) -> bool:
+        """Whether the store now serves the part of the leader's rows here."""
+        try:
+            read = await self._store.read(
+                leadership.TABLE, records.LEADER_PART
+            )
+        except exceptions.CallFailed as failure:
+            logger.info("Reading the leader's rows: %s", failure)
+            return False
+        self._rows_changed(read.rows)
+        return True
+
     async def _ask(self, doubt: leadership.Doubt) -> None:
         try:
+            # Changes arrive also while that part of the store is down for
+            # all, so that nobody could take over.
+            if not await self._serves_leaders():
+                return
+            if self._view.doubt(self._reactor.seconds()) is None:
+                return
             standing = await self._line.ask(doubt.address, doubt.token)
             catalogue.emit(
                 logger,
@@ -154,12 +173,11 @@
             if standing in _OVER:
                 self._view.note_over(doubt.token, standing.value)
                 self._tick()
-                return
-            await twisted_task.deferLater(
-                self._reactor, leadership.ASK_PAUSE_S, lambda: None
-            )
         finally:
-            self._asking = False
+            self._reactor.callLater(leadership.ASK_PAUSE_S, self._end_question)
+
+    def _end_question(self) -> None:
+        self._asking = False
 
     def leads(self, token: int, asker: str) -> bool:
         """Whether this host leads under a token, as another host asks."""
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -152,7 +152,6 @@
         self._alive = _Alive(0, 0)
         self._changed_at = now
         self._seen_at: float | None = None
-        self._read_sent_at = now
 
     @property
     def holder(self) -> str:
@@ -162,28 +161,23 @@
     def note_row(
         self, key: str, value: bytes | None, version: int, now: float
     ) -> None:
-        """Take in a row of the leader's table."""
+        """Take in a row of the leader's table, unless it is known."""
         if key == OWNER_KEY:
-            if version == self._owner_version and value is not None:
+            if version <= self._owner_version and value is not None:
                 return
             self._owner_version = version
             if value is not None:
                 self._owner = msgspec.json.decode(value, type=_Owner)
         elif key == ALIVE_KEY:
-            if version == self._alive_version:
+            if version <= self._alive_version:
                 return
             self._alive_version = version
             if value is not None:
                 self._alive = msgspec.json.decode(value, type=_Alive)
         self._changed_at = now
 
-    def note_view(self, now: float, sent_at: float) -> None:
-        """Note that all rows known now are the store's newest.
-
-        Args:
-            sent_at: when the read that shows it was sent.
-        """
-        self._read_sent_at = sent_at
+    def note_view(self, now: float) -> None:
+        """Note that all rows known now are the store's newest."""
         if self._seen_at is not None and now - self._seen_at > VIEW_GAP_S:
             # The leader was without the store, too, so it goes first.
             self._changed_at = now
@@ -205,9 +199,6 @@
         silent_s = self._silent_s(now)
         if silent_s is None or silent_s < ASK_AFTER_S + self._delay_s:
             return None
-        if self._read_sent_at - self._changed_at < ASK_AFTER_S:
-            # The store may have gone since it took that read.
-            return None
         owner = self._owner
         if owner.holder in ("", self._host_name) or not owner.port:
             return None
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -29,8 +29,7 @@
         pause_s: time between two reads, in which changes gather.
         whole: called with all rows after a whole read.
         changed: called with rows that changed since.
-        viewed: called with a time that all rows known are as new as, and
-            the time at which the read that shows it was sent.
+        viewed: called with a time that all rows known are as new as.
         lost: called with True when reads begin to fail, and with False
             when they work again.
 
@@ -47,7 +46,7 @@
         wait_s: float,
         whole: Callable[[Sequence[store.Row]], None],
         changed: Callable[[Sequence[store.Row]], None],
-        viewed: Callable[[float, float], None] = lambda at, sent_at: None,
+        viewed: Callable[[float], None] = lambda sent_at: None,
         lost: Callable[[bool], None] = lambda lost: None,
         parted: bool = False,
         pause_s: float = 0.0,
@@ -118,11 +117,11 @@
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._changed(changes.rows)
-            self._viewed(sent_at, sent_at)
+            self._viewed(sent_at)
             return
         # The store saw no change for as long as it held the answer back.
         held_until = min(sent_at + wait_s, self._reactor.seconds())
-        self._viewed(held_until, sent_at)
+        self._viewed(held_until)
 
     async def _read_whole(self, sent_at: float) -> None:
         parts: Sequence[str] = ("",)
@@ -143,7 +142,7 @@
             logger, events.TableReadAnew(self._table, len(rows), version)
         )
         self._whole(rows)
-        self._viewed(sent_at, sent_at)
+        self._viewed(sent_at)
 
     def _note_lost(self, error: str) -> None:
         if self._lost_at is None:
--- a/src/azurevane/_internal/standins/site_store.py
+++ b/src/azurevane/_internal/standins/site_store.py
@@ -31,6 +31,8 @@
 
     Attributes:
         history_from: versions up to this one are forgotten.
+        down_parts: parts whose rows can be neither read nor written;
+            changes are still told.
     """
 
     def __init__(self, reactor: Any) -> None:
@@ -41,6 +43,7 @@
         self.version = 0
         self.history_from = 0
         self.transactions = 0
+        self.down_parts: set[str] = set()
 
     # Calls of the operators and the runners.
 
@@ -73,6 +76,8 @@
         if (method, path) == ("POST", "/azurevane/rows-tx"):
             return self._transact(body)
         if (method, path) == ("GET", "/azurevane/rows-get"):
+            if query["part"] in self.down_parts:
+                return Response(503)
             return self._read(query)
         if (method, path) == ("GET", "/azurevane/rows-parts"):
             return self._parts(query)
@@ -90,6 +95,8 @@
         parts = {entry["part"] for name in names for entry in body[name]}
         if len(parts) > 1:
             return Response(400, {"error": "several parts"})
+        if parts & self.down_parts:
+            return Response(503)
         for entry in body["expectedRev"]:
             if self._version(_key(entry)) != entry["schemaVersion"]:
                 rows = [
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -85,3 +85,8 @@
   Scenario: A leader stays while the store is down for all
     When the store is down for 1.5 s
     Then no other host leads than before
+
+  Scenario: A leader stays while the part of its rows is down for all
+    Guards against a leader that gives up although nobody can take over.
+    When the leader's part of the store is down for 3.0 s
+    Then the same host leads
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -370,3 +370,17 @@
 @then("no other host leads than before")
 def step_same_leads(context):
     assert not _others_that_lead(context), _others_that_lead(context)
+
+
+@when("the leader's part of the store is down for {seconds:g} s")
+def step_part_down(context, seconds):
+    world = context.world
+    context.former_leader = world.leader_name
+    world.platform.store.down_parts.add("")
+    world.run(seconds)
+    world.platform.store.down_parts.discard("")
+
+
+@then("the same host leads")
+def step_still_leads(context):
+    assert context.world.leader_name == context.former_leader
