Leave alone only the hosts that the former leader ordered

Cause: after every take-over no host is ordered for 3.5 s, so that two senders don't order one host within its lease; but hardly any host was ordered by the former leader in that time. Pools stand still meanwhile. Change: the write that proves the leadership before an order names the hosts; a later leader pauses just those until lease and margin are over. "A new leader orders hosts that the former one left alone" fails before; "... leaves alone what the former one has just ordered" fails when the marks are ignored. Every world now checks the senders of all orders.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -203,7 +203,7 @@
                         0,
                         {},
                         claim.earlier.lapse_by_runner,
-                        claim.earlier.orders_from,
+                        claim.earlier.marks_by_host,
                     ),
                 },
             )
--- a/src/azurevane/_internal/scheduler/host_keeper.py
+++ b/src/azurevane/_internal/scheduler/host_keeper.py
@@ -16,6 +16,7 @@
 from azurevane._internal.scheduler import host_orders
 from azurevane._internal.scheduler import host_table
 from azurevane._internal.scheduler import move_keeper
+from azurevane._internal.scheduler import order_marks
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import wave_keeper
 
@@ -25,8 +26,6 @@
 # list of hosts is read.
 STEP_S = 0.25
 LIST_S = 0.5
-# An order must follow the write that proves the leadership within this.
-ORDER_WITHIN_S = 0.7
 # A host that refused an order is left alone for a while.
 REFUSED_PAUSE_S = 1.0
 
@@ -57,8 +56,7 @@
     """Reads the list of hosts and sends orders; times are steady seconds.
 
     Args:
-        orders_from: time before which no host is ordered, so that two
-            holders don't take turns within a host's lease.
+        marks: hosts that are ordered, for later leaders.
     """
 
     def __init__(
@@ -68,15 +66,18 @@
         *,
         move_s: float,
         maintenance_s: float,
-        orders_from: float,
+        marks: order_marks.OrderMarks,
     ) -> None:
         self._leader = leader
         self._calls = calls
         self._move_s = move_s
         self._maintenance_s = maintenance_s
-        self._orders_from = orders_from
+        self.marks = marks
         self._listed_at = float("-inf")
         self._table = host_table.HostTable(leader.book, leader.runner_events)
+        store_offset_s = leader.store_now() - leader.now()
+        for name, free_at in marks.free_at_by_host().items():
+            self._table.pause_until[name] = free_at - store_offset_s
         self.waves = wave_keeper.WaveKeeper(leader, leader.book, self._table)
         self._moves = move_keeper.MoveKeeper(leader.book, self._table)
 
@@ -96,9 +97,11 @@
         self._table.note_idle(now)
         orders = self._plan(now)
         self._leader.pump()
-        if not orders or now < self._orders_from:
-            self._release(orders)
+        if not orders:
             return
+        self.marks.note(
+            (order.host.name for order in orders), self._leader.store_now()
+        )
         try:
             await self._leader.prove()
         except Exception:
@@ -125,7 +128,7 @@
         host = order.host
         leader = self._leader
         outcome = machine_calls.OrderOutcome.LATER
-        fresh = leader.now() - leader.proven_at() < ORDER_WITHIN_S
+        fresh = leader.now() - leader.proven_at() < order_marks.ORDER_WITHIN_S
         try:
             if fresh and leader.may_order():
                 outcome = await self._call(order)
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -27,6 +27,7 @@
 from azurevane._internal.scheduler import job_rows
 from azurevane._internal.scheduler import journal as journal_module
 from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import order_marks
 from azurevane._internal.scheduler import order_sender
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import planner as planner_module
@@ -49,8 +50,6 @@
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
-# Added to the time between orders for a host by two leaders.
-ORDERS_MARGIN_S = 0.5
 _RETRY_S = 0.2
 
 OWNER_PLACE = store.RowKey(
@@ -115,7 +114,6 @@
             deposed=lambda: self.stop("another host holds the row"),
         )
         self._journal.adopt(store.Row(ALIVE_PLACE, b"", claimed.version))
-        self._orders_from = 0.0
         self._keeper = self._make_keeper(earlier)
         self._sender = order_sender.OrderSender(
             reactor,
@@ -170,19 +168,14 @@
             self.token,
         )
         bounds = settings.bounds
-        orders_from = earlier.orders_from - self._store_offset_s
-        if self.token > 1 and not earlier.same_host:
-            orders_from = self.now() + bounds.host_lease_s + ORDERS_MARGIN_S
-            # Its last order followed its last sign of life within a bound.
-            unordered_s = earlier.silent_s - host_keeper.ORDER_WITHIN_S
-            orders_from -= max(unordered_s, 0.0)
-        self._orders_from = orders_from
         return host_keeper.HostKeeper(
             self,
             calls,
             move_s=bounds.move_s,
             maintenance_s=bounds.maintenance_s,
-            orders_from=orders_from,
+            marks=order_marks.OrderMarks(
+                settings.host_name, bounds.host_lease_s, earlier.marks_by_host
+            ),
         )
 
     # Time and validity.
@@ -511,10 +504,11 @@
                 self._written_lapses[runner_id] = (
                     state.lapsed_at() + self._store_offset_s
                 )
+        keeper = self._keeper
         return leadership.encode_alive(
             self.token,
             self._renewals,
             self.book.pending_by_queue(),
             self._written_lapses,
-            self._orders_from + self._store_offset_s,
+            {} if keeper is None else keeper.marks.current(self.store_now()),
         )
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurevane._internal.models import host_settings
+from azurevane._internal.scheduler import order_marks
 
 # Without a sign of life for this long another host takes over.
 LEASE_S = 2.2
@@ -69,17 +70,14 @@
     Attributes:
         same_host: whether it was an earlier life of this host.
         may_extend: whether it may still be extending leases.
-        silent_s: how long it has shown no sign of life.
-        orders_from: time, by the store's clock, before which it ordered
-            no host.
+        marks_by_host: hosts that it or others before it ordered lately.
         lapse_by_runner: ends, by the store's clock, of the leases of
             runners that it couldn't reach and doesn't extend.
     """
 
     same_host: bool
     may_extend: bool
-    silent_s: float
-    orders_from: float
+    marks_by_host: dict[str, order_marks.OrderMark]
     lapse_by_runner: dict[str, float]
 
 
@@ -109,7 +107,7 @@
     renewals: int
     pending_by_queue: dict[str, int] = {}
     lapse_by_runner: dict[str, float] = {}
-    orders_from: float = 0.0
+    marks_by_host: dict[str, order_marks.OrderMark] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,8 +239,7 @@
             EarlierLeader(
                 same_host=self._owner.holder == self._host_name,
                 may_extend=may_extend,
-                silent_s=silent_s,
-                orders_from=self._alive.orders_from,
+                marks_by_host=self._alive.marks_by_host,
                 lapse_by_runner=self._alive.lapse_by_runner,
             ),
         )
@@ -253,11 +250,13 @@
     renewals: int,
     pending_by_queue: dict[str, int],
     lapse_by_runner: dict[str, float],
-    orders_from: float,
+    marks_by_host: dict[str, order_marks.OrderMark],
 ) -> bytes:
     """Return the value of the row that shows that the leader lives."""
     return msgspec.json.encode(
-        _Alive(token, renewals, pending_by_queue, lapse_by_runner, orders_from)
+        _Alive(
+            token, renewals, pending_by_queue, lapse_by_runner, marks_by_host
+        )
     )
 
 
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -47,6 +47,28 @@
     And 2.0 s pass
     Then a host was ordered since
 
+  Scenario: A new leader orders hosts that the former one left alone
+    Guards against moves that wait for a lease on hosts nobody ordered.
+    Given tasks that run 3.0 s
+    When 12.0 s pass
+    And the leader is told to stop
+    And 0.6 s pass
+    And job "00000000000000a5" of 100 tasks is submitted
+    And 0.6 s pass
+    Then the new leader has ordered a host
+
+  Scenario: A new leader leaves alone what the former one has just ordered
+    Guards against two senders that order one host within its lease.
+    Given tasks that run 0.2 s
+    When 12.0 s pass
+    And job "00000000000000a6" of 100 tasks is submitted
+    And 1.4 s pass
+    And the leader is told to stop
+    And a wave of all hosts within 8 s with 8 down at once is asked for
+    And 7.0 s pass
+    Then the new leader has ordered a host
+    And each host has one sender of orders within its lease
+
   Scenario: A strong host takes over before a weak one
     Given host "entry-1" has 0.5 processors and a link of 10 Mbit/s
     When the leader other than "entry-1" is killed
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -384,3 +384,17 @@
 @then("the same host leads")
 def step_still_leads(context):
     assert context.world.leader_name == context.former_leader
+
+
+@then("the new leader has ordered a host")
+def step_new_leader_ordered(context):
+    world = context.world
+    senders = [entry[3] for entry in world.platform.host_orders]
+    assert world.leader_name in senders, senders
+
+
+@then("each host has one sender of orders within its lease")
+def step_one_sender(context):
+    context.world.check_senders()
+    senders = {entry[3] for entry in context.world.platform.host_orders}
+    assert len(senders) > 1, senders
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -163,6 +163,15 @@
         while self.clock.seconds() < end:
             self.clock.advance(STEP_S)
             self._check_one_leader()
+        self.check_senders()
+
+    def check_senders(self):
+        last_by_host = {}
+        for at, _, host, sender, _ in self.platform.host_orders:
+            former_at, former = last_by_host.get(host, (at, sender))
+            if former != sender:
+                assert at - former_at > BOUNDS.host_lease_s, (at, host)
+            last_by_host[host] = at, sender
 
     def _check_one_leader(self):
         ordering = [
