Ask an idle runner that didn't answer again at once

Cause: when the call that acknowledges a runner's last ends gets no answer, the runner counts as unreachable and as idle: nobody asks it again until its lease is over, and its room stays unused for up to 5 s. A runner that is asked again was asked to hold its answer back for 1.5 s. Change: an unreachable runner isn't idle, and is asked for an answer at once. Measured: "An idle runner takes tasks as soon as it answers again" fails before and passes after.

--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -115,6 +115,7 @@
     def _idle(state: runner_state.RunnerState) -> bool:
         return (
             state.fenced
+            and not state.unreachable
             and not state.run_by_task
             and not state.need_by_orphan
             and state.last_seen >= state.processed
@@ -134,8 +135,10 @@
         lease_until_s = None
         if state.leasable and leader.may_extend():
             lease_until_s = state.extend_lease(sent_at, self._lease_s)
-        wait_s = HOLD_WAIT_S if state.fenced else 0.0
-        if state.last_seen < state.processed:
+        wait_s = HOLD_WAIT_S
+        unsure = state.unreachable or not state.fenced
+        if unsure or state.last_seen < state.processed:
+            # An answer at once is worth more than the next end.
             wait_s = 0.0
         try:
             report = await self._calls.hold(
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -60,3 +60,15 @@
     And 8.0 s pass
     Then job "00000000000000c5" is "completed"
     And no task ran twice
+
+  Scenario: An idle runner takes tasks as soon as it answers again
+    Guards against room that stays unused after a call without an answer.
+    Given hosts stay in their pools
+    And tasks that run 0.3 s
+    When job "00000000000000c7" of 8 tasks is submitted
+    And the runners can't be reached for 2.0 s once its tasks have ended
+    And 1.0 s pass
+    Given tasks that run 20.0 s
+    When job "00000000000000c8" of 120 tasks is submitted
+    And 1.0 s pass
+    Then every task of job "00000000000000c8" runs
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -398,3 +398,20 @@
     context.world.check_senders()
     senders = {entry[3] for entry in context.world.platform.host_orders}
     assert len(senders) > 1, senders
+
+
+@when(
+    "the runners can't be reached for {seconds:g} s once its tasks have ended"
+)
+def step_unreachable_at_end(context, seconds):
+    world = context.world
+    while not any(entry[1] == "done" for entry in world.platform.record):
+        world.run(0.005)
+    runners = list(world.platform.runner_by_address.values())
+    # The list of ends has come back; its acknowledgement will be lost.
+    world.run(0.02)
+    for runner in runners:
+        runner.reachable = False
+    world.run(seconds)
+    for runner in runners:
+        runner.reachable = True
