Keep tasks from runners on which everything fails

Cause: a runner that fails all at once is free again at once, so in a burst it takes task after task; both attempts of a task may go to it. Change: a task that failed goes to another runner while there is one. Three first failures in a row, of two jobs or more, pause a runner for 2 s, and for longer each time its trial fails; a done task clears it. If more than half of a pool is paused, the jobs are at fault and nobody is.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -157,6 +157,15 @@
     runs: int
 
 
+@catalogue.event(6017, logging.WARNING)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerPaused(catalogue.Event):
+    """Runner gets no tasks for a while: all that it starts fails."""
+
+    runner: str
+    pause_s: float
+
+
 @catalogue.event(6020)
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipTaken(catalogue.Event):
--- /dev/null
+++ b/src/azurevane/_internal/policy/runner_health.py
@@ -0,0 +1,51 @@
+"""Which runners get no tasks because all that they start fails.
+
+Answers runners that fail everything while others work, beside jobs that
+fail wherever they run: only the first failure of a task speaks against its
+runner, and only several jobs' failures in a row, without a task done
+between them, keep the runner from new tasks.
+"""
+
+# A runner that fails all has this many failures in a row soon; one that
+# works has a done task between failures of jobs that can't be done.
+FAILURES_IN_A_ROW = 3
+JOBS_IN_A_ROW = 2
+# Such trouble lasts for seconds; a trial after it costs a few tasks.
+FIRST_PAUSE_S = 2.0
+MAX_PAUSE_S = 8.0
+
+
+class RunnerHealth:
+    """What the ends of a runner's tasks say of it; steady seconds.
+
+    Attributes:
+        paused_until: time before which it gets no tasks.
+    """
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_jobs: set[str] = set()
+        self._pause_s = FIRST_PAUSE_S
+        self.paused_until = 0.0
+
+    def note_done(self) -> None:
+        """Take in a task that ended well."""
+        self._failures = 0
+        self._failed_jobs.clear()
+        self._pause_s = FIRST_PAUSE_S
+
+    def note_failure(self, job_id: str, now: float) -> bool:
+        """Take in a task that failed here first; whether a pause begins."""
+        self._failures += 1
+        self._failed_jobs.add(job_id)
+        # After a pause without a task done since, one failure is enough.
+        on_trial = self._pause_s > FIRST_PAUSE_S
+        in_a_row = (
+            self._failures >= FAILURES_IN_A_ROW
+            and len(self._failed_jobs) >= JOBS_IN_A_ROW
+        )
+        if now < self.paused_until or not (in_a_row or on_trial):
+            return False
+        self.paused_until = now + self._pause_s
+        self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
+        return True
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -31,6 +31,8 @@
         indexes: tasks of the step that wait.
         present_by_runner: tasks of the step that runners have already.
         allowed: runners that may run it; None for any.
+        avoided_by_index: runners that a task isn't started on while there
+            are others, although these may be full now.
     """
 
     job_id: str
@@ -41,6 +43,9 @@
     indexes: tuple[int, ...]
     present_by_runner: dict[str, int]
     allowed: frozenset[str] | None = None
+    avoided_by_index: dict[int, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,6 +186,16 @@
     return []
 
 
+def _avoided(
+    request: StepRequest, index: int, candidates: list[_OpenRoom]
+) -> frozenset[str]:
+    avoided = request.avoided_by_index.get(index)
+    if not avoided:
+        return frozenset()
+    others = any(room.room.runner_id not in avoided for room in candidates)
+    return avoided if others else frozenset()
+
+
 def _fill(
     request: StepRequest, most: int, candidates: list[_OpenRoom]
 ) -> list[Placement]:
@@ -201,12 +216,14 @@
         best: _OpenRoom | None = None
         best_rank: tuple[float, ...] = ()
         spread_out = len(count_by_runner) >= runners
+        avoided = _avoided(request, index, candidates)
         for open_room in candidates:
-            if not open_room.fits(need, cpu):
-                continue
             room = open_room.room
             here = count_by_runner.get(room.runner_id, 0)
-            if step.max_per_runner and here >= step.max_per_runner:
+            full = step.max_per_runner and here >= step.max_per_runner
+            if full or not open_room.fits(need, cpu):
+                continue
+            if room.runner_id in avoided:
                 continue
             if step.long_running:
                 rank: tuple[float, ...] = (
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -61,21 +61,26 @@
                     self._book.stop(run, "runner drains", now)
 
     def _rooms(self, service: str, now: float) -> list[task_placement.Room]:
-        rooms = []
-        for runner in self._book.runner_by_id.values():
-            if runner.entry.service != service or not self._usable(
-                runner, now
-            ):
-                continue
-            rooms.append(
-                task_placement.Room(
-                    runner.id,
-                    runner.entry.rack,
-                    runner.entry.labels,
-                    runner.free(),
-                )
+        usable = [
+            runner
+            for runner in self._book.runner_by_id.values()
+            if runner.entry.service == service and self._usable(runner, now)
+        ]
+        healthy = [
+            runner for runner in usable if now >= runner.health.paused_until
+        ]
+        if 2 * len(healthy) >= len(usable):
+            # Otherwise the jobs are at fault rather than the runners.
+            usable = healthy
+        return [
+            task_placement.Room(
+                runner.id,
+                runner.entry.rack,
+                runner.entry.labels,
+                runner.free(),
             )
-        return rooms
+            for runner in usable
+        ]
 
     def _usable(self, runner: runner_state.RunnerState, now: float) -> bool:
         return (
@@ -139,6 +144,11 @@
             indexes=waiting,
             present_by_runner=present_by_runner,
             allowed=allowed,
+            avoided_by_index={
+                index: frozenset(step_runs[index].failed_on)
+                for index in waiting
+                if step_runs[index].failed_on
+            },
         )
 
     def _advised(
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -392,6 +392,7 @@
                 current,
             ),
         )
+        self._judge(state, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
             self._end_done(run, current=current, now=now)
             return
@@ -404,6 +405,31 @@
         if ended.reason is messages.EndReason.FAILED:
             self._count_failure(run, ended.attempt, now)
 
+    def _judge(
+        self,
+        state: runner_state.RunnerState,
+        run: runs.Run,
+        reason: messages.EndReason,
+        now: float,
+    ) -> None:
+        """Take in what an end says of its runner."""
+        if reason is messages.EndReason.DONE:
+            state.health.note_done()
+        if reason is not messages.EndReason.FAILED or run.step.long_running:
+            return
+        failed_before = bool(run.failed_attempts)
+        run.failed_on.add(state.id)
+        if failed_before:
+            # The task may fail wherever it runs.
+            return
+        if state.health.note_failure(run.job.job.id, now):
+            catalogue.emit(
+                logger,
+                events.RunnerPaused(
+                    state.id, round(state.health.paused_until - now, 3)
+                ),
+            )
+
     def _end_done(self, run: runs.Run, *, current: bool, now: float) -> None:
         if run.phase is _Phase.DONE:
             return
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -3,6 +3,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
+from azurevane._internal.policy import runner_health
 from azurevane._internal.scheduler import runs as runs_module
 
 # Length of the lease on everything a runner runs. Shorter leases give up a
@@ -32,6 +33,7 @@
         lapse_published: whether a later leader may rely on the end of
             its lease, so that the lease must not be extended.
         processed: highest number of an end that was taken in.
+        health: what its tasks' ends say of it.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
             tuple[job_models.TaskName, int], job_models.Capacity
         ] = {}
         self.not_before = 0.0
+        self.health = runner_health.RunnerHealth()
         self.contact_at = now
         self.unreachable = False
         self.lapse_published = False
@@ -156,6 +159,7 @@
         self._unseen_until = now
         self.lapse_published = False
         self.not_before = 0.0
+        self.health = runner_health.RunnerHealth()
         self.unreachable = False
         self.drains_until = None
         self.update(entry, now)
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -42,6 +42,7 @@
     Attributes:
         runner_id: runner of the current run, empty while there is none.
         failed_attempts: attempts that ended as failed.
+        failed_on: runners on which it did, as far as this leader knows.
         inherited: whether an earlier leader ordered the run, whose orders
             its runner rejects once it knows this leader.
         sent_at: when the order to start was last sent; 0 if it wasn't.
@@ -60,6 +61,7 @@
         "checkpoint",
         "doubtful_since",
         "failed_attempts",
+        "failed_on",
         "inherited",
         "job",
         "load",
@@ -89,6 +91,7 @@
         self.attempt = 0
         self.runner_id = ""
         self.failed_attempts: set[int] = set()
+        self.failed_on: set[str] = set()
         self.inherited = False
         self.checkpoint = ""
         self.percent = 0
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -42,6 +42,7 @@
         reachable: whether calls arrive.
         lose_answers: number of coming orders whose answer is lost.
         delay_orders_s: orders are carried out this much later, unanswered.
+        fails_all: whether all tasks that start end as failed at once.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self.reachable = True
         self.lose_answers = 0
         self.delay_orders_s = 0.0
+        self.fails_all = False
         self.reject_status: int | None = None
 
     def entry(self) -> dict[str, Any]:
@@ -150,6 +152,8 @@
         if body["expiresMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
         plan: TaskPlan = self._plan(name, attempt)
+        if self.fails_all:
+            plan = TaskPlan(0.05, "failed", plan.need)
         if not self._fits(plan.need):
             self._extend(body["expiresMs"])
             return self._answer(409, reason="room")
--- /dev/null
+++ b/tests/scheduler/failing_runner.feature
@@ -0,0 +1,27 @@
+Feature: Runners that fail all that they start
+
+  Background:
+    Given a site with service "press" on 8 hosts and queue "fit"
+    And hosts stay in their pools
+
+  Scenario: No job fails because of one runner
+    Guards against a runner that fails jobs faster than others do them.
+    Given tasks that run 1.0 s
+    And 1 runner fails all that it starts
+    When 40 jobs are submitted over 4.0 s
+    And 8.0 s pass
+    Then all jobs are "completed"
+    And the failing runner got fewer than 20 starts
+
+  Scenario: A task that failed is started on another runner
+    Given tasks that run 1.0 s
+    And 1 runner fails all that it starts
+    When job "00000000000000f1" of 120 tasks is submitted
+    And 6.0 s pass
+    Then job "00000000000000f1" is "completed"
+
+  Scenario: Jobs that fail everywhere keep no runner from others
+    Given tasks of jobs that end in "0" always fail
+    When 40 jobs are submitted over 4.0 s
+    And 8.0 s pass
+    Then all jobs that don't end in "0" are "completed"
--- /dev/null
+++ b/tests/scheduler/steps/failing_steps.py
@@ -0,0 +1,57 @@
+"""Steps about runners and jobs whose tasks fail."""
+
+from behave import given
+from behave import then
+
+from azurevane._internal.standins import site_runner
+
+JOB_IDS = [f"{number + 0xD00:016x}" for number in range(40)]
+
+
+@given("{count:d} runner fails all that it starts")
+def step_failing(context, count):
+    runners = list(context.world.platform.runner_by_address.values())
+    context.failing = runners[:count]
+    for runner in context.failing:
+        runner.fails_all = True
+
+
+@given('tasks of jobs that end in "{end}" always fail')
+def step_poison(context, end):
+    def plan(task, attempt):
+        if task.partition(".")[0].endswith(end):
+            return site_runner.TaskPlan(0.2, "failed")
+        return site_runner.TaskPlan(0.5)
+
+    context.world.platform.plan_by_spec = plan
+
+
+def _states(context):
+    return {
+        job_id: context.world.state(context.queue, job_id)
+        for job_id in JOB_IDS
+    }
+
+
+@then('all jobs are "{state}"')
+def step_all(context, state):
+    other = {k: v for k, v in _states(context).items() if v != state}
+    assert not other, other
+
+
+@then('all jobs that don\'t end in "{end}" are "{state}"')
+def step_all_but(context, end, state):
+    other = {
+        job_id: seen
+        for job_id, seen in _states(context).items()
+        if seen != state and not job_id.endswith(end)
+    }
+    assert not other, other
+
+
+@then("the failing runner got fewer than {count:d} starts")
+def step_few_starts(context, count):
+    ids = {runner.id for runner in context.failing}
+    starts = [entry for entry in context.world.starts() if entry[2] in ids]
+    assert starts, "no start at all"
+    assert len(starts) < count, len(starts)
