Move tasks that stand still to another runner

Cause: on some runners tasks stop progressing without an end; their jobs wait until the trouble is over, however long that takes. Change: a task without progress for 1.2 s, and for a tenth of its declared run time, is stopped and started elsewhere, and its runner is paused. Gangs, long-running and paced tasks are left alone. Measured: "Tasks that stand still go on elsewhere" fails before.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -160,9 +160,10 @@
 @catalogue.event(6017, logging.WARNING)
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerPaused(catalogue.Event):
-    """Runner gets no tasks for a while: all that it starts fails."""
+    """Runner gets no tasks for a while, as those that it has don't succeed."""
 
     runner: str
+    reason: str
     pause_s: float
 
 
--- a/src/azurevane/_internal/policy/runner_health.py
+++ b/src/azurevane/_internal/policy/runner_health.py
@@ -1,9 +1,10 @@
-"""Which runners get no tasks because all that they start fails.
+"""Which runners get no tasks because what they start fails or stands still.
 
 Answers runners that fail everything while others work, beside jobs that
 fail wherever they run: only the first failure of a task speaks against its
 runner, and only several jobs' failures in a row, without a task done
-between them, keep the runner from new tasks.
+between them, keep the runner from new tasks. A task that stands still
+speaks against its runner at once: tasks differ in speed, but all progress.
 """
 
 # A runner that fails all has this many failures in a row soon; one that
@@ -13,6 +14,17 @@
 # Such trouble lasts for seconds; a trial after it costs a few tasks.
 FIRST_PAUSE_S = 2.0
 MAX_PAUSE_S = 8.0
+# Progress is told in hundredths. A task without any for this long, less than
+# the time between two reports of a runner on which nothing ends, and for this
+# share of its declared run time stands still, even where the declaration is
+# half of the truth.
+STILL_S = 1.2
+STILL_SHARE = 0.1
+
+
+def stands_still(unchanged_s: float, estimate_s: float) -> bool:
+    """Whether a task without progress for a time stands still."""
+    return unchanged_s > max(STILL_S, STILL_SHARE * estimate_s)
 
 
 class RunnerHealth:
@@ -44,7 +56,16 @@
             self._failures >= FAILURES_IN_A_ROW
             and len(self._failed_jobs) >= JOBS_IN_A_ROW
         )
-        if now < self.paused_until or not (in_a_row or on_trial):
+        if not (in_a_row or on_trial):
+            return False
+        return self._pause(now)
+
+    def note_still(self, now: float) -> bool:
+        """Take in a task that stands still; whether a pause begins."""
+        return self._pause(now)
+
+    def _pause(self, now: float) -> bool:
+        if now < self.paused_until:
             return False
         self.paused_until = now + self._pause_s
         self._pause_s = min(self._pause_s * 2, MAX_PAUSE_S)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -9,6 +9,7 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
 from azurevane._internal.policy import pacing
+from azurevane._internal.policy import runner_health
 from azurevane._internal.scheduler import book as book_module
 from azurevane._internal.scheduler import orders
 from azurevane._internal.scheduler import runner_state
@@ -282,6 +283,7 @@
             running = running_by_task.get(run.name)
             if running is not None and running.attempt == run.attempt:
                 self._note_running(run, running, now)
+                self._note_progress(state, run, now)
             else:
                 self._note_absent(run, sent_at, now)
         state.need_by_orphan.clear()
@@ -315,6 +317,8 @@
         self, run: runs.Run, running: messages.RunningTask, now: float
     ) -> None:
         was_at_work = run.at_work
+        if running.percent != run.percent or not run.progress_at:
+            run.progress_at = now
         run.percent = running.percent
         run.load = running.load
         if running.checkpoint:
@@ -331,6 +335,28 @@
         if run.phase is _Phase.STOPPING:
             self._book.repeat_stop(run, now)
 
+    def _note_progress(
+        self, state: runner_state.RunnerState, run: runs.Run, now: float
+    ) -> None:
+        """Move a task that stands still to another runner."""
+        # A gang's members wait for each other; a paced task may rest.
+        waits = run.step.long_running or run.step.gang or run.pace < 100
+        if run.phase is not _Phase.RUNNING or waits:
+            return
+        unchanged_s = now - run.progress_at
+        if not runner_health.stands_still(unchanged_s, run.step.estimate_s):
+            return
+        run.failed_on.add(state.id)
+        self._book.stop(run, "stands still", now)
+        if state.health.note_still(now):
+            self._note_pause(state, "its tasks stand still", now)
+
+    def _note_pause(
+        self, state: runner_state.RunnerState, reason: str, now: float
+    ) -> None:
+        pause_s = round(state.health.paused_until - now, 3)
+        catalogue.emit(logger, events.RunnerPaused(state.id, reason, pause_s))
+
     def _note_absent(self, run: runs.Run, sent_at: float, now: float) -> None:
         """Judge a run that its runner lists neither running nor ended."""
         if run.inherited:
@@ -423,12 +449,7 @@
             # The task may fail wherever it runs.
             return
         if state.health.note_failure(run.job.job.id, now):
-            catalogue.emit(
-                logger,
-                events.RunnerPaused(
-                    state.id, round(state.health.paused_until - now, 3)
-                ),
-            )
+            self._note_pause(state, "its tasks fail", now)
 
     def _end_done(self, run: runs.Run, *, current: bool, now: float) -> None:
         if run.phase is _Phase.DONE:
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -42,7 +42,9 @@
     Attributes:
         runner_id: runner of the current run, empty while there is none.
         failed_attempts: attempts that ended as failed.
-        failed_on: runners on which it did, as far as this leader knows.
+        failed_on: runners on which it did or stood still, as far as this
+            leader knows.
+        progress_at: when the current run was last seen to progress.
         inherited: whether an earlier leader ordered the run, whose orders
             its runner rejects once it knows this leader.
         sent_at: when the order to start was last sent; 0 if it wasn't.
@@ -70,6 +72,7 @@
         "pace",
         "percent",
         "phase",
+        "progress_at",
         "runner_id",
         "sent_at",
         "step",
@@ -98,6 +101,7 @@
         self.load = 0.0
         self.pace = 100
         self.sent_at = 0.0
+        self.progress_at = 0.0
         self.acknowledged_at = 0.0
         self.doubtful_since = 0.0
         self.stop_acknowledged_at = 0.0
@@ -124,6 +128,7 @@
         self.runner_id = runner_id
         self.attempt = attempt
         self.percent = 0
+        self.progress_at = 0.0
         self.load = 0.0
         self.pace = 100
         self.sent_at = 0.0
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -9,6 +9,10 @@
 
 Response = site_store.Response
 
+# Tasks that run this long are taken for long-running ones, at work from
+# their start.
+_LASTING_S = 1000.0
+
 
 @dataclasses.dataclass(slots=True)
 class _Task:
@@ -88,6 +92,7 @@
         self.lose_answers = 0
         self.delay_orders_s = 0.0
         self.fails_all = False
+        self._still_since: float | None = None
         self.reject_status: int | None = None
 
     def entry(self) -> dict[str, Any]:
@@ -168,9 +173,10 @@
             plan.how,
         )
         self.task_by_name[name] = task
-        task.call = self._reactor.callLater(
-            plan.run_s, self._end, task, plan.how
-        )
+        if self._still_since is None:
+            task.call = self._reactor.callLater(
+                plan.run_s, self._end, task, plan.how
+            )
         self._record("start", self.id, name, attempt)
         self._extend(body["expiresMs"])
         return self._answer(200)
@@ -232,9 +238,31 @@
         wait.addErrback(lambda failure: failure.trap(defer.TimeoutError))
         return wait.addCallback(lambda _: self._lists())
 
+    def stand_still(self) -> None:
+        """Let its tasks neither progress nor end by themselves."""
+        self._still_since = self._reactor.seconds()
+        for task in self.task_by_name.values():
+            if task.call is not None and task.call.active():
+                task.call.cancel()
+
+    def _percent(self, task: _Task) -> int:
+        if task.ends_at - task.began_at >= _LASTING_S:
+            return 100
+        now = self._reactor.seconds()
+        if self._still_since is not None:
+            now = max(self._still_since, task.began_at)
+        share = (now - task.began_at) / (task.ends_at - task.began_at)
+        return min(int(share * 100), 100)
+
     def _lists(self) -> Response:
         running = [
-            [task.name, task.attempt, task.checkpoint, 100, 0]
+            [
+                task.name,
+                task.attempt,
+                task.checkpoint,
+                self._percent(task),
+                0,
+            ]
             for task in self.task_by_name.values()
         ]
         return self._answer(200, running=running, finished=self._ended[:500])
--- a/tests/scheduler/failing_runner.feature
+++ b/tests/scheduler/failing_runner.feature
@@ -25,3 +25,20 @@
     When 40 jobs are submitted over 4.0 s
     And 8.0 s pass
     Then all jobs that don't end in "0" are "completed"
+
+  Scenario: Tasks that stand still go on elsewhere
+    Guards against jobs that wait for a runner that does nothing.
+    Given tasks that run 3.0 s
+    When job "00000000000000f2" of 20 tasks is submitted
+    And 1.0 s pass
+    And a runner with tasks stands still
+    And 8.0 s pass
+    Then job "00000000000000f2" is "completed"
+    And no task ran twice
+
+  Scenario: Slow tasks aren't taken for ones that stand still
+    Given tasks that run 20.0 s
+    When job "00000000000000f3" of 20 tasks is submitted
+    And 22.0 s pass
+    Then job "00000000000000f3" is "completed"
+    And no task was stopped
--- a/tests/scheduler/steps/failing_steps.py
+++ b/tests/scheduler/steps/failing_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from azurevane._internal.standins import site_runner
 
@@ -55,3 +56,9 @@
     starts = [entry for entry in context.world.starts() if entry[2] in ids]
     assert starts, "no start at all"
     assert len(starts) < count, len(starts)
+
+
+@when("a runner with tasks stands still")
+def step_still(context):
+    runners = context.world.platform.runner_by_address.values()
+    next(runner for runner in runners if runner.task_by_name).stand_still()
