Look at once for a start without an answer

A start is given up after 1 s; then the leader waits for the runner's next report, held back for up to 1.5 s, before it stops the start, and for another one before it starts the task elsewhere: 2.7 s for one task. Change: the runner is asked at once, beside the call that is held back, and again when it has taken the stop of a start that it never confirmed.

--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -363,14 +363,14 @@
             # Ordered by an earlier leader, whose orders are rejected now.
             self._lose(run, "never begun", now)
         elif run.stop_acknowledged_at:
-            if sent_at > run.stop_acknowledged_at:
+            if sent_at >= run.stop_acknowledged_at:
                 self._lose(run, "stopped before it began", now)
         elif run.phase is _Phase.STOPPING:
             self._book.repeat_stop(run, now)
         elif run.phase is _Phase.RUNNING:
             if sent_at > run.acknowledged_at:
                 self._lose(run, "runner doesn't know it", now)
-        elif run.doubtful_since and sent_at > run.doubtful_since:
+        elif run.doubtful_since and sent_at >= run.doubtful_since:
             self._book.stop(run, "start unanswered", now)
 
     def _stop_orphan(
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -76,6 +76,7 @@
         self._lease_s = lease_s
         self._wake: defer.Deferred[None] | None = None
         self._stopped = False
+        self._looking = False
         self.ended = False
 
     def stop(self) -> None:
@@ -169,6 +170,36 @@
         if state.processed > state.last_seen:
             self._acknowledge(state, state.processed)
 
+    async def _look(self, state: runner_state.RunnerState) -> None:
+        """Read the lists at once, beside a call that is held back."""
+        if self._looking:
+            return
+        self._looking = True
+        sent_at = self._leader.now()
+        try:
+            report = await self._calls.hold(
+                self._id,
+                state.entry.address,
+                last_seen=state.last_seen,
+                lease_until_s=None,
+                wait_s=0.0,
+            )
+        except (
+            exceptions.CallFailed,
+            runner_calls.OtherRunner,
+            runner_calls.RunnerFenced,
+        ) as failure:
+            # The call that is held back meets the same.
+            logger.debug("Look at runner %s: %s", self._id, failure)
+            return
+        finally:
+            self._looking = False
+        if self._state() is state:
+            self._leader.runner_events.report(
+                self._id, report, sent_at=sent_at, now=self._leader.now()
+            )
+            self._leader.pump()
+
     def _acknowledge(
         self, state: runner_state.RunnerState, number: int
     ) -> None:
@@ -232,6 +263,8 @@
             leader.doubt(f"runner {self._id} rejects this host's token")
         self.wake()
         leader.pump()
+        if started.outcome is messages.StartOutcome.UNKNOWN:
+            await self._look(state)
 
     async def send_stop(self, order: orders.SendStop) -> None:
         """Send an order to stop; without an answer it is repeated."""
@@ -254,6 +287,10 @@
                 self._id, task, attempt, self._leader.now()
             )
             self.wake()
+            run = state.run_by_task.get(task)
+            if run is not None and not run.acknowledged_at:
+                # It may never have begun; then no end will be listed.
+                await self._look(state)
 
     async def send_pace(self, order: orders.SendPace) -> None:
         """Set a run's speed; the next report shows whether it was taken."""
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -52,6 +52,20 @@
     Then job "00000000000000c4" is "completed"
     And no task ran twice
 
+  Scenario: A start without an answer costs little more than its time-out
+    Guards against waiting for a report that the runner holds back.
+    Given hosts stay in their pools
+    And tasks that run 0.3 s
+    When 1.0 s pass
+    And the runners carry out orders 6.0 s late
+    And job "00000000000000c9" of 1 tasks is submitted
+    And 0.1 s pass
+    And the runners are on time again
+    And 1.5 s pass
+    Then job "00000000000000c9" is "completed"
+    When 8.0 s pass
+    Then no task ran twice
+
   Scenario: A runner that starts anew holds nothing of before
     Given tasks that run 3.0 s
     When job "00000000000000c5" of 20 tasks is submitted
