--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -68,7 +68,7 @@
         for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
-            key = f"{location}:{element['name']}"
+            key = f"{location}:{element['name']}".strip()
             status_by_name[key] = element.get("status", "undefined")
     if process.returncode and not status_by_name:
         status_by_name[f"{directory.name}:(behave failed)"] = "failed"
