Let a crashed runner of the stand-in carry out nothing

The platform's runners run nothing after a crash, so the scheduler was right to give these runs up. Change: a runner's ended life answers nothing; the checks stay as they are. Conclusion: a fault of the stand-in, not of the program.

--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -89,6 +89,7 @@
         self.state = "ready"
         self.sequence = 0
         self.reachable = True
+        self._ended_life = False
         self.lose_answers = 0
         self.delay_orders_s = 0.0
         self.fails_all = False
@@ -125,6 +126,9 @@
         self, path: str, body: Any
     ) -> "Response | defer.Deferred[Response]":
         """Answer one call."""
+        if self._ended_life:
+            # An order that is carried out late finds no runner any more.
+            return Response(404)
         if self.reject_status is not None:
             return Response(self.reject_status, None)
         if body["fencingToken"] < self._fence:
@@ -302,6 +306,7 @@
     def crash(self) -> None:
         """End at once with all tasks; nothing of it is known any more."""
         self.reachable = False
+        self._ended_life = True
         for task in self.task_by_name.values():
             if task.call is not None and task.call.active():
                 task.call.cancel()
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -52,6 +52,17 @@
     Then job "00000000000000c4" is "completed"
     And no task ran twice
 
+  Scenario: An order that is carried out late is lost with its runner
+    Given tasks that run 2.0 s
+    When the runners carry out orders 3.0 s late
+    And job "00000000000000ca" of 10 tasks is submitted
+    And 0.5 s pass
+    And the runners with orders go dark and their hosts are shown as down
+    And the runners are on time again
+    And 10.0 s pass
+    Then job "00000000000000ca" is "completed"
+    And no task ran twice
+
   Scenario: A start without an answer costs little more than its time-out
     Guards against waiting for a report that the runner holds back.
     Given hosts stay in their pools
