Decode the platform's answers in one place

Cause: advice_calls, machine_calls and leader_line each checked for status 200, decoded the body and turned either failure into the same verdict. Change: http_client.decode_answer does it; all three call it. A malformed answer about a reign is logged like its other failures, at info. Conclusion: one copy; callers see the same outcomes.

--- a/src/azurevane/_internal/peers/leader_line.py
+++ b/src/azurevane/_internal/peers/leader_line.py
@@ -61,16 +61,13 @@
                 {"token": token, "asker": self._host_name},
                 timeout_s=ANSWER_TIMEOUT_S,
             )
+            decoded = http_client.decode_answer(
+                answer, _Answer, f"question to {address}"
+            )
         except exceptions.CallFailed as failure:
+            logger.info("Question about a reign: %s", failure)
             return Standing.GONE if failure.refused else Standing.UNKNOWN
-        if answer.status != http.OK:
-            return Standing.UNKNOWN
-        try:
-            leads = msgspec.json.decode(answer.body, type=_Answer).leads
-        except msgspec.MsgspecError as error:
-            logger.warning("Answer of %s about its reign: %s", address, error)
-            return Standing.UNKNOWN
-        return Standing.LEADS if leads else Standing.GAVE_UP
+        return Standing.LEADS if decoded.leads else Standing.GAVE_UP
 
 
 def answer(body: bytes, leads: Callable[[int, str], bool]) -> bytes:
--- a/src/azurevane/_internal/platform/advice_calls.py
+++ b/src/azurevane/_internal/platform/advice_calls.py
@@ -5,9 +5,7 @@
 
 import msgspec
 
-from azurevane import exceptions
 from azurevane._internal.models import host_settings
-from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_client
 
 # Most runners of one question, by the platform's protocol.
@@ -58,15 +56,7 @@
             {"step": step_name, "workers": list(runners[:MAX_RUNNERS])},
             timeout_s=CALL_TIMEOUT_S,
         )
-        if answer.status != 200:
-            raise exceptions.CallFailed(
-                f"advice on {step_name}: HTTP {answer.status}",
-                verdict.Verdict.NOT_RUN,
-            )
-        try:
-            decoded = msgspec.json.decode(answer.body, type=_Answer)
-        except msgspec.MsgspecError as error:
-            raise exceptions.CallFailed(
-                f"advice on {step_name}: {error}", verdict.Verdict.RAN
-            ) from error
+        decoded = http_client.decode_answer(
+            answer, _Answer, f"advice on {step_name}"
+        )
         return Advice(dict(decoded.good), decoded.valid_ms / 1000)
--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -1,13 +1,14 @@
 """HTTP calls to the platform and the runners."""
 
 import dataclasses
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope import interface
@@ -73,6 +74,31 @@
         """Do nothing: the body was written at once."""
 
 
+_T = TypeVar("_T")
+
+
+def decode_answer(answer: Answer, body_type: type[_T], what: str) -> _T:
+    """Return the decoded body of an answer with status 200.
+
+    Args:
+        what: the call, for the text of the error.
+
+    Raises:
+        CallFailed: it has another status, with which nothing ran, or a
+            body that can't be read.
+    """
+    if answer.status != http.OK:
+        raise exceptions.CallFailed(
+            f"{what}: HTTP {answer.status}", verdict.Verdict.NOT_RUN
+        )
+    try:
+        return msgspec.json.decode(answer.body, type=body_type)
+    except msgspec.MsgspecError as error:
+        raise exceptions.CallFailed(
+            f"{what}: {error}", verdict.Verdict.RAN
+        ) from error
+
+
 class HttpClient:
     """Sends calls with JSON bodies, each within a time of its own."""
 
--- a/src/azurevane/_internal/platform/machine_calls.py
+++ b/src/azurevane/_internal/platform/machine_calls.py
@@ -80,17 +80,7 @@
                 f"/azurevane/machines{query}",
                 timeout_s=CALL_TIMEOUT_S,
             )
-            if answer.status != 200:
-                raise exceptions.CallFailed(
-                    f"list of hosts: HTTP {answer.status}",
-                    verdict.Verdict.NOT_RUN,
-                )
-            try:
-                page = msgspec.json.decode(answer.body, type=_Page)
-            except msgspec.MsgspecError as error:
-                raise exceptions.CallFailed(
-                    f"list of hosts: {error}", verdict.Verdict.RAN
-                ) from error
+            page = http_client.decode_answer(answer, _Page, "list of hosts")
             hosts.extend(_host(machine) for machine in page.machines)
             token = page.next_token
             if not token:
