Follow a leader's tables in a module of its own

Change: scheduler/site_tables.py does that and tells the leader what changed. A whole read of the runners now also has the leader plan again at once instead of within its tick of 0.1 s. Conclusion: one job a module; nothing else behaves otherwise.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -1,11 +1,10 @@
 """The leader's task: reads the site's jobs, plans and has orders sent."""
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 import functools
 import logging
 from typing import Any
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task as twisted_task
 
@@ -19,7 +18,6 @@
 from azurevane._internal.platform import machine_calls
 from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import runner_calls
-from azurevane._internal.platform import runner_rows
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import book as book_module
@@ -35,18 +33,13 @@
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import runner_state
-from azurevane._internal.scheduler import table_follower
+from azurevane._internal.scheduler import site_tables
 
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
 # Events within this time are planned for together.
 PUMP_S = 0.004
-# How long the store may hold back an answer about changes.
-FEED_WAIT_S = 2.0
-# Every runner renews its entry each heartbeat; the renewals of this long
-# are read together.
-RUNNERS_PAUSE_S = 0.2
 # Leases are extended this long without the store, so that tasks outlive
 # its outages; a new leader allows for it.
 EXTEND_WITHOUT_STORE_S = 4.0
@@ -131,8 +124,15 @@
             unix_time=unix_time,
             may_order=self.may_order,
         )
-        self._followers: list[table_follower.TableFollower] = []
-        self._loaded: set[str] = set()
+        self._tables = site_tables.SiteTables(
+            reactor,
+            store_client,
+            self._jobs,
+            self.runner_events,
+            jobs_changed=self.pump,
+            runners_changed=self._runners_changed,
+            loaded=self._note_loaded,
+        )
         self._ticker: Any = None
         self._renewed_at = claimed_at
         self._wave_by_number: dict[int, site.Wave] = {}
@@ -258,12 +258,7 @@
                 self._jobs.restore_state(row.place.key, row.value or b"")
             elif self._keeper is not None and row.value is not None:
                 self._keeper.waves.restore_wave(number, row.value)
-        self._follow(
-            records.JOBS_TABLE,
-            self._jobs_whole,
-            self._jobs_changed,
-            parted=True,
-        )
+        self._tables.start()
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = self._reactor
         self._ticker.start(TICK_S)
@@ -273,7 +268,7 @@
 
     async def _keep_hosts(self, keeper: host_keeper.HostKeeper) -> None:
         while not self.stopped:
-            if runner_rows.TABLE in self._loaded:
+            if self._tables.loaded:
                 keeper.waves.set_waves(self._wave_by_number)
                 try:
                     await keeper.step()
@@ -285,36 +280,13 @@
                 self._reactor, host_keeper.STEP_S, lambda: None
             )
 
-    def _follow(
-        self,
-        table: str,
-        whole: Callable[[Sequence[store.Row]], None],
-        changed: Callable[[Sequence[store.Row]], None],
-        *,
-        parted: bool = False,
-        pause_s: float = 0.0,
-    ) -> None:
-        follower = table_follower.TableFollower(
-            self._reactor,
-            self._store,
-            table,
-            wait_s=FEED_WAIT_S,
-            whole=whole,
-            changed=changed,
-            parted=parted,
-            pause_s=pause_s,
-        )
-        self._followers.append(follower)
-        background.spawn(follower.run(), f"follow {table}")
-
     def stop(self, reason: str) -> None:
         """End this reign; nothing is ordered any more."""
         if self.stopped:
             return
         self.stopped = True
         self._journal.close()
-        for follower in self._followers:
-            follower.stop()
+        self._tables.stop()
         self._sender.stop()
         self._jobs.stop()
         if self._ticker is not None and self._ticker.running:
@@ -371,52 +343,10 @@
         self._journal.write(ALIVE_PLACE, self._encode_alive)
         return self.stored()
 
-    def _jobs_changed(self, rows: Sequence[store.Row]) -> None:
-        self._jobs.changed(rows)
-        self.pump()
-
-    def _jobs_whole(self, rows: Sequence[store.Row]) -> None:
-        self._jobs_changed(rows)
-        if records.JOBS_TABLE in self._loaded:
-            return
-        self._loaded.add(records.JOBS_TABLE)
-        # A runner's lists can be judged only once all jobs are known.
-        self._follow(
-            runner_rows.TABLE,
-            self._runners_whole,
-            self._runners_changed,
-            pause_s=RUNNERS_PAUSE_S,
-        )
-
-    def _runners_whole(self, rows: Sequence[store.Row]) -> None:
-        entries = [self._runner(row) for row in rows]
-        self.runner_events.set_entries(
-            [entry for entry in entries if entry is not None], self.now()
-        )
-        if runner_rows.TABLE not in self._loaded:
-            self._loaded.add(runner_rows.TABLE)
-            self._note_loaded()
-        self._sender.update_links()
-
-    def _runners_changed(self, rows: Sequence[store.Row]) -> None:
-        now = self.now()
-        for row in rows:
-            entry = None if row.value is None else self._runner(row)
-            if entry is None:
-                self.runner_events.unlisted(row.place.key, now)
-            else:
-                self.runner_events.listed(entry, now)
+    def _runners_changed(self) -> None:
         self._sender.update_links()
         self.pump()
 
-    @staticmethod
-    def _runner(row: store.Row) -> site.Runner | None:
-        try:
-            return runner_rows.decode_runner(row.place.key, row.value or b"")
-        except msgspec.MsgspecError as error:
-            table_follower.note_unreadable(row, error)
-            return None
-
     def _note_loaded(self) -> None:
         catalogue.emit(
             logger,
@@ -440,7 +370,7 @@
         self._pump_call = None
         if self.stopped:
             return
-        if len(self._loaded) == 2 and self.may_order():
+        if self._tables.loaded and self.may_order():
             self._planner.plan(self.now(), self._unix_time())
         self._write_changed()
         starts: list[orders.SendStart] = []
