Let renewals alone confirm the lead, and write them first

Cause: the leader counted every committed write as a proof that it leads, but the other hosts see only its renewal row. While its rows took several transactions the renewal waited for its turn, another host took over 2.2 s after the last one, and the first still sent commands on the strength of its later writes: two leaders at once.

Change: only a committed renewal moves the time until which the leader may send commands, and a renewal that is due goes into the next transaction, also of a flush that has begun.

Result: the new scenario, a leader that stores other rows but no renewal, fails before with two leaders and passes after; tests/scheduler: 70 passed.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -111,6 +111,7 @@
             sleep=runner_link.make_sleep(reactor),
             on_committed=self._handle_committed,
             on_leadership_lost=lambda: self.stop("another host holds the row"),
+            first_row_key=RENEWAL_ROW_KEY,
         )
         self._row_writer.record_version(
             store.Row(RENEWAL_ROW_KEY, b"", takeover_commit.version)
@@ -199,9 +200,9 @@
         return self.now() + self._store_offset_s
 
     def leadership_confirmed_at(self) -> float:
-        """Return when the latest committed write was sent.
+        """Return when the latest committed renewal was sent.
 
-        Each write is conditional on the leader's row, so this host led then.
+        It is conditional on the leader's row, so this host led then.
         """
         return self._confirmed_at
 
@@ -246,10 +247,12 @@
         outcome: store.Committed,
         row_keys: Collection[store.RowKey],
     ) -> None:
-        self._confirmed_at = max(self._confirmed_at, sent_at)
         self._store_offset_s = outcome.store_time_s - self.now()
         if RENEWAL_ROW_KEY not in row_keys:
+            # The other hosts see only renewals, so no other write keeps them
+            # from taking over.
             return
+        self._confirmed_at = max(self._confirmed_at, sent_at)
         for runner_id, state in self.scheduler_state.runner_by_id.items():
             state.expiry_published = runner_id in self._written_expiries
 
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -58,6 +58,8 @@
             sent, its result and the keys of its rows. The write confirms
             that this host led at that time.
         on_leadership_lost: called once when another host leads.
+        first_row_key: row that is written before all others, also before
+            those of a flush that has begun.
 
     Attributes:
         closed: whether nothing is written any more.
@@ -76,6 +78,7 @@
             [float, store.Committed, Collection[store.RowKey]], None
         ],
         on_leadership_lost: Callable[[], None],
+        first_row_key: store.RowKey | None = None,
     ) -> None:
         self._client = client
         self._leader_row_key, self._leader_version = leader_row
@@ -83,6 +86,7 @@
         self._sleep = sleep
         self._on_committed = on_committed
         self._on_leadership_lost = on_leadership_lost
+        self._first_row_key = first_row_key
         self._version_by_row_key: dict[store.RowKey, int] = {}
         self._dirty: dict[store.RowKey, RowEncoder] = {}
         self._waiting_flushes: list[defer.Deferred[None]] = []
@@ -147,6 +151,10 @@
     async def _write_all(self, dirty: dict[store.RowKey, RowEncoder]) -> bool:
         values = {row_key: encoder() for row_key, encoder in dirty.items()}
         while values:
+            first = self._first_row_key
+            if first is not None and (encoder := self._dirty.pop(first, None)):
+                values.pop(first, None)
+                values = {first: encoder(), **values}
             batch = _first_batch(values)
             if not await self._write_batch(batch):
                 return False
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -112,3 +112,11 @@
     Guards against a leader that gives up although no host can take over.
     When the leader's partition of the store is down for 3.0 s
     Then the same host leads
+
+  Scenario: Rows without a renewal don't extend the leader's term
+    Guards against two leaders: the others see only the renewals.
+    Given the leader writes no more renewals
+    When 40 jobs are submitted over 4.0 s
+    And 1.0 s pass
+    Then another host leads
+    And no task ran twice
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -270,6 +270,14 @@
     world.advance_time(0.5)
 
 
+@given("the leader writes no more renewals")
+def step_no_renewals(context):
+    world = context.world
+    context.previous_leader = world.leader_name
+    # The time of the last renewal never becomes old.
+    world.host_by_name[world.leader_name].leader._renewed_at = float("inf")
+
+
 @then("a host leads")
 def step_host_leads(context):
     assert context.world.leader_name is not None
