Publish no counts of pending jobs before the jobs are read

Cause: a host that takes over wrote its first renewals with empty counts, and every host showed callers that no job waits until the new leader had read the jobs.

Change: the counts are absent from a renewal until the leader has read the jobs. Hosts go on with the last counts while these are recent enough and refuse the question after that.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -126,7 +126,9 @@
             key, value = row.row_key.key, row.value
             self._view.update_row(key, value, row.version, now)
             if key == leadership.RENEWAL_KEY and value is not None:
-                self._on_pending_jobs(leadership.decode_pending_jobs(value))
+                pending_by_queue = leadership.decode_pending_jobs(value)
+                if pending_by_queue is not None:
+                    self._on_pending_jobs(pending_by_queue)
 
     def _handle_view_confirmed(self, now: float) -> None:
         self._view.record_view(now)
@@ -216,7 +218,7 @@
                     leader_module.RENEWAL_ROW_KEY: leadership.encode_renewal(
                         takeover.token,
                         0,
-                        {},
+                        None,
                         takeover.previous.expiry_by_runner,
                         takeover.previous.command_by_host,
                     ),
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -482,7 +482,9 @@
         return leadership.encode_renewal(
             self.token,
             self._renewals,
-            self.scheduler_state.pending_by_queue(),
+            self.scheduler_state.pending_by_queue()
+            if self._site_tables.loaded
+            else None,
             self._written_expiries,
             {}
             if manager is None
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -113,10 +113,11 @@
     )
 
 
-class _RenewalRow(msgspec.Struct):
+class _RenewalRow(msgspec.Struct, omit_defaults=True):
     token: int
     renewals: int
-    pending_by_queue: dict[str, int] = {}
+    # Absent until the leader has read the jobs.
+    pending_by_queue: dict[str, int] | None = None
     expiry_by_runner: dict[str, float] = msgspec.field(
         name="lapse_by_runner", default_factory=dict
     )
@@ -265,11 +266,16 @@
 def encode_renewal(
     token: int,
     renewals: int,
-    pending_by_queue: dict[str, int],
+    pending_by_queue: dict[str, int] | None,
     expiry_by_runner: dict[str, float],
     command_by_host: dict[str, recent_commands.RecentCommand],
 ) -> bytes:
-    """Return the value of the row that the leader renews periodically."""
+    """Return the value of the row that the leader renews periodically.
+
+    Args:
+        pending_by_queue: number of jobs of each queue that haven't started,
+            or None if the leader doesn't know it yet.
+    """
     return msgspec.json.encode(
         _RenewalRow(
             token,
@@ -281,6 +287,9 @@
     )
 
 
-def decode_pending_jobs(value: bytes) -> dict[str, int]:
-    """Return the number of jobs of each queue that haven't started."""
+def decode_pending_jobs(value: bytes) -> dict[str, int] | None:
+    """Return the number of jobs of each queue that haven't started.
+
+    It is None if the leader hasn't read the jobs yet.
+    """
     return msgspec.json.decode(value, type=_RenewalRow).pending_by_queue
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -120,3 +120,11 @@
     And 1.0 s pass
     Then another host leads
     And no task ran twice
+
+  Scenario: A new leader that hasn't read the jobs yet publishes no counts
+    Guards against callers that are told that no job waits.
+    Given tasks that need more than any host has
+    And 6 jobs of 1 task were submitted 1.0 s ago
+    When the leader is killed
+    And the store takes 0.2 s for each response
+    Then for 5.0 s each count of pending jobs is at least 3, or refused
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -1,5 +1,7 @@
 """Steps about jobs, hosts and runners of a site."""
 
+import json
+
 from behave import given
 from behave import then
 from behave import when
@@ -460,3 +462,38 @@
         for name, host in context.world.host_by_name.items()
     }
     assert set(versions.values()) == {newest}, versions
+
+
+@given("tasks that need more than any host has")
+def step_large_tasks(context):
+    context.task_cpu = 10**6
+
+
+@given("{count:d} jobs of 1 task were submitted {seconds:g} s ago")
+def step_submitted_before(context, count, seconds):
+    for number in range(1, count + 1):
+        response = context.world.submit_job(
+            context.queue, f"{number:016x}", [_job(1, cpu=context.task_cpu)]
+        )
+        assert response.status == 200, response
+    context.world.advance_time(seconds)
+
+
+@then(
+    "for {seconds:g} s each count of pending jobs is at least {least:d}, or"
+    " refused"
+)
+def step_counts(context, seconds, least):
+    world = context.world
+    end = world.clock.seconds() + seconds
+    counts = []
+    while world.clock.seconds() < end:
+        for host in list(world.host_by_name):
+            answer = world.send_request("GET", f"/{context.queue}/", host=host)
+            if answer.status == 200:
+                counts.append(json.loads(answer.body)["pending"])
+            else:
+                assert answer.status == 503, answer
+        world.advance_time(0.1)
+    assert counts, "no count was shown"
+    assert min(counts) >= least, counts
