Count hosts with an unanswered command as down in a wave

Cause: the number of hosts in maintenance, which a wave's cap bounds, left out those whose command had been sent and not answered. A slow platform does the same to any leader.

Change: a host with a command that is planned or in flight counts as down.

Result: the new scenario (answers take 0.6 s, two may be down) has four hosts in maintenance at once before, two after; hosts.feature: 7 passed. Also a histogram of the time for which starts were put off.

--- a/src/azurevane/_internal/metrics/site_instruments.py
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -178,3 +178,14 @@
 def _lines_dropped(event: events.LinesDropped) -> float:
     """Log lines dropped because standard output was too slow."""
     return event.lines
+
+
+@instruments.instrument(
+    "azurevane.start.put_off.duration",
+    "histogram",
+    "s",
+    events.StartsResumed,
+)
+def _starts_put_off_duration(event: events.StartsResumed) -> float:
+    """Time for which starts waited for others to be answered."""
+    return event.put_off_s
--- a/src/azurevane/_internal/scheduler/wave_manager.py
+++ b/src/azurevane/_internal/scheduler/wave_manager.py
@@ -210,8 +210,10 @@
         now: float,
     ) -> list[host_commands.HostCommand]:
         elapsed_s = self._leader.store_now() - progress.begun_at
+        # A host whose command isn't answered yet may be down already.
         down_hosts = sum(
             name in self._table.maintenance_until
+            or name in self._table.commanded_hosts
             for name in progress.wave.hosts
         )
         steps = wave_steps.plan_wave(
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -69,6 +69,7 @@
         self.store_down = False
         self.store_silent = False
         self.store_delay_s = 0.0
+        self.hosts_delay_s = 0.0
         self.store_answers_to_lose = 0
         self.late_commands: set[tuple[str, int]] = set()
         self.record: list[tuple[float, str, str, str, int]] = []
@@ -371,6 +372,8 @@
             delay_s = self._platform.latency_s
             if address == STORE_ADDRESS:
                 delay_s += self._platform.store_delay_s
+            elif address == HOSTS_ADDRESS:
+                delay_s += self._platform.hosts_delay_s
             defer.maybeDeferred(lambda: answer).addCallback(
                 lambda response: reactor.callLater(delay_s, deliver, response)
             )
--- a/tests/scheduler/hosts.feature
+++ b/tests/scheduler/hosts.feature
@@ -27,6 +27,15 @@
     And no task was stopped
     And no task ran twice
 
+  Scenario: A wave keeps its cap while the platform answers late
+    Guards against hosts that are sent away while the answers to the commands
+    before them are on their way.
+    Given the platform takes 0.6 s to answer calls about hosts
+    When a wave of 6 hosts within 20 s with 2 down at once is requested
+    And 24.0 s pass
+    Then wave 1 is completed
+    And at most 2 hosts were in maintenance at once
+
   Scenario: A wave keeps the availability budget of a long-running step
     When a job of 4 long-running tasks with a budget of 1 is submitted
     And 12.0 s pass
--- a/tests/scheduler/steps/host_steps.py
+++ b/tests/scheduler/steps/host_steps.py
@@ -2,6 +2,7 @@
 
 import json
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -87,6 +88,11 @@
     context.long_running_count = count
 
 
+@given("the platform takes {seconds:g} s to answer calls about hosts")
+def step_slow_hosts_api(context, seconds):
+    context.world.platform.hosts_delay_s = seconds
+
+
 @then("wave 1 is completed")
 def step_wave_done(context):
     value = context.world.platform.store.value("status", "", "wave/1")
