--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -331,6 +331,15 @@
             return self.silent or platform.store_is_silent_to(self._entry_host)
         return self.silent
 
+    def _response_delay_s(self, address: host_settings.Address) -> float:
+        platform = self._platform
+        delay_s = platform.latency_s
+        if address == STORE_ADDRESS:
+            delay_s += platform.store_delay_s
+        elif address == HOSTS_ADDRESS:
+            delay_s += platform.hosts_delay_s
+        return delay_s
+
     async def call(
         self,
         address: host_settings.Address,
@@ -369,11 +378,7 @@
             answer = self._platform.handle_request(self._entry_host, request)
             if answer is None:
                 return
-            delay_s = self._platform.latency_s
-            if address == STORE_ADDRESS:
-                delay_s += self._platform.store_delay_s
-            elif address == HOSTS_ADDRESS:
-                delay_s += self._platform.hosts_delay_s
+            delay_s = self._response_delay_s(address)
             defer.maybeDeferred(lambda: answer).addCallback(
                 lambda response: reactor.callLater(delay_s, deliver, response)
             )
