--- a/tests/scheduler/late_process.feature
+++ b/tests/scheduler/late_process.feature
@@ -10,6 +10,13 @@
     And 20.0 s pass
     Then every task ended once and its end was acknowledged
 
+  Scenario: A leader logs when starts begin to be put off, and when that ends
+    Given a leader whose callbacks take 4 ms each, and 24 runners
+    When 60 jobs of 8 tasks of 1.0 s are submitted
+    And 20.0 s pass
+    Then it logged that starts were put off, with a limit and their number
+    And it logged as often that they no longer were
+
   Scenario Outline: One host leads, and ends are handled, while many starts wait
     Plays a burst that asks for 960 starts.
     Given a leader whose callbacks take 3 ms each, and 24 runners
--- a/tests/scheduler/steps/late_steps.py
+++ b/tests/scheduler/steps/late_steps.py
@@ -6,6 +6,8 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.standins import site_runner
 from support import site_world
 
@@ -20,6 +22,13 @@
 def step_late_leader(context, cost_ms, count):
     world = site_world.SiteWorld(host_count=0)
     context.world, context.queue = world, "fit"
+    context.events = []
+
+    def record(_, event):
+        context.events.append(event)
+
+    catalogue.listeners.append(record)
+    context.add_cleanup(catalogue.listeners.remove, record)
     world.add_service("press")
     world.add_queue("fit", "press")
     world.add_machines(count, "press")
@@ -77,3 +86,24 @@
     )
     longest_s = max(seen[task] - done[task] for task in done)
     assert longest_s <= bound_s, longest_s
+
+
+def _logged(context, event_type):
+    return [item for item in context.events if isinstance(item, event_type)]
+
+
+@then("it logged that starts were put off, with a limit and their number")
+def step_logged_put_off(context):
+    put_off = _logged(context, events.StartsPutOff)
+    assert put_off
+    for item in put_off:
+        assert item.services == 1, item
+        assert item.limit > 0, item
+        assert item.in_progress > 0, item
+
+
+@then("it logged as often that they no longer were")
+def step_logged_resumed(context):
+    put_off = _logged(context, events.StartsPutOff)
+    resumed = _logged(context, events.StartsResumed)
+    assert len(resumed) == len(put_off), (len(put_off), len(resumed))
