--- a/benchmarks/leader_cost.py
+++ b/benchmarks/leader_cost.py
@@ -13,6 +13,7 @@
 """
 
 import argparse
+import base64
 import collections
 import json
 import os
@@ -175,7 +176,9 @@
                         "table": records.JOBS_TABLE,
                         "part": records.job_partition(job.id),
                         "key": job.id,
-                        "value": _base64(records.encode_job(job)),
+                        "value": base64.b64encode(
+                            records.encode_job(job)
+                        ).decode(),
                     }
                 ],
                 "delete": [],
@@ -220,12 +223,6 @@
         self.process.wait()
 
 
-def _base64(value):
-    import base64
-
-    return base64.b64encode(value).decode()
-
-
 def measure_sources(sources, profile_file=""):
     """Return the figures of one run; needs a process without a reactor."""
     from twisted.internet import defer
