Log whose lease a lost runner had, tokens of host commands, stored ends

The hypotheses about tasks that ran twice couldn't be told apart: 6014 and 6007 gave only "silent past its lease", 6050 neither token nor time, and nothing said up to which end a runner's ends were stored.

6014 gets whose lease was counted, for how long it had expired, how long the runner was silent and whether it had confirmed the token; 6020 what is known of the previous leader's leases and commands; 6050 the token, the time of the decision by the store's clock, the age of the confirmation and the time taken; 6005 the number of the end; the new 6018 the highest end stored.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -65,6 +65,7 @@
     reason: str
     ran_s: float
     current: bool
+    number: int
 
 
 @catalogue.event(6006)
@@ -135,6 +136,10 @@
     runner: str
     reason: str
     runs: int
+    lease_from: str
+    expired_s: float
+    silent_s: float
+    fenced: bool
 
 
 @catalogue.event(6015)
@@ -167,6 +172,15 @@
     pause_s: float
 
 
+@catalogue.event(6018)
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndsStored(catalogue.Event):
+    """Effects of ended runs are stored; their runner may forget the ends."""
+
+    runner: str
+    up_to_number: int
+
+
 @catalogue.event(6020)
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadershipTaken(catalogue.Event):
@@ -174,6 +188,9 @@
 
     token: int
     reason: str
+    extends_leases: bool
+    published_expiries: int
+    commanded_hosts: int
 
 
 @catalogue.event(6021, logging.WARNING)
@@ -318,6 +335,10 @@
     target: str
     outcome: str
     reason: str
+    token: int
+    decided_at: float
+    confirmed_s: float
+    took_s: float
 
 
 @catalogue.event(6051)
--- a/src/azurevane/_internal/platform/host_calls.py
+++ b/src/azurevane/_internal/platform/host_calls.py
@@ -71,6 +71,7 @@
     ) -> None:
         self._client = client
         self._address = address
+        self.fencing_token = fencing_token
         self._headers = {
             "X-Lease-Holder": holder,
             "X-Fencing-Token": str(fencing_token),
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -240,8 +240,16 @@
                     row.row_key.key, row.value, row.version, now
                 )
             return
+        previous = takeover.previous
         catalogue.emit(
-            logger, events.LeadershipTaken(takeover.token, takeover.reason)
+            logger,
+            events.LeadershipTaken(
+                takeover.token,
+                takeover.reason,
+                previous.may_extend_leases,
+                len(previous.expiry_by_runner),
+                len(previous.command_by_host),
+            ),
         )
         self.leader = leader_module.Leader(
             self._reactor,
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -154,10 +154,9 @@
         host = command.host
         leader = self._leader
         outcome = host_calls.CommandOutcome.RETRY_LATER
-        confirmed_recently = (
-            leader.now() - leader.leadership_confirmed_at()
-            < recent_commands.MAX_COMMAND_DELAY_S
-        )
+        decided_at = leader.now()
+        confirmed_s = decided_at - leader.leadership_confirmed_at()
+        confirmed_recently = confirmed_s < recent_commands.MAX_COMMAND_DELAY_S
         try:
             if confirmed_recently and leader.may_send_commands():
                 outcome = await self._call_platform(command)
@@ -172,6 +171,10 @@
                 str(command.wave or command.pool),
                 outcome.value,
                 command.reason,
+                self._calls.fencing_token,
+                round(leader.store_now() + decided_at - leader.now(), 3),
+                round(confirmed_s, 3),
+                round(leader.now() - decided_at, 3),
             ),
         )
 
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -500,7 +500,7 @@
                 # it, so the lease must not be extended.
                 state.expiry_published = True
                 self._written_expiries[runner_id] = (
-                    state.lease_expires_at() + self._store_offset_s
+                    state.lease_end().at + self._store_offset_s
                 )
         manager = self._host_manager
         return leadership.encode_renewal(
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -58,6 +58,7 @@
                 ended.reason.value,
                 round(ran_s, 3),
                 current,
+                ended.number,
             ),
         )
         self._update_health(runner, run, ended.reason, now)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -118,7 +118,7 @@
     def handle_runner_silent(self, runner_id: str, now: float) -> None:
         """Release the runs of an unreachable runner once its lease expired."""
         runner = self._scheduler_state.runner_by_id.get(runner_id)
-        if runner is None or now < runner.lease_expires_at():
+        if runner is None or now < runner.lease_end().at:
             return
         if not runner.listed:
             self.handle_runner_gone(runner_id, "silent past its lease", now)
@@ -145,9 +145,18 @@
     def _release_lost_runner(
         self, runner: runner_state.RunnerState, reason: str, now: float
     ) -> None:
+        lease_end = runner.lease_end()
         catalogue.emit(
             logger,
-            events.RunnerLost(runner.id, reason, len(runner.run_by_task)),
+            events.RunnerLost(
+                runner.id,
+                reason,
+                len(runner.run_by_task),
+                lease_end.granted_by.value,
+                round(now - lease_end.at, 3),
+                round(now - runner.last_contact_at, 3),
+                runner.fenced,
+            ),
         )
         for run in list(runner.run_by_task.values()):
             self._release_lost_run(run, reason, now)
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -250,6 +250,9 @@
                 runner.stored_end_number = max(
                     runner.stored_end_number, number
                 )
+                catalogue.emit(
+                    logger, events.EndsStored(self._runner_id, number)
+                )
             self.wake()
 
         stored = self._leader.store_changes()
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -1,5 +1,8 @@
 """State of a runner: its entry, lease, capacity and health."""
 
+import dataclasses
+import enum
+
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
@@ -23,6 +26,25 @@
 MAX_BACKOFF_S = 4.0
 
 
+class LeaseGrantor(enum.Enum):
+    """Leader whose lease on a runner lasts longest; the values are logged."""
+
+    THIS_LEADER = "this leader"
+    PREVIOUS_LEADER = "previous leader"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseEnd:
+    """Time from which no run can be left on a runner, and whose lease it is.
+
+    Attributes:
+        at: monotonic time in seconds.
+    """
+
+    at: float
+    granted_by: LeaseGrantor
+
+
 class RunnerState:
     """State of one incarnation of a runner; times are monotonic seconds.
 
@@ -130,15 +152,21 @@
         self._lease_until_s = max(self._lease_until_s, until_s)
         return until_s
 
-    def lease_expires_at(self) -> float:
-        """Return the time from which no run can be left on the runner."""
+    def lease_end(self) -> LeaseEnd:
+        """Return when the last lease on the runner has certainly expired."""
+        previous = LeaseEnd(
+            self._unreached_until, LeaseGrantor.PREVIOUS_LEADER
+        )
         if self._clock_s is None:
-            return self._unreached_until
+            return previous
         left_s = max(self._lease_until_s - self._clock_s, 0.0)
         expires_at = self._clock_read_at + left_s / (1 - MAX_CLOCK_SLOWNESS)
-        if not self.fenced:
-            expires_at = max(expires_at, self._unreached_until)
-        return expires_at + LEASE_EXPIRY_MARGIN_S
+        own = LeaseEnd(
+            expires_at + LEASE_EXPIRY_MARGIN_S, LeaseGrantor.THIS_LEADER
+        )
+        if self.fenced or own.at >= previous.at:
+            return own
+        return previous
 
     def add_run(self, run: runs_module.Run) -> None:
         """Record that a run occupies capacity."""
