Keep the previous leader's lease when a runner confirms the new token

Cause: the end of the lease on a runner counted what previous leaders may have granted only until the runner had confirmed the new leader's token. The token rejects their commands; it doesn't take a lease back. Where the new leader couldn't extend the lease after that report (its calls failed again, or the published expiry forbade it), its own lease was empty and the runs were released 0.2 s later, while they went on for up to 5 s.

Change: what a previous leader may have granted counts until it has expired. The token only bounds it: no lease that was granted before the report lasts longer than one lease from then on.

The stand-in's runners can reset responses of calls they carry out.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -162,11 +162,12 @@
         self, previous: leadership.PreviousLeader
     ) -> state_module.SchedulerState:
         now = self.now()
-        lease_s = self.lease_s / (1 - runner_state.MAX_CLOCK_SLOWNESS)
-        unreached_until = now + lease_s + runner_state.LEASE_EXPIRY_MARGIN_S
+        unreached_until = now + runner_state.longest_lease_s(self.lease_s)
         if previous.may_extend_leases:
             unreached_until += EXTEND_WITHOUT_STORE_S
-        scheduler_state = state_module.SchedulerState(unreached_until)
+        scheduler_state = state_module.SchedulerState(
+            unreached_until, self.lease_s
+        )
         for runner_id, expiry_s in previous.expiry_by_runner.items():
             expires_at = expiry_s - self._store_offset_s
             scheduler_state.unreached_until_by_runner[runner_id] = min(
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -274,7 +274,7 @@
             return
         runner.record_clock(report.clock_s, now)
         if not runner.fenced:
-            runner.fenced = True
+            runner.confirm_fenced(now, self._scheduler_state.lease_s)
             self._scheduler_state.request_service_plan(runner.entry.service)
             catalogue.emit(
                 logger,
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -26,6 +26,15 @@
 MAX_BACKOFF_S = 4.0
 
 
+def longest_lease_s(lease_s: float) -> float:
+    """Return after which time a lease granted now has certainly expired.
+
+    Args:
+        lease_s: length of the lease by the runner's clock, in seconds.
+    """
+    return lease_s / (1 - MAX_CLOCK_SLOWNESS) + LEASE_EXPIRY_MARGIN_S
+
+
 class LeaseGrantor(enum.Enum):
     """Leader whose lease on a runner lasts longest; the values are logged."""
 
@@ -71,7 +80,7 @@
     """
 
     def __init__(
-        self, entry: site.Runner, now: float, unreached_until: float
+        self, entry: site.Runner, now: float, previous_lease_until: float
     ) -> None:
         self.entry = entry
         self.listed = True
@@ -93,7 +102,7 @@
         self._clock_s: float | None = None
         self._clock_read_at = now
         self._lease_until_s = 0.0
-        self._unreached_until = unreached_until
+        self._previous_lease_until = previous_lease_until
         self._used_cpu = 0
         self._used_memory = 0
         self._used_gpu = 0
@@ -155,7 +164,7 @@
     def lease_end(self) -> LeaseEnd:
         """Return when the last lease on the runner has certainly expired."""
         previous = LeaseEnd(
-            self._unreached_until, LeaseGrantor.PREVIOUS_LEADER
+            self._previous_lease_until, LeaseGrantor.PREVIOUS_LEADER
         )
         if self._clock_s is None:
             return previous
@@ -164,9 +173,20 @@
         own = LeaseEnd(
             expires_at + LEASE_EXPIRY_MARGIN_S, LeaseGrantor.THIS_LEADER
         )
-        if self.fenced or own.at >= previous.at:
-            return own
-        return previous
+        return own if own.at >= previous.at else previous
+
+    def confirm_fenced(self, now: float, lease_s: float) -> None:
+        """Record that the runner rejects the commands of previous leaders.
+
+        A lease that one of them granted goes on.
+
+        Args:
+            lease_s: length of the leases that leaders grant, in seconds.
+        """
+        self.fenced = True
+        self._previous_lease_until = min(
+            self._previous_lease_until, now + longest_lease_s(lease_s)
+        )
 
     def add_run(self, run: runs_module.Run) -> None:
         """Record that a run occupies capacity."""
@@ -217,7 +237,7 @@
         self.need_by_orphan.clear()
         self._clock_s = None
         self._lease_until_s = 0.0
-        self._unreached_until = now
+        self._previous_lease_until = now
         self.expiry_published = False
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -38,6 +38,7 @@
         live_job_by_id: jobs that have not ended or still occupy capacity.
         draining_runners: ids of runners that get no new tasks because their
             host is about to be moved or maintained.
+        lease_s: length of the leases that leaders grant, in seconds.
         unreached_until: time until which a runner that this leader has not
             reached yet may execute commands of the previous leader.
         unreached_until_by_runner: the same for runners whose lease expiry
@@ -47,13 +48,18 @@
             has not arrived.
     """
 
-    def __init__(self, unreached_until: float) -> None:
+    def __init__(
+        self,
+        unreached_until: float,
+        lease_s: float = runner_state.RUNNER_LEASE_S,
+    ) -> None:
         self.config: site.SiteConfig | None = None
         self.zones_out: frozenset[str] = frozenset()
         self.job_by_id: dict[str, runs.JobState] = {}
         self.live_job_by_id: dict[str, runs.JobState] = {}
         self.runner_by_id: dict[str, runner_state.RunnerState] = {}
         self.draining_runners: set[str] = set()
+        self.lease_s = lease_s
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
         self.advice_by_step: dict[str, StepAdvice] = {}
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -7,6 +7,7 @@
 from urllib import parse
 
 from twisted.internet import defer
+from twisted.internet import error as twisted_error
 
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
@@ -213,6 +214,10 @@
             )
             return None
         answer = runner.handle_request(request.path, request.body)
+        if runner.responses_until_reset is not None:
+            if not runner.responses_until_reset:
+                return defer.fail(twisted_error.ConnectionLost())
+            runner.responses_until_reset -= 1
         if is_command and runner.answers_to_lose:
             runner.answers_to_lose -= 1
             return None
@@ -299,7 +304,8 @@
         f"{request.method} {request.path} at {request.address}: {error!r}",
         verdict.Verdict.NOT_RUN if refused else verdict.Verdict.MAY_HAVE_RUN,
         refused=refused,
-        timed_out=not refused,
+        timed_out=not refused
+        and not isinstance(error, twisted_error.ConnectionLost),
     )
 
 
@@ -354,8 +360,8 @@
         """Execute a call after the network latency.
 
         Raises:
-            exceptions.CallFailed: the connection was refused or the call
-                timed out.
+            exceptions.CallFailed: the connection was refused or reset, or
+                the call timed out.
         """
         reactor = self._platform.reactor
         name, _, query = path.partition("?")
@@ -379,8 +385,9 @@
             if answer is None:
                 return
             delay_s = self._response_delay_s(address)
-            defer.maybeDeferred(lambda: answer).addCallback(
-                lambda response: reactor.callLater(delay_s, deliver, response)
+            defer.maybeDeferred(lambda: answer).addCallbacks(
+                lambda response: reactor.callLater(delay_s, deliver, response),
+                response_wait.errback,
             )
 
         def deliver(response: Response) -> None:
@@ -394,6 +401,7 @@
             response = await response_wait
         except (
             ConnectionRefusedError,
+            twisted_error.ConnectionLost,
             defer.TimeoutError,
             defer.CancelledError,
         ) as error:
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -48,6 +48,9 @@
     Attributes:
         reachable: whether calls reach the runner.
         answers_to_lose: number of next commands whose answer is lost.
+        responses_until_reset: number of next responses that arrive; the
+            calls after those are executed and their connections reset. None
+            if all arrive.
         command_delay_s: commands are executed this much later, without an
             answer.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
@@ -95,6 +98,7 @@
         self.reachable = True
         self._crashed = False
         self.answers_to_lose = 0
+        self.responses_until_reset: int | None = None
         self.command_delay_s = 0.0
         self.fails_all_tasks = False
         self._stalled_since: float | None = None
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -86,6 +86,19 @@
     Then job "00000000000000c5" is "completed"
     And no task ran twice
 
+  Scenario: One report to a new leader doesn't shorten the previous lease
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000cb" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks resets all its responses
+    And the leader is told to stop
+    And 1.2 s pass
+    And one response of that runner arrives
+    And 8.0 s pass
+    Then every task of job "00000000000000cb" runs
+    And no task ran twice
+
   Scenario: An idle runner gets tasks as soon as it responds again
     Guards against capacity that stays unused after a call without a response.
     Given hosts stay in their pools
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -228,6 +228,17 @@
     world.clock.callLater(4.5, world.platform.unregister, runner)
 
 
+@when("a runner with tasks resets all its responses")
+def step_reset_responses(context):
+    context.resetting_runner = _busy_runner(context.world)
+    context.resetting_runner.responses_until_reset = 0
+
+
+@when("one response of that runner arrives")
+def step_one_response(context):
+    context.resetting_runner.responses_until_reset = 1
+
+
 @when("the runners carry out commands {seconds:g} s late")
 def step_late_commands(context, seconds):
     for runner in context.world.platform.runner_by_address.values():
