Extend no lease whose expiry the renewal row still shows

Cause: a takeover copies the expiry times that the previous leader published into its first renewal row, but the new leader's runner states began with expiry_published unset. So it extended the lease of a runner that responded again, and if its term ended before its first own renewal, the leader after it relied on the old expiry. A restart of the runner reset the flag as well.

Change: the set of runners whose expiry the row may show belongs to the leader's state, begins with those of the takeover, and only a committed renewal without a runner withdraws it. A leader that has taken over such a row renews as soon as it has read the jobs.

Responses to long polls that wait in the stand-in are reset as well.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -173,6 +173,8 @@
             scheduler_state.unreached_until_by_runner[runner_id] = min(
                 expires_at, unreached_until
             )
+        # The takeover has kept them in the renewal row.
+        scheduler_state.publish_expiries(previous.expiry_by_runner)
         return scheduler_state
 
     def _make_host_manager(
@@ -264,8 +266,7 @@
             # from taking over.
             return
         self._confirmed_at = max(self._confirmed_at, sent_at)
-        for runner_id, state in self.scheduler_state.runner_by_id.items():
-            state.expiry_published = runner_id in self._written_expiries
+        self.scheduler_state.withdraw_expiries(self._written_expiries)
 
     # Start and stop.
 
@@ -396,6 +397,10 @@
         self.request_planning()
 
     def _handle_loaded(self) -> None:
+        if self.scheduler_state.published_runners:
+            # Until a renewal without them is stored, the leases of runners
+            # that respond again can't be extended.
+            self._renew()
         catalogue.emit(
             logger,
             events.LeaderReady(
@@ -497,12 +502,11 @@
         self._written_expiries = {}
         for runner_id, state in self.scheduler_state.runner_by_id.items():
             if state.unreachable and state.run_by_task:
-                # From now on a later leader may read this expiry and rely on
-                # it, so the lease must not be extended.
-                state.expiry_published = True
                 self._written_expiries[runner_id] = (
                     state.lease_end().at + self._store_offset_s
                 )
+        # From now on a later leader may read these expiries and rely on them.
+        self.scheduler_state.publish_expiries(self._written_expiries)
         manager = self._host_manager
         return leadership.encode_renewal(
             self.token,
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -67,6 +67,9 @@
         runner = runner_state.RunnerState(
             entry, now, self._scheduler_state.unreached_until_of(entry.id)
         )
+        runner.expiry_published = (
+            entry.id in self._scheduler_state.published_runners
+        )
         self._scheduler_state.runner_by_id[entry.id] = runner
         for job in self._scheduler_state.live_job_by_id.values():
             for run in job.runs_occupying_capacity():
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -238,7 +238,6 @@
         self._clock_s = None
         self._lease_until_s = 0.0
         self._previous_lease_until = now
-        self.expiry_published = False
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
         self.unreachable = False
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -1,5 +1,6 @@
 """State of a site's jobs, runners and runs, and its transitions."""
 
+from collections.abc import Iterable
 import dataclasses
 import logging
 
@@ -43,6 +44,8 @@
             reached yet may execute commands of the previous leader.
         unreached_until_by_runner: the same for runners whose lease expiry
             the previous leader published.
+        published_runners: ids of runners whose lease expiry the renewal row
+            may show, so that a later leader relies on it.
         advice_by_step: advisor's latest response for each step name.
         pending_advice_steps: names of steps whose advice was requested and
             has not arrived.
@@ -62,6 +65,7 @@
         self.lease_s = lease_s
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
+        self.published_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
         self._team_rate_meter = job_order.TeamRateMeter()
@@ -77,6 +81,20 @@
             runner_id, self.unreached_until
         )
 
+    def publish_expiries(self, runner_ids: Iterable[str]) -> None:
+        """Extend no lease of these runners from now on."""
+        self.published_runners.update(runner_ids)
+        for runner_id in self.published_runners:
+            runner = self.runner_by_id.get(runner_id)
+            if runner is not None:
+                runner.expiry_published = True
+
+    def withdraw_expiries(self, published_runners: Iterable[str]) -> None:
+        """Allow to extend the leases of all runners but these."""
+        self.published_runners = set(published_runners)
+        for runner_id, runner in self.runner_by_id.items():
+            runner.expiry_published = runner_id in self.published_runners
+
     def take_changed_jobs(self) -> list[runs.JobState]:
         """Return the jobs whose state must be stored, and clear the list."""
         changed = list(self._changed_job_by_id.values())
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -221,13 +221,26 @@
         if is_command and runner.answers_to_lose:
             runner.answers_to_lose -= 1
             return None
-        if not isinstance(answer, defer.Deferred):
-            return answer
-        # A long poll's answer is lost if the runner became unreachable.
+        if isinstance(answer, defer.Deferred):
+            return self._forward_long_poll(runner, answer)
+        return answer
+
+    @staticmethod
+    def _forward_long_poll(
+        runner: site_runner.SiteRunner, answer: "defer.Deferred[Response]"
+    ) -> "defer.Deferred[Response]":
         forwarded: defer.Deferred[Response] = defer.Deferred()
-        answer.addCallback(
-            lambda response: runner.reachable and forwarded.callback(response)
-        )
+
+        def forward(response: Response) -> None:
+            # A long poll's answer is lost if the runner became unreachable.
+            if not runner.reachable:
+                return
+            if runner.responses_until_reset == 0:
+                forwarded.errback(twisted_error.ConnectionLost())
+                return
+            forwarded.callback(response)
+
+        answer.addCallback(forward)
         return forwarded
 
     # Hosts API.
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -99,6 +99,22 @@
     Then every task of job "00000000000000cb" runs
     And no task ran twice
 
+  Scenario: A lease outlasts the expiry that an earlier leader published
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000cc" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks resets all its responses
+    And 2.5 s pass
+    And the leader is told to stop
+    And that runner's responses arrive again
+    And another host leads for 0.3 s
+    And that runner resets all its responses again
+    And the leader is told to stop
+    And 8.0 s pass
+    Then every task of job "00000000000000cc" runs
+    And no task ran twice
+
   Scenario: An idle runner gets tasks as soon as it responds again
     Guards against capacity that stays unused after a call without a response.
     Given hosts stay in their pools
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -234,6 +234,25 @@
     context.resetting_runner.responses_until_reset = 0
 
 
+@when("that runner resets all its responses again")
+def step_reset_again(context):
+    context.resetting_runner.responses_until_reset = 0
+
+
+@when("that runner's responses arrive again")
+def step_responses_arrive(context):
+    context.resetting_runner.responses_until_reset = None
+
+
+@when("another host leads for {seconds:g} s")
+def step_other_leads_for(context, seconds):
+    world = context.world
+    previous = world.leader_name
+    while world.leader_name in (None, previous):
+        world.advance_time(site_world.STEP_S)
+    world.advance_time(seconds)
+
+
 @when("one response of that runner arrives")
 def step_one_response(context):
     context.resetting_runner.responses_until_reset = 1
