Send a command for a host only before its deadline

Cause: the age of the confirmation was checked when a command was decided. Its connection was opened after that, the process was frozen in between, and no timer ends a call while the process stands still. The request was written when the connection turned out to be open, seconds after the next leader had begun to command.

Change: a call may have a deadline for sending, which is checked when the request is written to an open connection; past it the call fails as not run.

The test site also checks after each scenario that no host gets a lower token after a higher one. The stand-in's client is split into the call and its execution.

Left: a process that is frozen between this check and the system call that sends the bytes can't tell.

--- a/src/azurevane/_internal/platform/host_calls.py
+++ b/src/azurevane/_internal/platform/host_calls.py
@@ -101,16 +101,36 @@
             if not token:
                 return tuple(hosts)
 
-    async def move_host(self, host: str, pool: str) -> CommandOutcome:
-        """Move a host to another pool, which ends its tasks at once."""
-        return await self._send_command("machine-move", host, {"pool": pool})
+    async def move_host(
+        self, host: str, pool: str, *, send_before: float
+    ) -> CommandOutcome:
+        """Move a host to another pool, which ends its tasks at once.
+
+        Args:
+            send_before: monotonic time from which the command isn't sent.
+        """
+        return await self._send_command(
+            "machine-move", host, {"pool": pool}, send_before
+        )
 
-    async def start_maintenance(self, host: str, wave: int) -> CommandOutcome:
-        """Start a host's maintenance, which ends its tasks at once."""
-        return await self._send_command("machine-upkeep", host, {"wave": wave})
+    async def start_maintenance(
+        self, host: str, wave: int, *, send_before: float
+    ) -> CommandOutcome:
+        """Start a host's maintenance, which ends its tasks at once.
+
+        Args:
+            send_before: monotonic time from which the command isn't sent.
+        """
+        return await self._send_command(
+            "machine-upkeep", host, {"wave": wave}, send_before
+        )
 
     async def _send_command(
-        self, name: str, host: str, fields: dict[str, Any]
+        self,
+        name: str,
+        host: str,
+        fields: dict[str, Any],
+        send_before: float,
     ) -> CommandOutcome:
         try:
             response = await self._client.call(
@@ -120,6 +140,7 @@
                 {"machine": host, **fields},
                 timeout_s=CALL_TIMEOUT_S,
                 headers=self._headers,
+                send_before=send_before,
             )
         except exceptions.CallFailed as failure:
             if failure.verdict is verdict.Verdict.NOT_RUN:
--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -80,6 +80,7 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
         max_parallel: int = 0,
+        send_before: float | None = None,
     ) -> Response:
         """Send a request and return the complete response of any status.
 
@@ -88,6 +89,8 @@
             timeout_s: time from the call to the end of the response.
             max_parallel: number of calls with such a limit that the address
                 gets at a time; further ones wait. 0 for no limit.
+            send_before: monotonic time from which the request isn't sent
+                any more; the call then fails as not run.
 
         Raises:
             CallFailed: no complete response arrived; the verdict says
@@ -99,6 +102,7 @@
             max_parallel,
             lambda status, content: done.callback(Response(status, content)),
             done.errback,
+            send_before,
         )
         peer = self._peer(address)
         timer = _CallTimer(self._reactor, self._lag, timeout_s, peer, exchange)
--- a/src/azurevane/_internal/platform/http_connections.py
+++ b/src/azurevane/_internal/platform/http_connections.py
@@ -21,6 +21,10 @@
 MAX_IDLE_CONNECTIONS_PER_PEER = 4
 
 
+class SentTooLate(Exception):
+    """Reason of an exchange that couldn't be sent before its deadline."""
+
+
 class Exchange:
     """A request, and what becomes of it; ends exactly once.
 
@@ -30,6 +34,8 @@
             time, beyond which this one waits; 0 for no limit.
         on_response: called with status and body of a complete response.
         on_failure: called with an exception if there is none.
+        send_before: monotonic time from which the request isn't sent any
+            more; None for no deadline.
 
     Attributes:
         sent: whether the request was passed to a connection.
@@ -43,6 +49,7 @@
         "ended",
         "max_parallel",
         "request",
+        "send_before",
         "sent",
     )
 
@@ -52,8 +59,10 @@
         max_parallel: int,
         on_response: Callable[[int, bytes], None],
         on_failure: Callable[[BaseException], None],
+        send_before: float | None = None,
     ) -> None:
         self.request = request
+        self.send_before = send_before
         self.max_parallel = max_parallel
         self._on_response = on_response
         self._on_failure = on_failure
@@ -98,6 +107,11 @@
         """Send a request on an open connection without an exchange."""
         self._exchange = exchange
         exchange.connection = self
+        # Opening the connection may have taken longer than the connect
+        # timeout, as timers don't run while the process is frozen.
+        if not self._peer.may_send(exchange):
+            self._fail(SentTooLate())
+            return
         exchange.sent = True
         self.transport.write(exchange.request)
 
@@ -226,6 +240,11 @@
         """Whether nothing is open, in progress or waiting."""
         return not (self._idle or self._in_progress or self._waiting)
 
+    def may_send(self, exchange: Exchange) -> bool:
+        """Whether the deadline for sending a request hasn't passed."""
+        deadline = exchange.send_before
+        return deadline is None or self._reactor.seconds() < deadline
+
     def begin(self, exchange: Exchange) -> None:
         """Send a request as soon as its limit allows."""
         if exchange.max_parallel:
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -155,11 +155,11 @@
         leader = self._leader
         outcome = host_calls.CommandOutcome.RETRY_LATER
         decided_at = leader.now()
-        confirmed_s = decided_at - leader.leadership_confirmed_at()
-        confirmed_recently = confirmed_s < recent_commands.MAX_COMMAND_DELAY_S
+        confirmed_at = leader.leadership_confirmed_at()
+        send_before = confirmed_at + recent_commands.MAX_COMMAND_DELAY_S
         try:
-            if confirmed_recently and leader.may_send_commands():
-                outcome = await self._call_platform(command)
+            if decided_at < send_before and leader.may_send_commands():
+                outcome = await self._call_platform(command, send_before)
         finally:
             self._table.commanded_hosts.discard(host.name)
         self._handle_outcome(command, outcome)
@@ -173,19 +173,21 @@
                 command.reason,
                 self._calls.fencing_token,
                 round(leader.store_now() + decided_at - leader.now(), 3),
-                round(confirmed_s, 3),
+                round(decided_at - confirmed_at, 3),
                 round(leader.now() - decided_at, 3),
             ),
         )
 
     async def _call_platform(
-        self, command: host_commands.HostCommand
+        self, command: host_commands.HostCommand, send_before: float
     ) -> host_calls.CommandOutcome:
         if command.wave:
             return await self._calls.start_maintenance(
-                command.host.name, command.wave
+                command.host.name, command.wave, send_before=send_before
             )
-        return await self._calls.move_host(command.host.name, command.pool)
+        return await self._calls.move_host(
+            command.host.name, command.pool, send_before=send_before
+        )
 
     def _handle_outcome(
         self,
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -13,6 +13,7 @@
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_client
+from azurevane._internal.platform import http_connections
 from azurevane._internal.standins import site_runner
 from azurevane._internal.standins import site_store
 
@@ -313,11 +314,12 @@
     request: "PlatformRequest", error: Exception
 ) -> exceptions.CallFailed:
     refused = isinstance(error, ConnectionRefusedError)
+    not_run = refused or isinstance(error, http_connections.SentTooLate)
     return exceptions.CallFailed(
         f"{request.method} {request.path} at {request.address}: {error!r}",
-        verdict.Verdict.NOT_RUN if refused else verdict.Verdict.MAY_HAVE_RUN,
+        verdict.Verdict.NOT_RUN if not_run else verdict.Verdict.MAY_HAVE_RUN,
         refused=refused,
-        timed_out=not refused
+        timed_out=not not_run
         and not isinstance(error, twisted_error.ConnectionLost),
     )
 
@@ -342,6 +344,7 @@
         self._entry_host = entry_host
         # Set when the entry host is isolated or killed.
         self.silent = False
+        self.hosts_connect_delay_s = 0.0
 
     def _answer_is_lost(self, address: host_settings.Address) -> bool:
         """Whether an answer from an address is lost now."""
@@ -359,6 +362,40 @@
             delay_s += platform.hosts_delay_s
         return delay_s
 
+    def _execute(
+        self,
+        request: PlatformRequest,
+        send_before: float | None,
+        response_wait: "defer.Deferred[Response]",
+    ) -> None:
+        reactor = self._platform.reactor
+
+        def fail(reason: Any) -> None:
+            if not response_wait.called:
+                response_wait.errback(reason)
+
+        def deliver(response: Response) -> None:
+            lost = self._answer_is_lost(request.address)
+            if not lost and not response_wait.called:
+                response_wait.callback(response)
+
+        if self.silent:
+            return
+        if send_before is not None and reactor.seconds() >= send_before:
+            fail(http_connections.SentTooLate())
+            return
+        if self._platform.refuses_connections(request.address):
+            fail(ConnectionRefusedError())
+            return
+        answer = self._platform.handle_request(self._entry_host, request)
+        if answer is None:
+            return
+        delay_s = self._response_delay_s(request.address)
+        defer.maybeDeferred(lambda: answer).addCallbacks(
+            lambda response: reactor.callLater(delay_s, deliver, response),
+            fail,
+        )
+
     async def call(
         self,
         address: host_settings.Address,
@@ -369,12 +406,13 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
         max_parallel: int = 0,
+        send_before: float | None = None,
     ) -> http_client.Response:
         """Execute a call after the network latency.
 
         Raises:
-            exceptions.CallFailed: the connection was refused or reset, or
-                the call timed out.
+            exceptions.CallFailed: the connection was refused or reset, it
+                opened too late, or the call timed out.
         """
         reactor = self._platform.reactor
         name, _, query = path.partition("?")
@@ -388,33 +426,19 @@
         )
         response_wait: defer.Deferred[Response] = defer.Deferred()
 
-        def arrive() -> None:
-            if self.silent:
-                return
-            if self._platform.refuses_connections(address):
-                response_wait.errback(ConnectionRefusedError())
-                return
-            answer = self._platform.handle_request(self._entry_host, request)
-            if answer is None:
-                return
-            delay_s = self._response_delay_s(address)
-            defer.maybeDeferred(lambda: answer).addCallbacks(
-                lambda response: reactor.callLater(delay_s, deliver, response),
-                response_wait.errback,
-            )
-
-        def deliver(response: Response) -> None:
-            if self._answer_is_lost(address) or response_wait.called:
-                return
-            response_wait.callback(response)
-
-        reactor.callLater(self._platform.latency_s, arrive)
+        delay_s = self._platform.latency_s
+        if address == HOSTS_ADDRESS:
+            delay_s += self.hosts_connect_delay_s
+        reactor.callLater(
+            delay_s, self._execute, request, send_before, response_wait
+        )
         response_wait.addTimeout(timeout_s, reactor)
         try:
             response = await response_wait
         except (
             ConnectionRefusedError,
             twisted_error.ConnectionLost,
+            http_connections.SentTooLate,
             defer.TimeoutError,
             defer.CancelledError,
         ) as error:
--- a/tests/platform/http_client.feature
+++ b/tests/platform/http_client.feature
@@ -41,6 +41,12 @@
     Then all 9 calls return their own paths
     And the peer accepted 2 connections
 
+  Scenario: A request isn't sent once its deadline for sending has passed
+    Guards against commands of a process that was frozen in between.
+    Given a client in virtual time whose process is 5 s late within a call
+    When a call that must be sent within 0.7 s connects after 5 s
+    Then it fails as not-run and nothing was sent
+
   Scenario: A refused connection
     Given an address at which nothing listens
     When /1 is called there
--- a/tests/platform/steps/http_client_steps.py
+++ b/tests/platform/steps/http_client_steps.py
@@ -179,6 +179,34 @@
         context.took_s += 0.05
 
 
+@when(
+    "a call that must be sent within {within_s:g} s connects after {late_s:g}"
+    " s"
+)
+def step_late_connection(context, within_s, late_s):
+    defer.ensureDeferred(
+        _call(
+            context,
+            "/1",
+            1.5,
+            send_before=context.clock.seconds() + within_s,
+        )
+    )
+    _, _, factory, _, _ = context.clock.tcpClients[0]
+    connection = factory.buildProtocol(None)
+    # No timer runs while the process is frozen.
+    context.clock.rightNow += late_s
+    context.transport = testing.StringTransport()
+    connection.makeConnection(context.transport)
+
+
+@then("it fails as not-run and nothing was sent")
+def step_not_sent(context):
+    assert not context.transport.value(), context.transport.value()
+    ((_, failure),) = context.results
+    assert failure.verdict.value == "not-run", failure
+
+
 @then("it fails after {seconds:g} s as {verdict}")
 def step_failed_after(context, seconds, verdict):
     ((_, failure),) = context.results
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -69,6 +69,19 @@
     Then the new leader has sent a command for a host
     And each host gets commands from one sender within its lease
 
+  Scenario: A replaced leader's command that was held up isn't sent
+    Guards against a command of a lower token after one of a higher token.
+    Given tasks that run 3.0 s
+    When 12.0 s pass
+    And the leader's connections to the hosts API open 5.0 s late
+    And job "00000000000000a7" of 100 tasks is submitted
+    And 0.3 s pass
+    And the store rejects the leader for 8.0 s
+    And 1.5 s pass
+    Then another host leads
+    When 7.0 s pass
+    Then the new leader has sent a command for a host
+
   Scenario: A strong host takes over before a weak one
     Given host "entry-1" has 0.5 processors and a link of 10 Mbit/s
     When the leader other than "entry-1" is killed
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -452,6 +452,12 @@
     assert world.leader_name in senders, senders
 
 
+@when("the leader's connections to the hosts API open {seconds:g} s late")
+def step_late_connections(context, seconds):
+    world = context.world
+    world.client_by_name[world.leader_name].hosts_connect_delay_s = seconds
+
+
 @then("each host gets commands from one sender within its lease")
 def step_one_sender(context):
     context.world.check_senders()
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -178,11 +178,14 @@
 
     def check_senders(self):
         last_by_host = {}
-        for at, _, host, sender, _ in self.platform.host_commands:
-            previous_at, previous = last_by_host.get(host, (at, sender))
+        for at, _, host, sender, token in self.platform.host_commands:
+            previous_at, previous, previous_token = last_by_host.get(
+                host, (at, sender, token)
+            )
             if previous != sender:
                 assert at - previous_at > BOUNDS.host_lease_s, (at, host)
-            last_by_host[host] = at, sender
+            assert token >= previous_token, (at, host, token, previous_token)
+            last_by_host[host] = at, sender, token
 
     def _check_one_leader(self):
         leaders = [
