Stop commands and bound leases before the leader's row is released

Cause, found by reading and reproduced: a leader that hands over went on planning, sending commands and extending leases until the response to the write that releases its row arrived. The next leader takes over as soon as the row is released, so with a lost response two hosts led, and the leases that the former leader still extended (for up to 4 s) outlasted what the next one assumed: tasks of a runner that only the former could reach would run twice.

Change: from the moment the release is scheduled the leader sends no command and extends leases for 1 s at most. The released row names that time by the store's clock, and the next leader counts leases from it.

The stand-in can lose all of a host's store responses and cut a runner off from single hosts.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -49,6 +49,8 @@
 # that tasks outlive its outages. A new leader waits this much longer before
 # it treats the leases of a previous one as expired.
 EXTEND_WITHOUT_STORE_S = 4.0
+# The same for a leader that has released its row and got no response yet.
+EXTEND_AFTER_RELEASE_S = 1.0
 _READ_RETRY_S = 0.2
 
 LEADER_ROW_KEY = store.RowKey(
@@ -155,16 +157,22 @@
         self._ticker: Any = None
         self._renewed_at = taken_over_at
         self._wave_by_number: dict[int, site.Wave] = {}
+        # Set once the release of the row may have been sent.
+        self._released_extend_until: float | None = None
         self._planning_call: Any = None
         self.stopped = False
 
     def _make_scheduler_state(
         self, previous: leadership.PreviousLeader
     ) -> state_module.SchedulerState:
-        now = self.now()
-        unreached_until = now + runner_state.longest_lease_s(self.lease_s)
+        extended_until = max(
+            self.now(), previous.extends_leases_until - self._store_offset_s
+        )
         if previous.may_extend_leases:
-            unreached_until += EXTEND_WITHOUT_STORE_S
+            extended_until += EXTEND_WITHOUT_STORE_S
+        unreached_until = extended_until + runner_state.longest_lease_s(
+            self.lease_s
+        )
         scheduler_state = state_module.SchedulerState(
             unreached_until, self.lease_s
         )
@@ -224,11 +232,15 @@
         confirmed_until = (
             self._confirmed_at + leadership.CONFIRMATION_VALIDITY_S
         )
-        return not self.stopped and self.now() < confirmed_until
+        released = self._released_extend_until is not None
+        ended = self.stopped or released
+        return not ended and self.now() < confirmed_until
 
     def may_extend_leases(self) -> bool:
         """Whether runners' leases may be extended, also without the store."""
         extend_until = self._confirmed_at + EXTEND_WITHOUT_STORE_S
+        if self._released_extend_until is not None:
+            extend_until = min(extend_until, self._released_extend_until)
         return not self.stopped and self.now() < extend_until
 
     def handle_leadership_query(self, host: str) -> bool:
@@ -341,11 +353,19 @@
         self._on_ended(reason)
 
     async def hand_over_leadership(self) -> None:
-        """Store pending changes, then release the leader's row and stop."""
+        """Store pending changes, then release the leader's row and stop.
+
+        No command is sent from now on, since the row may be released long
+        before the response arrives.
+        """
+        extend_until = self.now() + EXTEND_AFTER_RELEASE_S
+        self._released_extend_until = extend_until
+        released_row = leadership.encode_released_row(
+            self.token, extend_until + self._store_offset_s
+        )
         try:
             self._row_writer.schedule_write(
-                LEADER_ROW_KEY,
-                lambda: leadership.encode_leader_row("", self.token),
+                LEADER_ROW_KEY, lambda: released_row
             )
             await self._row_writer.flush()
         except row_writer_module.NotLeader:
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -49,6 +49,9 @@
     token: int
     ip: str = ""
     port: int = 0
+    # Until when the leader that released the row may extend leases, in
+    # seconds of the store's clock; 0 while the row has a holder.
+    extends_leases_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +79,10 @@
     """What is known of the leases that the previous leader granted.
 
     Attributes:
-        may_extend_leases: whether it may still be extending leases.
+        may_extend_leases: whether it may still be extending leases, for as
+            long as a leader does without the store.
+        extends_leases_until: until when it may do so after it released the
+            leader's row, by the store's clock.
         command_by_host: recent commands for hosts, its own and those of
             leaders before it.
         expiry_by_runner: expiry times, by the store's clock, of the leases
@@ -84,6 +90,7 @@
     """
 
     may_extend_leases: bool
+    extends_leases_until: float
     command_by_host: dict[str, recent_commands.RecentCommand]
     expiry_by_runner: dict[str, float]
 
@@ -101,7 +108,7 @@
 def encode_leader_row(
     holder: str, token: int, address: host_settings.Address | None = None
 ) -> bytes:
-    """Return the value of the leader's row; an empty holder releases it.
+    """Return the value of the row of a leader that holds it.
 
     Args:
         address: where other hosts may query whether the holder leads.
@@ -113,6 +120,18 @@
     )
 
 
+def encode_released_row(token: int, extends_leases_until: float) -> bytes:
+    """Return the value of the row of a leader that releases it.
+
+    Args:
+        extends_leases_until: until when the leader may extend leases if it
+            gets no response, in seconds of the store's clock.
+    """
+    return msgspec.json.encode(
+        _LeaderRow("", token, extends_leases_until=extends_leases_until)
+    )
+
+
 class _RenewalRow(msgspec.Struct, omit_defaults=True):
     token: int
     renewals: int
@@ -257,6 +276,7 @@
             reason,
             PreviousLeader(
                 may_extend_leases=may_extend,
+                extends_leases_until=self._leader_row.extends_leases_until,
                 command_by_host=self._renewal.command_by_host,
                 expiry_by_runner=self._renewal.expiry_by_runner,
             ),
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -44,6 +44,8 @@
             answer.
         store_answers_to_lose: number of next store writes that are applied
             but not answered.
+        store_answers_lost_for: names of entry hosts whose store writes are
+            applied but not answered.
         record: (time, event, runner, task, attempt) of all runners.
         late_commands: task and attempt of commands that runners executed
             late and without an answer.
@@ -73,6 +75,7 @@
         self.store_delay_s = 0.0
         self.hosts_delay_s = 0.0
         self.store_answers_to_lose = 0
+        self.store_answers_lost_for: set[str] = set()
         self.late_commands: set[tuple[str, int]] = set()
         self.record: list[tuple[float, str, str, str, int]] = []
         self.host_commands: list[tuple[float, str, str, str, int]] = []
@@ -169,7 +172,11 @@
             answer = self.store.handle_request(
                 request.method, request.path, request.query, request.body
             )
-            if request.path.endswith("rows-tx") and self.store_answers_to_lose:
+            if not request.path.endswith("rows-tx"):
+                return answer
+            if entry_host in self.store_answers_lost_for:
+                return None
+            if self.store_answers_to_lose:
                 self.store_answers_to_lose -= 1
                 return None
             return answer
@@ -177,7 +184,7 @@
             return self._handle_hosts_call(request)
         if str(request.address) in self.entry_host_by_address:
             return self._handle_entry_host_call(request)
-        return self._handle_runner_call(request)
+        return self._handle_runner_call(entry_host, request)
 
     def store_is_silent_to(self, entry_host: str) -> bool:
         """Whether the store doesn't answer an entry host."""
@@ -196,11 +203,13 @@
         return None if body is None else Response(200, json.loads(body))
 
     def _handle_runner_call(
-        self, request: "PlatformRequest"
+        self, entry_host: str, request: "PlatformRequest"
     ) -> "Response | defer.Deferred[Response] | None":
         runner = self.runner_by_address.get(str(request.address))
         if runner is None or not runner.reachable:
             return None
+        if entry_host in runner.unreachable_from:
+            return None
         if request.headers.get("X-Target-Instance") != runner.id:
             return Response(421)
         is_command = not request.path.endswith("hold")
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -51,6 +51,7 @@
         responses_until_reset: number of next responses that arrive; the
             calls after those are executed and their connections reset. None
             if all arrive.
+        unreachable_from: names of entry hosts whose calls don't arrive.
         command_delay_s: commands are executed this much later, without an
             answer.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
@@ -99,6 +100,7 @@
         self._crashed = False
         self.answers_to_lose = 0
         self.responses_until_reset: int | None = None
+        self.unreachable_from: set[str] = set()
         self.command_delay_s = 0.0
         self.fails_all_tasks = False
         self._stalled_since: float | None = None
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -82,6 +82,19 @@
     When 7.0 s pass
     Then the new leader has sent a command for a host
 
+  Scenario: A released leader extends no lease that its successor can't know
+    Guards against a response to the release of the lead that gets lost.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000a8" of 20 tasks is submitted
+    And 2.0 s pass
+    And only the leader can reach a runner with tasks
+    And the store's responses to the leader are lost
+    And the leader is told to stop
+    And 9.0 s pass
+    Then every task of job "00000000000000a8" runs
+    And no task ran twice
+
   Scenario: A strong host takes over before a weak one
     Given host "entry-1" has 0.5 processors and a link of 10 Mbit/s
     When the leader other than "entry-1" is killed
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -234,6 +234,19 @@
     context.resetting_runner.responses_until_reset = 0
 
 
+@when("only the leader can reach a runner with tasks")
+def step_reached_by_leader(context):
+    world = context.world
+    runner = _busy_runner(world)
+    runner.unreachable_from = set(world.host_by_name) - {world.leader_name}
+
+
+@when("the store's responses to the leader are lost")
+def step_lose_leader_responses(context):
+    world = context.world
+    world.platform.store_answers_lost_for.add(world.leader_name)
+
+
 @when("that runner resets all its responses again")
 def step_reset_again(context):
     context.resetting_runner.responses_until_reset = 0
