Publish times by the store's clock at the latest it can show

Cause, found by reading and reproduced: a leader related its clock to the store's by the time at which it handled a response. In a slow store that is later than the store's reading by the time of the response, so the expiry that the leader published for an unreachable runner was early by as much, and the next leader, with a fast response of its own, released the runs before their lease had expired. The time until which a leader may send a command for a host was early in the same way.

Change: the relation of the clocks is kept with its bounds (between the sending of the call and the handling of its response). What others wait for is written with the latest bound, what others wrote is read with the earliest.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -18,6 +18,7 @@
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import scheduler_state as state_module
+from azurevane._internal.scheduler import store_clock
 from azurevane._internal.scheduler import wave_manager
 
 logger = logging.getLogger(__name__)
@@ -35,6 +36,7 @@
 
     scheduler_state: state_module.SchedulerState
     runner_events: runner_events.RunnerEventHandler
+    store_clock: store_clock.StoreClock
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -80,9 +82,9 @@
         self._table = host_table.HostTable(
             leader.scheduler_state, leader.runner_events
         )
-        store_offset_s = leader.store_now() - leader.now()
+        clock = leader.store_clock
         for name, until in known_commands.available_at_by_host().items():
-            self._table.paused_until[name] = until - store_offset_s
+            self._table.paused_until[name] = clock.certainly_passed_at(until)
         self.waves = wave_manager.WaveManager(
             leader, leader.scheduler_state, self._table
         )
@@ -117,7 +119,7 @@
             return
         self.recent_commands.record_commands(
             (command.host.name for command in commands),
-            self._leader.store_now(),
+            self._leader.store_clock.latest(now),
         )
         try:
             await self._leader.confirm_leadership()
@@ -172,7 +174,7 @@
                 outcome.value,
                 command.reason,
                 self._calls.fencing_token,
-                round(leader.store_now() + decided_at - leader.now(), 3),
+                round(leader.store_clock.earliest(decided_at), 3),
                 round(decided_at - confirmed_at, 3),
                 round(leader.now() - decided_at, 3),
             ),
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -35,6 +35,7 @@
 from azurevane._internal.scheduler import scheduler_state as state_module
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
+from azurevane._internal.scheduler import store_clock
 from azurevane._internal.utils import process_lag as process_lag_module
 
 logger = logging.getLogger(__name__)
@@ -104,7 +105,11 @@
         self.lease_s = min(
             runner_state.RUNNER_LEASE_S, settings.bounds.runner_lease_max_s
         )
-        self._store_offset_s = takeover_commit.store_time_s - self.now()
+        self.store_clock = store_clock.StoreClock.from_response(
+            takeover_commit.store_time_s,
+            sent_at=taken_over_at,
+            handled_at=self.now(),
+        )
         self.scheduler_state = self._make_scheduler_state(previous)
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
@@ -166,7 +171,10 @@
         self, previous: leadership.PreviousLeader
     ) -> state_module.SchedulerState:
         extended_until = max(
-            self.now(), previous.extends_leases_until - self._store_offset_s
+            self.now(),
+            self.store_clock.certainly_passed_at(
+                previous.extends_leases_until
+            ),
         )
         if previous.may_extend_leases:
             extended_until += EXTEND_WITHOUT_STORE_S
@@ -177,7 +185,7 @@
             unreached_until, self.lease_s
         )
         for runner_id, expiry_s in previous.expiry_by_runner.items():
-            expires_at = expiry_s - self._store_offset_s
+            expires_at = self.store_clock.certainly_passed_at(expiry_s)
             scheduler_state.unreached_until_by_runner[runner_id] = min(
                 expires_at, unreached_until
             )
@@ -217,8 +225,8 @@
         return float(self._reactor.seconds())
 
     def store_now(self) -> float:
-        """Return the store's monotonic time in seconds."""
-        return self.now() + self._store_offset_s
+        """Return the least that the store's clock shows now, in seconds."""
+        return self.store_clock.earliest(self.now())
 
     def leadership_confirmed_at(self) -> float:
         """Return when the latest committed renewal was sent.
@@ -272,7 +280,9 @@
         outcome: store.Committed,
         row_keys: Collection[store.RowKey],
     ) -> None:
-        self._store_offset_s = outcome.store_time_s - self.now()
+        self.store_clock = store_clock.StoreClock.from_response(
+            outcome.store_time_s, sent_at=sent_at, handled_at=self.now()
+        )
         if RENEWAL_ROW_KEY not in row_keys:
             # The other hosts see only renewals, so no other write keeps them
             # from taking over.
@@ -361,7 +371,7 @@
         extend_until = self.now() + EXTEND_AFTER_RELEASE_S
         self._released_extend_until = extend_until
         released_row = leadership.encode_released_row(
-            self.token, extend_until + self._store_offset_s
+            self.token, self.store_clock.latest(extend_until)
         )
         try:
             self._row_writer.schedule_write(
@@ -522,8 +532,8 @@
         self._written_expiries = {}
         for runner_id, state in self.scheduler_state.runner_by_id.items():
             if state.unreachable and state.run_by_task:
-                self._written_expiries[runner_id] = (
-                    state.lease_end().at + self._store_offset_s
+                self._written_expiries[runner_id] = self.store_clock.latest(
+                    state.lease_end().at
                 )
         # From now on a later leader may read these expiries and rely on them.
         self.scheduler_state.publish_expiries(self._written_expiries)
--- /dev/null
+++ b/tests/scheduler/leases.feature
@@ -0,0 +1,18 @@
+Feature: Leases on runners last no longer than the leaders assume
+
+  Scenario: A published expiry isn't earlier than the lease in a slow store
+    Guards against a reading of the store's clock that is as old as its response.
+    Given a site with service "press" on 8 hosts and queue "fit"
+    And hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000d1" of 20 tasks is submitted
+    And 2.0 s pass
+    And the store takes 0.9 s for each response
+    And 4.0 s pass
+    And a runner with tasks resets all its responses
+    And 2.5 s pass
+    And the store takes 0.0 s for each response
+    And the leader is told to stop
+    And 8.0 s pass
+    Then every task of job "00000000000000d1" runs
+    And no task ran twice
