Allow for a slow clock when a lease is computed from an old reading

Cause, found by reading: the end of a lease on a runner's clock was computed from its last reading as if that clock were exact. An idle runner isn't polled, so the reading may be a minute old; with a clock that is 2 % slow the first lease then lasted 6.3 s instead of 5.1 s, more than a new leader waits.

Change: the least that the runner's clock can show is taken. After a minute without a reading the lease of an exact clock is 1.2 s shorter, until the poll that follows the start extends it.

--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -154,10 +154,15 @@
         )
 
     def extend_lease(self, now: float, length_s: float) -> float:
-        """Extend the lease; return its end by the runner's clock."""
+        """Extend the lease; return its end by the runner's clock.
+
+        A slow clock is allowed for, so that the lease isn't longer than
+        another leader assumes, however old the reading of the clock is.
+        """
         assert self._clock_s is not None
-        clock_s = self._clock_s + (now - self._clock_read_at)
-        until_s = clock_s + length_s
+        read_s_ago = now - self._clock_read_at
+        least_clock_s = self._clock_s + read_s_ago * (1 - MAX_CLOCK_SLOWNESS)
+        until_s = least_clock_s + length_s
         self._lease_until_s = max(self._lease_until_s, until_s)
         return until_s
 
--- a/tests/scheduler/leases.feature
+++ b/tests/scheduler/leases.feature
@@ -1,5 +1,11 @@
 Feature: Leases on runners last no longer than the leaders assume
 
+  Scenario: A lease computed from an old reading of a slow clock isn't longer
+    Guards against tasks that outlive what a later leader waits for.
+    Given a runner whose clock is 2 % slow was last heard 60 s ago
+    When its lease is extended by 5 s
+    Then the lease has expired on the runner after 5.1 s
+
   Scenario: A published expiry isn't earlier than the lease in a slow store
     Guards against a reading of the store's clock that is as old as its response.
     Given a site with service "press" on 8 hosts and queue "fit"
