Send host commands no later than later leaders were told

Cause, found by reading and reproduced: the time until which a leader may send a command for a host is stored before the command and read by later leaders, which wait a lease from then on. It was 0.7 s after the decision; the command itself was allowed until 0.7 s after the write that stored it was sent, and that write may be a repetition 1.5 s later. The command then went out up to 1.5 s after the announced time, the margin being 0.5 s.

Change: 1.5 s are announced, and no command is sent after the announced time. A later leader waits 0.8 s longer for hosts that were commanded just before the change of the leader.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -117,9 +117,10 @@
         self._leader.request_planning()
         if not commands:
             return
+        announced_until = now + recent_commands.ANNOUNCED_WINDOW_S
         self.recent_commands.record_commands(
             (command.host.name for command in commands),
-            self._leader.store_clock.latest(now),
+            self._leader.store_clock.latest(announced_until),
         )
         try:
             await self._leader.confirm_leadership()
@@ -128,7 +129,8 @@
             raise
         for command in commands:
             background.spawn(
-                self._send_command(command), "send a command for a host"
+                self._send_command(command, announced_until),
+                "send a command for a host",
             )
 
     def _plan_commands(self, now: float) -> list[host_commands.HostCommand]:
@@ -152,13 +154,17 @@
             if not command.wave:
                 self._table.end_drain(command.host)
 
-    async def _send_command(self, command: host_commands.HostCommand) -> None:
+    async def _send_command(
+        self, command: host_commands.HostCommand, announced_until: float
+    ) -> None:
         host = command.host
         leader = self._leader
         outcome = host_calls.CommandOutcome.RETRY_LATER
         decided_at = leader.now()
         confirmed_at = leader.leadership_confirmed_at()
-        send_before = confirmed_at + recent_commands.MAX_COMMAND_DELAY_S
+        send_before = min(
+            confirmed_at + recent_commands.MAX_COMMAND_DELAY_S, announced_until
+        )
         try:
             if decided_at < send_before and leader.may_send_commands():
                 outcome = await self._call_platform(command, send_before)
--- a/src/azurevane/_internal/scheduler/recent_commands.py
+++ b/src/azurevane/_internal/scheduler/recent_commands.py
@@ -13,6 +13,9 @@
 # A command must be sent within this time of the write that confirmed the
 # leadership.
 MAX_COMMAND_DELAY_S = 0.7
+# A command must be sent within this time of its announcement, which later
+# leaders read. Covers the retry of a write of which the response was lost.
+ANNOUNCED_WINDOW_S = 1.5
 # Added to the lease between the commands of two leaders for one host.
 LEASE_MARGIN_S = 0.5
 
@@ -49,9 +52,14 @@
         self._host_lease_s = host_lease_s
         self._command_by_host = dict(previous)
 
-    def record_commands(self, hosts: Iterable[str], store_now: float) -> None:
-        """Record hosts that get a command once this is stored."""
-        command = RecentCommand(store_now + MAX_COMMAND_DELAY_S, self._holder)
+    def record_commands(self, hosts: Iterable[str], sent_until: float) -> None:
+        """Record hosts that get a command once this is stored.
+
+        Args:
+            sent_until: time by the store's clock after which the commands
+                aren't sent any more.
+        """
+        command = RecentCommand(sent_until, self._holder)
         self._command_by_host.update(dict.fromkeys(hosts, command))
 
     def unexpired(self, store_now: float) -> dict[str, RecentCommand]:
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -95,6 +95,18 @@
     Then every task of job "00000000000000a8" runs
     And no task ran twice
 
+  Scenario: A command whose confirmation took long isn't sent late
+    Guards against a command after the time that later leaders were told.
+    Given tasks that run 3.0 s
+    When 12.0 s pass
+    And the store takes 0.5 s for each response
+    And 4.0 s pass
+    And the store takes 0.0 s for each response
+    And job "00000000000000a9" of 100 tasks is submitted
+    And the store's responses to the leader are lost for 1.0 s
+    And 3.0 s pass
+    Then each command of the last 3.0 s was sent before its announced time
+
   Scenario: A strong host takes over before a weak one
     Given host "entry-1" has 0.5 processors and a link of 10 Mbit/s
     When the leader other than "entry-1" is killed
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -247,6 +247,35 @@
     world.platform.store_answers_lost_for.add(world.leader_name)
 
 
+@when("the store's responses to the leader are lost for {seconds:g} s")
+def step_lose_responses_for(context, seconds):
+    world = context.world
+    name = world.leader_name
+    lost_for = world.platform.store_answers_lost_for
+    lost_for.add(name)
+    world.clock.callLater(seconds, lost_for.discard, name)
+
+
+@then(
+    "each command of the last {seconds:g} s was sent before its announced time"
+)
+def step_announced(context, seconds):
+    world = context.world
+    since = world.clock.seconds() - seconds
+    # The clock of the stand-in for the store is that of the world.
+    value = world.platform.store.value("azurevane-leader", "", "alive")
+    command_by_host = json.loads(value)["marks_by_host"]
+    commands = [
+        (at, host)
+        for at, _, host, _, _ in world.platform.host_commands
+        if at >= since
+    ]
+    assert commands, "no command was sent"
+    for at, host in commands:
+        announced_until, _ = command_by_host[host]
+        assert at <= announced_until, (host, at, announced_until)
+
+
 @when("that runner resets all its responses again")
 def step_reset_again(context):
     context.resetting_runner.responses_until_reset = 0
