--- a/src/azurevane/_internal/platform/host_calls.py
+++ b/src/azurevane/_internal/platform/host_calls.py
@@ -33,6 +33,7 @@
     NOT_DUE = "host not of that wave"
     INVALID = "order invalid"
     RETRY_LATER = "rate exceeded"
+    NOT_SENT = "not sent"
     UNKNOWN = "no answer"
 
 
@@ -144,7 +145,7 @@
             )
         except exceptions.CallFailed as failure:
             if failure.verdict is verdict.Verdict.NOT_RUN:
-                return CommandOutcome.RETRY_LATER
+                return CommandOutcome.NOT_SENT
             return CommandOutcome.UNKNOWN
         if response.status == 200:
             return CommandOutcome.ACCEPTED
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -159,7 +159,7 @@
     ) -> None:
         host = command.host
         leader = self._leader
-        outcome = host_calls.CommandOutcome.RETRY_LATER
+        outcome = host_calls.CommandOutcome.NOT_SENT
         decided_at = leader.now()
         confirmed_at = leader.leadership_confirmed_at()
         send_before = min(
