Learn the version before the partitions when a table is read whole

Callers may have a job accepted that no leader starts: its row is in a partition that was created while a new leader (or one whose store dropped its history) read the jobs.

Cause: the partitions were listed first, and the version after which the changes are followed was that of the first page read afterwards. A row that was written in between to a partition that didn't exist yet was in neither.

Change: a page is read before the list, and its version is the one whose changes follow; one read more for each read of the whole table of jobs.

The scenario "A job stored while a new leader lists the partitions is started" failed before: the job was still "queued" 6 s after the leader was killed. tests/scheduler: 80 scenarios passed. The stand-in's store can call back after it has listed partitions.

--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -132,16 +132,18 @@
 
     async def _read_snapshot(self, sent_at: float) -> None:
         partitions: Sequence[str] = ("",)
+        version: int | None = None
         if self._partitioned:
+            # Known before the list, so that the changes that follow include
+            # all rows of partitions that are created after it.
+            version = (await self._client.read_page(self._table, "")).version
             partitions = await self._client.list_partitions(self._table)
         rows: list[store.Row] = []
-        version: int | None = None
         for partition in partitions:
             read = await self._client.read_partition(self._table, partition)
             rows.extend(read.rows)
             version = read.version if version is None else version
-        if version is None:
-            version = (await self._client.read_page(self._table, "")).version
+        assert version is not None
         if self._stopped:
             return
         self._version = version
--- a/src/azurevane/_internal/standins/site_store.py
+++ b/src/azurevane/_internal/standins/site_store.py
@@ -33,6 +33,7 @@
         compacted_version: changes up to this version are dropped.
         down_partitions: partitions whose rows can be neither read nor
             written; the change feed still reports their changes.
+        on_partitions_listed: called once after the next list of partitions.
     """
 
     def __init__(self, reactor: Any) -> None:
@@ -44,6 +45,7 @@
         self.compacted_version = 0
         self.transactions = 0
         self.down_partitions: set[str] = set()
+        self.on_partitions_listed: Callable[[], None] | None = None
 
     # Direct access for tests, in place of operators and runners.
 
@@ -184,9 +186,13 @@
                 else set()
             )
         )
-        return Response(
+        response = Response(
             200, self._response_body(parts=partitions, hasMore=False)
         )
+        listed, self.on_partitions_listed = self.on_partitions_listed, None
+        if listed is not None:
+            listed()
+        return response
 
     def _read_feed(
         self, query: dict[str, str]
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -1,11 +1,14 @@
 """Steps about jobs, hosts and runners of a site."""
 
+import base64
 import json
 
 from behave import given
 from behave import then
 from behave import when
 
+from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import records
 from support import site_world
 
 
@@ -532,6 +535,33 @@
     world.platform.store.compact_history()
 
 
+@when('job "{job_id}" is stored once a leader has listed the partitions')
+def step_store_after_list(context, job_id):
+    step = job_models.Step(1, job_models.Capacity(2000, 1000), 1.0)
+    job = job_models.Job(
+        job_id, context.queue, "press", "north", "x", (step,), 0.0
+    )
+    key = {
+        "table": records.JOBS_TABLE,
+        "part": records.job_partition(job_id),
+        "key": job_id,
+    }
+    value = base64.b64encode(records.encode_job(job)).decode()
+    body = {
+        "expectedRev": [{**key, "schemaVersion": 0}],
+        "setKeys": [{**key, "value": value}],
+        "delete": [],
+    }
+    store = context.world.platform.store
+
+    def store_job():
+        path = "/azurevane/rows-tx"
+        response = store.handle_request("POST", path, {}, body)
+        assert response.status == 200, response
+
+    store.on_partitions_listed = store_job
+
+
 @then("every host has the newest configuration")
 def step_newest_config(context):
     newest = context.world.config["version"]
