Count a previous leader's commands against the cap of a wave

Operators may see more hosts of a wave in maintenance at once than its cap.

Cause: a new leader counted only the hosts that the platform listed as in maintenance and those that it had commanded itself. A command of the previous leader may be carried out after the new one has read the list.

The stand-in can carry out commands for hosts late.

--- a/src/azurevane/_internal/scheduler/wave_manager.py
+++ b/src/azurevane/_internal/scheduler/wave_manager.py
@@ -75,7 +75,11 @@
 
 
 class WaveManager:
-    """Chooses the hosts of waves to drain and to maintain next."""
+    """Chooses the hosts of waves to drain and to maintain next.
+
+    Args:
+        table: its paused hosts are those that previous leaders commanded.
+    """
 
     def __init__(
         self,
@@ -86,6 +90,9 @@
         self._leader = leader
         self._scheduler_state = scheduler_state
         self._table = table
+        # A command of a previous leader may be carried out only after this
+        # one has read the list of hosts.
+        self._commanded_until = dict(table.paused_until)
         self._progress_by_number: dict[int, WaveProgress] = {}
         self._stored_value_by_number: dict[int, bytes] = {}
 
@@ -214,6 +221,7 @@
         down_hosts = sum(
             name in self._table.maintenance_until
             or name in self._table.commanded_hosts
+            or now < self._commanded_until.get(name, now)
             for name in progress.wave.hosts
         )
         steps = wave_steps.plan_wave(
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import defer
 from twisted.internet import error as twisted_error
+from twisted.internet import task as twisted_task
 
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
@@ -47,6 +48,8 @@
         store_answers_lost_for: names of entry hosts whose store writes are
             applied but not answered.
         record: (time, event, runner, task, attempt) of all runners.
+        host_command_delay_s: how late commands for hosts are carried out
+            and then answered.
         late_commands: task and attempt of commands that runners executed
             late and without an answer.
         host_commands: (time, command, host, holder, token) of all hosts.
@@ -74,6 +77,7 @@
         self.store_silent = False
         self.store_delay_s = 0.0
         self.hosts_delay_s = 0.0
+        self.host_command_delay_s = 0.0
         self.store_answers_to_lose = 0
         self.store_answers_lost_for: set[str] = set()
         self.late_commands: set[tuple[str, int]] = set()
@@ -255,7 +259,9 @@
 
     # Hosts API.
 
-    def _handle_hosts_call(self, request: "PlatformRequest") -> Response:
+    def _handle_hosts_call(
+        self, request: "PlatformRequest"
+    ) -> "Response | defer.Deferred[Response]":
         if request.path == "/azurevane/machines":
             return Response(
                 200,
@@ -279,6 +285,19 @@
                 int(request.headers["X-Fencing-Token"]),
             )
         )
+        if self.host_command_delay_s:
+            return twisted_task.deferLater(
+                self.reactor,
+                self.host_command_delay_s,
+                self._carry_out_command,
+                host,
+                request,
+            )
+        return self._carry_out_command(host, request)
+
+    def _carry_out_command(
+        self, host: FleetHost, request: "PlatformRequest"
+    ) -> Response:
         if host.state != "up":
             return Response(409, {"reason": "busy"})
         if request.path.endswith("move"):
--- a/tests/scheduler/hosts.feature
+++ b/tests/scheduler/hosts.feature
@@ -54,6 +54,16 @@
     And at most 1 hosts were in maintenance at once
     And no host got a command with a lower token after a higher one
 
+  Scenario: A new leader counts the hosts that the previous one commanded
+    Guards against too many hosts in maintenance at once while a command of
+    the previous leader is still being carried out.
+    Given the platform carries out commands for hosts 1.0 s late
+    When a wave of 6 hosts within 30 s with 1 down at once is requested
+    And the leader is told to stop once it has sent a command for a host
+    And 30.0 s pass
+    Then wave 1 is completed
+    And at most 1 hosts were in maintenance at once
+
   Scenario: Standby hosts with the label that a step needs move first
     Given tasks that run 20.0 s
     When 12.0 s pass
--- a/tests/scheduler/steps/host_steps.py
+++ b/tests/scheduler/steps/host_steps.py
@@ -6,6 +6,8 @@
 from behave import then
 from behave import when
 
+from support import site_world
+
 _LONG_RUNNING_JOB_ID = "00000000000000e1"
 
 
@@ -93,6 +95,22 @@
     context.world.platform.hosts_delay_s = seconds
 
 
+@given("the platform carries out commands for hosts {seconds:g} s late")
+def step_late_host_commands(context, seconds):
+    context.world.platform.host_command_delay_s = seconds
+
+
+@when("the leader is told to stop once it has sent a command for a host")
+def step_stop_after_command(context):
+    world = context.world
+    count = len(world.platform.host_commands)
+    while len(world.platform.host_commands) == count:
+        world.advance_time(site_world.STEP_S)
+    name = world.leader_name
+    host = world.host_by_name[name]
+    host.stop(lambda: world.kill_host(name))
+
+
 @then("wave 1 is completed")
 def step_wave_done(context):
     value = context.world.platform.store.value("status", "", "wave/1")
