Take counts of pending jobs as new only when their row has changed

Callers may be told counts of pending jobs that are over 5 s old, less than half of the jobs that wait.

Cause: the age of the counts was taken from the time at which a host read the leader's row, and the row is read again every 0.2 s while the leader is silent, after the store has dropped its history, and when a host starts.

Change: the counts are used when the row has changed since this host first saw it. A started host refuses the question until the next renewal.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -128,8 +128,9 @@
         now = self._reactor.seconds()
         for row in rows:
             key, value = row.row_key.key, row.value
-            self._view.update_row(key, value, row.version, now)
-            if key == leadership.RENEWAL_KEY and value is not None:
+            is_new = self._view.update_row(key, value, row.version, now)
+            # Counts of unknown age must not be shown as new ones.
+            if is_new and key == leadership.RENEWAL_KEY and value is not None:
                 pending_by_queue = leadership.decode_pending_jobs(value)
                 if pending_by_queue is not None:
                     self._on_pending_jobs(pending_by_queue)
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -188,21 +188,30 @@
 
     def update_row(
         self, key: str, value: bytes | None, version: int, now: float
-    ) -> None:
-        """Update a row of the leader's table if it has changed."""
+    ) -> bool:
+        """Update a row of the leader's table if it has changed.
+
+        Returns:
+            Whether it has changed since this host first saw it, so that its
+            value is new.
+        """
+        seen_before = False
         if key == LEADER_KEY:
             if version <= self._leader_row_version and value is not None:
-                return
+                return False
+            seen_before = self._leader_row_version > 0
             self._leader_row_version = version
             if value is not None:
                 self._leader_row = msgspec.json.decode(value, type=_LeaderRow)
         elif key == RENEWAL_KEY:
             if version <= self._renewal_row_version:
-                return
+                return False
+            seen_before = self._renewal_row_version > 0
             self._renewal_row_version = version
             if value is not None:
                 self._renewal = msgspec.json.decode(value, type=_RenewalRow)
         self._changed_at = now
+        return seen_before
 
     def record_view(self, now: float) -> None:
         """Record that the view matches the store's rows at this time."""
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -178,3 +178,24 @@
     And 6.0 s pass
     Then job "f0000000000000a8" is "completed"
     And each task of job "f0000000000000a8" started once
+
+  Scenario: Counts of a silent leader aren't taken as new when read again
+    Guards against callers that are told counts from before the leader fell
+    silent, for longer than such counts may be shown.
+    Given tasks that need more than any host has
+    And 1 jobs of 1 task were submitted 1.0 s ago
+    When the leader is isolated from the network
+    And the store takes 0.4 s for each response
+    And 10 jobs of 1 task are submitted to the other hosts at once
+    And 4.2 s pass
+    Then for 4.0 s each count of pending jobs is at least 5, or refused
+
+  Scenario: A started host doesn't take old counts as new
+    Guards against callers that are told counts from before an outage of all
+    hosts.
+    Given tasks that need more than any host has
+    And 1 jobs of 1 task were submitted 1.0 s ago
+    When the leader is isolated from the network
+    And 10 jobs of 1 task are submitted to the other hosts at once
+    And all hosts are killed and one restarts 5.0 s later
+    Then for 4.0 s each count of pending jobs is at least 5, or refused
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -6,7 +6,9 @@
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import defer
 
+from azurevane._internal.callers import job_handler
 from azurevane._internal.models import job as job_models
 from azurevane._internal.scheduler import records
 from support import site_world
@@ -587,6 +589,42 @@
     context.world.advance_time(seconds)
 
 
+@when("{count:d} jobs of 1 task are submitted to the other hosts at once")
+def step_submit_at_once(context, count):
+    world = context.world
+    phase = _job(1, cpu=context.task_cpu)
+    body = json.dumps({"spec": "x", "phases": [phase]}).encode()
+    responses = []
+    for number in range(count):
+        request = job_handler.JobRequest(
+            method="POST",
+            host_name=site_world.HOST_NAME,
+            path=f"/{context.queue}/{number + 0xAA0:016x}",
+            authorization=f"Bearer {site_world.KEY}",
+            body=body,
+        )
+        others = [
+            host
+            for name, host in world.host_by_name.items()
+            if name != context.previous_leader
+        ]
+        handler = others[number % len(others)].job_handler
+        handling = defer.ensureDeferred(handler.handle(request))
+        handling.addCallback(responses.append)
+    world.advance_time(1.0)
+    assert [response.status for response in responses] == [200] * count
+
+
+@when("all hosts are killed and one restarts {seconds:g} s later")
+def step_restart_one(context, seconds):
+    world = context.world
+    names = list(world.host_by_name)
+    for name in names:
+        world.kill_host(name)
+    world.advance_time(seconds)
+    world.start_host(names[-1])
+
+
 @then(
     "for {seconds:g} s each count of pending jobs is at least {least:d}, or"
     " refused"
