Check again whether a runner is open for tasks when a start is sent

Operators may see a task start on a runner that has been draining, or in a zone that has been taken out, for longer than the bounds on that allow.

Cause: draining runners and zones taken out are left out when a start is decided. The start is sent once its assignment is stored, which takes as long as the store does; only the lead and the lease were checked then.

Change: a start whose runner was closed meanwhile isn't sent. Its run is released as not sent, with the other members of its gang.

--- a/src/azurevane/_internal/scheduler/command_sender.py
+++ b/src/azurevane/_internal/scheduler/command_sender.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from azurevane import exceptions
+from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.scheduler import background
@@ -98,12 +99,32 @@
         link = self._link_by_id.get(command.runner_id)
         began_at = self._leader.now()
         try:
-            if link is not None:
+            if self._runner_closed(command):
+                self._give_up_start(command)
+            elif link is not None:
                 await link.send_start(command)
         finally:
             took_s = self._leader.now() - began_at
             self._start_limiter.record_outcome(took_s)
 
+    def _runner_closed(self, command: commands.StartCommand) -> bool:
+        """Whether its runner was closed while a start waited for the store."""
+        runner = self._scheduler_state.runner_by_id.get(command.runner_id)
+        if runner is None or command.run.sent_at:
+            return False
+        return not self._scheduler_state.is_open_for_tasks(runner)
+
+    def _give_up_start(self, command: commands.StartCommand) -> None:
+        """Release a run; its gang's other members are stopped."""
+        self._leader.runner_events.handle_start_outcome(
+            command.run,
+            command.message.attempt,
+            command.runner_id,
+            messages.StartOutcome.NOT_SENT,
+            self._leader.now(),
+        )
+        self._leader.request_planning()
+
     def send_command(self, command: commands.Command) -> None:
         """Send a command that doesn't wait for anything to be stored."""
         if isinstance(command, commands.AdviceRequest):
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -158,11 +158,8 @@
         self, runner: runner_state.RunnerState, now: float
     ) -> bool:
         return (
-            runner.listed
+            self._scheduler_state.is_open_for_tasks(runner)
             and runner.fenced
-            and not runner.entry.draining
-            and runner.id not in self._scheduler_state.draining_runners
-            and runner.entry.zone not in self._scheduler_state.zones_out
             and now >= runner.not_before
             and runner.is_reachable(now)
         )
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -253,6 +253,15 @@
                 count_by_queue[name] = count_by_queue.get(name, 0) + 1
         return count_by_queue
 
+    def is_open_for_tasks(self, runner: runner_state.RunnerState) -> bool:
+        """Whether a runner stays and its zone isn't taken out."""
+        return (
+            runner.listed
+            and not runner.entry.draining
+            and runner.id not in self.draining_runners
+            and runner.entry.zone not in self.zones_out
+        )
+
     def assign_run(
         self, run: runs.Run, runner: runner_state.RunnerState, attempt: int
     ) -> None:
--- a/tests/scheduler/jobs.feature
+++ b/tests/scheduler/jobs.feature
@@ -164,3 +164,35 @@
     Guards against a new leader that drops a job whose tasks are stopping.
     When a new leader reads a failed job of which a task is stopping
     Then the job's end time is the time of the read
+
+  Scenario: A start that waited for the store isn't sent to a draining runner
+    Guards against starts that are decided before a runner drains and sent
+    long after.
+    Given tasks that run 2.0 s
+    When the leader's partition of the store goes down
+    And a job is submitted with phases
+      | count | cpu  |
+      | 8     | 8000 |
+    And 0.2 s pass
+    And a runner with assigned tasks starts to drain
+    And 0.6 s pass
+    And the leader's partition of the store works again
+    And 6.0 s pass
+    Then the job is "completed"
+    And no task started on it after it started to drain
+
+  Scenario: A start that waited for the store isn't sent to a zone taken out
+    Guards against starts that are decided before a zone is taken out and sent
+    long after.
+    Given tasks that run 2.0 s
+    When the leader's partition of the store goes down
+    And a job is submitted with phases
+      | count | cpu  |
+      | 8     | 8000 |
+    And 0.2 s pass
+    And zone "east" is taken out
+    And 0.6 s pass
+    And the leader's partition of the store works again
+    And 6.0 s pass
+    Then the job is "completed"
+    And no task started in zone "east"
--- a/tests/scheduler/steps/job_steps.py
+++ b/tests/scheduler/steps/job_steps.py
@@ -130,6 +130,36 @@
     world.clock.callLater(seconds, leave)
 
 
+@when("the leader's partition of the store goes down")
+def step_partition_goes_down(context):
+    context.world.platform.store.down_partitions.add("")
+
+
+@when("the leader's partition of the store works again")
+def step_partition_works(context):
+    context.world.platform.store.down_partitions.discard("")
+
+
+@when("a runner with assigned tasks starts to drain")
+def step_drain_assigned(context):
+    world = context.world
+    leader = world.host_by_name[world.leader_name].leader
+    assigned = next(
+        state.id
+        for state in leader.scheduler_state.runner_by_id.values()
+        if state.run_by_task
+    )
+    runner = next(
+        runner
+        for runner in world.platform.runner_by_address.values()
+        if runner.id == assigned
+    )
+    runner.state = "draining"
+    world.platform.register(runner)
+    context.drained = runner
+    context.drained_at = world.clock.seconds()
+
+
 @when("a job without phases is submitted")
 def step_no_phases(context):
     context.response = context.world.submit_job(context.queue, JOB_ID, [])
