Keep in the rows until when earlier leaders may extend leases

Cause, found by a review of the code for the same fault: a takeover allowed for a leader that still extends leases only if that was its direct predecessor. When leaders change twice within 4 s, or when a takeover's response is lost and the host takes over from itself, the time was forgotten: the leader after the next one counted leases from its own takeover. The same held for the second after a release without a response.

Change: the renewal row that a takeover writes says whether earlier leaders may still extend leases, and keeps the time that a released row named; the renewals and the release of that term name the time up to which they may do so, by the store's clock. A host that has just started reads it from the rows as well.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -220,13 +220,7 @@
                 },
                 {
                     leader_module.LEADER_ROW_KEY: takeover.leader_row_value,
-                    leader_module.RENEWAL_ROW_KEY: leadership.encode_renewal(
-                        takeover.token,
-                        0,
-                        None,
-                        takeover.previous.expiry_by_runner,
-                        takeover.previous.command_by_host,
-                    ),
+                    leader_module.RENEWAL_ROW_KEY: takeover.renewal_row_value,
                 },
             )
         except exceptions.CallFailed as failure:
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -110,6 +110,9 @@
             sent_at=taken_over_at,
             handled_at=self.now(),
         )
+        self._previous_extend_until = self._find_previous_extend_until(
+            previous
+        )
         self.scheduler_state = self._make_scheduler_state(previous)
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
@@ -167,20 +170,23 @@
         self._planning_call: Any = None
         self.stopped = False
 
-    def _make_scheduler_state(
+    def _find_previous_extend_until(
         self, previous: leadership.PreviousLeader
-    ) -> state_module.SchedulerState:
-        extended_until = max(
-            self.now(),
-            self.store_clock.certainly_passed_at(
-                previous.extends_leases_until
-            ),
-        )
+    ) -> float:
+        """Return until when previous leaders may be extending leases."""
+        now = self.now()
         if previous.may_extend_leases:
-            extended_until += EXTEND_WITHOUT_STORE_S
-        unreached_until = extended_until + runner_state.longest_lease_s(
-            self.lease_s
+            now += EXTEND_WITHOUT_STORE_S
+        released_until = self.store_clock.certainly_passed_at(
+            previous.extends_leases_until
         )
+        return max(now, released_until)
+
+    def _make_scheduler_state(
+        self, previous: leadership.PreviousLeader
+    ) -> state_module.SchedulerState:
+        longest_lease_s = runner_state.longest_lease_s(self.lease_s)
+        unreached_until = self._previous_extend_until + longest_lease_s
         scheduler_state = state_module.SchedulerState(
             unreached_until, self.lease_s
         )
@@ -371,7 +377,10 @@
         extend_until = self.now() + EXTEND_AFTER_RELEASE_S
         self._released_extend_until = extend_until
         released_row = leadership.encode_released_row(
-            self.token, self.store_clock.latest(extend_until)
+            self.token,
+            self.store_clock.latest(
+                max(extend_until, self._previous_extend_until)
+            ),
         )
         try:
             self._row_writer.schedule_write(
@@ -548,4 +557,7 @@
             {}
             if manager is None
             else manager.recent_commands.unexpired(self.store_now()),
+            extends_leases_until=self.store_clock.latest(
+                self._previous_extend_until
+            ),
         )
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -49,8 +49,9 @@
     token: int
     ip: str = ""
     port: int = 0
-    # Until when the leader that released the row may extend leases, in
-    # seconds of the store's clock; 0 while the row has a holder.
+    # Until when the leader that released the row, or one before it, may
+    # extend leases, in seconds of the store's clock; 0 while the row has a
+    # holder.
     extends_leases_until: float = 0.0
 
 
@@ -63,6 +64,8 @@
         renewal_version: version that the renewal row must still have.
         token: fencing token of the new term.
         leader_row_value: new value of the leader's row.
+        renewal_row_value: new value of the renewal row; keeps what it says
+            of leases and commands of previous leaders.
         reason: why the previous term is considered over, for the log.
     """
 
@@ -70,19 +73,20 @@
     renewal_version: int
     token: int
     leader_row_value: bytes
+    renewal_row_value: bytes
     reason: str
     previous: "PreviousLeader"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PreviousLeader:
-    """What is known of the leases that the previous leader granted.
+    """What is known of the leases that previous leaders granted.
 
     Attributes:
-        may_extend_leases: whether it may still be extending leases, for as
-            long as a leader does without the store.
-        extends_leases_until: until when it may do so after it released the
-            leader's row, by the store's clock.
+        may_extend_leases: whether one of them may still be extending leases,
+            for as long as a leader does without the store.
+        extends_leases_until: until when others of them may do so, by the
+            store's clock.
         command_by_host: recent commands for hosts, its own and those of
             leaders before it.
         expiry_by_runner: expiry times, by the store's clock, of the leases
@@ -124,8 +128,9 @@
     """Return the value of the row of a leader that releases it.
 
     Args:
-        extends_leases_until: until when the leader may extend leases if it
-            gets no response, in seconds of the store's clock.
+        extends_leases_until: until when this leader, if it gets no response,
+            or one before it may extend leases, in seconds of the store's
+            clock.
     """
     return msgspec.json.encode(
         _LeaderRow("", token, extends_leases_until=extends_leases_until)
@@ -143,6 +148,11 @@
     command_by_host: dict[str, recent_commands.RecentCommand] = msgspec.field(
         name="marks_by_host", default_factory=dict
     )
+    # Whether previous leaders may be extending leases for as long as a leader
+    # does without the store; only until the first renewal of a term.
+    extends_leases: bool = False
+    # Until when they may do so, in seconds of the store's clock.
+    extends_leases_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,19 +286,37 @@
             reason, may_extend = f"{self._leader_row.holder} silent", True
         else:
             return None
+        return self._make_takeover(reason, may_extend)
+
+    def _make_takeover(self, reason: str, may_extend: bool) -> Takeover:
         token = self._leader_row.token + 1
+        previous = PreviousLeader(
+            # The term before may have ended before its first renewal.
+            may_extend_leases=may_extend or self._renewal.extends_leases,
+            extends_leases_until=max(
+                self._leader_row.extends_leases_until,
+                self._renewal.extends_leases_until,
+            ),
+            command_by_host=self._renewal.command_by_host,
+            expiry_by_runner=self._renewal.expiry_by_runner,
+        )
+        renewal = _RenewalRow(
+            token,
+            0,
+            None,
+            previous.expiry_by_runner,
+            previous.command_by_host,
+            extends_leases=previous.may_extend_leases,
+            extends_leases_until=previous.extends_leases_until,
+        )
         return Takeover(
             self._leader_row_version,
             self._renewal_row_version,
             token,
             encode_leader_row(self._host_name, token, self._address),
+            msgspec.json.encode(renewal),
             reason,
-            PreviousLeader(
-                may_extend_leases=may_extend,
-                extends_leases_until=self._leader_row.extends_leases_until,
-                command_by_host=self._renewal.command_by_host,
-                expiry_by_runner=self._renewal.expiry_by_runner,
-            ),
+            previous,
         )
 
 
@@ -298,12 +326,16 @@
     pending_by_queue: dict[str, int] | None,
     expiry_by_runner: dict[str, float],
     command_by_host: dict[str, recent_commands.RecentCommand],
+    *,
+    extends_leases_until: float = 0.0,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
 
     Args:
         pending_by_queue: number of jobs of each queue that haven't started,
             or None if the leader doesn't know it yet.
+        extends_leases_until: until when previous leaders may extend leases,
+            in seconds of the store's clock.
     """
     return msgspec.json.encode(
         _RenewalRow(
@@ -312,6 +344,7 @@
             pending_by_queue,
             expiry_by_runner,
             command_by_host,
+            extends_leases_until=extends_leases_until,
         )
     )
 
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -95,6 +95,42 @@
     Then every task of job "00000000000000a8" runs
     And no task ran twice
 
+  Scenario: A silent leader's leases count beyond the term that replaced it
+    Guards against tasks that are started again while the leader before the
+    previous one still extends the leases of their runner.
+    Given host "c" sees that host "a" leads and is silent
+    When host "b" takes over from the silent leader at 10.0 s
+    And the process of host "b" ends before its first renewal
+    Then the takeover of host "c" at 10.5 s allows for leases still extended
+
+  Scenario: A silent leader's leases count after the renewals of the next one
+    Given host "c" sees that host "a" leads and is silent
+    When host "b" takes over from the silent leader at 10.0 s
+    And host "b" renews, and says that leases may be extended until 13.0 s
+    And host "b" releases the row at 11.0 s
+    Then the takeover of host "c" at 11.5 s counts leases from 13.0 s on
+
+  Scenario: A released leader's leases count beyond the next term
+    Guards against the same within the second for which a leader that gets no
+    response to its release extends leases.
+    Given host "c" sees that host "a" leads and is silent
+    When host "a" releases the row at 10.0 s and extends leases until 11.0 s
+    And host "b" takes over from the released leader at 10.2 s
+    And the process of host "b" ends before its first renewal
+    Then the takeover of host "c" at 10.5 s counts leases from 11.0 s on
+
+  Scenario: A leader without the store extends leases beyond a lost takeover
+    Guards against the same where the takeover's response was lost, so that a
+    host takes over from itself.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s, many of which fail first, 0.4 s apart
+    When job "00000000000000ab" of 20 tasks is submitted
+    And 2.0 s pass
+    And the leader reaches only the runners, and one of them only it
+    And the store loses its next 1 responses
+    And 14.0 s pass
+    Then no task ran twice
+
   Scenario: A command whose confirmation took long isn't sent late
     Guards against a command after the time that later leaders were told.
     Given tasks that run 3.0 s
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -11,6 +11,7 @@
 from azurevane._internal.callers import job_handler
 from azurevane._internal.models import job as job_models
 from azurevane._internal.scheduler import records
+from azurevane._internal.standins import site_runner
 from support import site_world
 
 
@@ -349,6 +350,29 @@
     world.advance_time(0.5)
 
 
+@given(
+    "tasks that run {seconds:g} s, many of which fail first, {gap_s:g} s apart"
+)
+def step_fail_in_turn(context, seconds, gap_s):
+    def plan(task, attempt):
+        index = int(task.rpartition(".")[2])
+        if attempt == 1 and index % 4:
+            return site_runner.TaskPlan(0.6 + gap_s * index, "failed")
+        return site_runner.TaskPlan(seconds)
+
+    context.world.platform.plan_task = plan
+
+
+@when("the leader reaches only the runners, and one of them only it")
+def step_leader_without_store(context):
+    world = context.world
+    name = context.previous_leader = world.leader_name
+    world.platform.store_silent_for.add(name)
+    world.leave_queries_unanswered(name)
+    runner = _busy_runner(world)
+    runner.unreachable_from = set(world.host_by_name) - {name}
+
+
 @given("the leader writes no more renewals")
 def step_no_renewals(context):
     world = context.world
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -199,6 +199,11 @@
         """Drop all traffic of an entry host, whose process keeps running."""
         self.client_by_name[name].silent = True
 
+    def leave_queries_unanswered(self, name):
+        """Let other entry hosts get no answer from an entry host."""
+        address = str(self._address(name))
+        self.platform.entry_host_by_address[address] = lambda question: None
+
     def kill_host(self, name):
         """End an entry host's process, as SIGKILL does."""
         address = str(self._address(name))
