Keep a restarted runner's runs until its report shows them

Cause: when the entry of a new incarnation arrived, every run on the runner that was acknowledged was released as lost. An idle runner isn't polled, and its entry follows a restart by up to a heartbeat: a start sent in between is accepted by the new incarnation. Its run was then released and started on another runner while it went on.

Change: the runs stay, and the first report of the new incarnation decides which go on. It is requested as soon as the entry arrives, beside a poll that still waits for the previous incarnation; the failure of that poll no longer counts against the new one. Without a report the runs are released once a lease granted before the restart was known has expired. A stop that the previous incarnation accepted is repeated.

The stand-in for the platform may write the new entry, or start the new incarnation, some time after the crash.

"Tasks that a restarted runner accepted before its new entry go on" failed before in "no task ran twice", with 8 tasks of 120. "Tasks of a crashed incarnation restart soon after its new entry" fails when the report isn't requested at once. tests/scheduler: 82 scenarios passed.

--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -100,13 +100,14 @@
         catalogue.emit(
             logger, events.RunnerReborn(entry.id, len(runner.run_by_task))
         )
-        for run in list(runner.run_by_task.values()):
+        for run in runner.run_by_task.values():
+            # The new incarnation may have accepted any of the runs before
+            # its restart was known, but no stop. Its report shows which.
+            run.stop_acknowledged_at = 0.0
             if run.phase is _Phase.ASSIGNED and run.sent_at:
                 # The start command may still reach the new incarnation.
                 run.unconfirmed_since = now
-                continue
-            self._release_lost_run(run, "runner started anew", now)
-        runner.start_incarnation(entry, now)
+        runner.start_incarnation(entry, now, self._scheduler_state.lease_s)
 
     def handle_runner_gone(
         self, runner_id: str, reason: str, now: float
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -79,6 +79,8 @@
         self._stopped = False
         self._requesting_report = False
         self._idle = False
+        # Start time of the incarnation that the poll in progress was sent to.
+        self._polled_incarnation: float | None = None
         self.ended = False
 
     def stop(self) -> None:
@@ -93,12 +95,21 @@
             wakeup.callback(None)
 
     def wake_if_needed(self) -> None:
-        """End the pause of an idle runner if there is something to poll."""
-        if not self._idle:
-            return
+        """Request a report at once if there is a reason to."""
         runner = self._runner()
-        if runner is None or not self._is_idle(runner):
-            self.wake()
+        if self._idle:
+            if runner is None or not self._is_idle(runner):
+                self.wake()
+            return
+        if runner is None or runner.fenced:
+            return
+        if self._polled_incarnation not in (None, runner.entry.started_at):
+            # The poll in progress may wait for the previous incarnation
+            # until it times out, and the runs are to be judged before.
+            background.spawn(
+                self._request_report_now(runner),
+                f"report of runner {self._runner_id}",
+            )
 
     def _runner(self) -> runner_state.RunnerState | None:
         if self._stopped:
@@ -117,11 +128,14 @@
                 await self._wait_for_wakeup(UNSTORED_POLL_INTERVAL_S)
                 if self._runner() is not runner:
                     continue
+            self._polled_incarnation = runner.entry.started_at
             try:
                 await self._poll_runner(runner)
             except Exception as error:
                 background.log_step_failure(f"runner {self._runner_id}", error)
                 await self._wait_for_wakeup(UNSTORED_POLL_INTERVAL_S)
+            finally:
+                self._polled_incarnation = None
         self.ended = True
 
     @staticmethod
@@ -174,7 +188,8 @@
             leader.request_planning()
             return
         except exceptions.CallFailed as failure:
-            await self._handle_call_failure(runner, failure)
+            if runner.entry.started_at == self._polled_incarnation:
+                await self._handle_call_failure(runner, failure)
             return
         if self._runner() is not runner:
             return
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -232,8 +232,18 @@
         """Reset the backoff time."""
         self._backoff_s = INITIAL_BACKOFF_S
 
-    def start_incarnation(self, entry: site.Runner, now: float) -> None:
-        """Reset the state after the runner's process restarted."""
+    def start_incarnation(
+        self, entry: site.Runner, now: float, lease_s: float
+    ) -> None:
+        """Reset the state after the runner's process restarted.
+
+        Its runs stay until the new incarnation's report shows whether it
+        accepted them before the restart was known, or until the lease that
+        came with such a start has expired.
+
+        Args:
+            lease_s: length of the leases that leaders grant, in seconds.
+        """
         self.entry = entry
         self.fenced = False
         self.stored_end_number = 0
@@ -242,7 +252,9 @@
         self.need_by_orphan.clear()
         self._clock_s = None
         self._lease_until_s = 0.0
-        self._previous_lease_until = now
+        self._previous_lease_until = max(
+            self._previous_lease_until, now + longest_lease_s(lease_s)
+        )
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
         self.unreachable = False
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -129,18 +129,40 @@
         return runner
 
     def restart_runner(
-        self, runner: site_runner.SiteRunner
+        self,
+        runner: site_runner.SiteRunner,
+        *,
+        restart_s: float = 0.0,
+        entry_lag_s: float = 0.0,
     ) -> site_runner.SiteRunner:
-        """Crash a runner and start its next incarnation under the same id."""
+        """Crash a runner and start its next incarnation under the same id.
+
+        Args:
+            restart_s: time between the crash and the new start.
+            entry_lag_s: time between the new start and the store's new
+                entry. It is about a heartbeat, and more while the runner
+                doesn't reach the store.
+        """
         runner.crash()
         self._incarnations += 1
-        successor = runner.next_incarnation(1_000_000 + self._incarnations)
-        self.runner_by_address[runner.address] = successor
-        for host in self.host_by_name.values():
-            if host.runner is runner:
-                host.runner = successor
-        self.register(successor)
-        return successor
+        started_at_ms = 1_000_000 + self._incarnations
+
+        def start() -> site_runner.SiteRunner:
+            successor = runner.next_incarnation(started_at_ms)
+            self.runner_by_address[runner.address] = successor
+            for host in self.host_by_name.values():
+                if host.runner is runner:
+                    host.runner = successor
+            if entry_lag_s:
+                self.reactor.callLater(entry_lag_s, self.register, successor)
+            else:
+                self.register(successor)
+            return successor
+
+        if not restart_s:
+            return start()
+        self.reactor.callLater(restart_s, start)
+        return runner
 
     def register(self, runner: site_runner.SiteRunner) -> None:
         """Write a runner's entry to the store."""
