Take a restart from a runner's report, and ignore earlier incarnations

Cause: a report whose start time differed from the entry's was dropped until the new entry arrived, and the link went on as if it had been applied: it cleared "unreachable" and might acknowledge ends by the numbers of the previous incarnation. While the store is down the entry doesn't come. An entry of an earlier start time that was written late counted as a new incarnation.

Change: the runner's state has the start time of the newest incarnation that an entry or a report has shown. A later one in a report begins a new incarnation at once; earlier entries and reports are ignored. Until its entry has arrived the runner gets no tasks, as its kind may differ. A stopping run whose start was acknowledged is released when a later report doesn't list it. Event 6013 says what showed the restart.

"A report shows a restart while its entry is still missing" failed before: the tasks of the crashed incarnation hadn't restarted after 3.5 s.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -126,6 +126,7 @@
 
     runner: str
     runs: int
+    shown_by: str
 
 
 @catalogue.event(6014, logging.WARNING)
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -159,6 +159,7 @@
     ) -> bool:
         return (
             self._scheduler_state.is_open_for_tasks(runner)
+            and runner.entry_current
             and runner.fenced
             and now >= runner.not_before
             and runner.is_reachable(now)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -53,9 +53,11 @@
         if runner is None:
             self._add_runner(entry, now)
             return
-        if runner_state.is_new_incarnation(runner.entry, entry.started_at):
-            self._start_incarnation(runner, entry, now)
+        if runner_state.is_later_start(runner.started_at, entry.started_at):
+            # A late write of a previous incarnation.
             return
+        if runner_state.is_later_start(entry.started_at, runner.started_at):
+            self._start_incarnation(runner, entry.started_at, "entry", now)
         if entry.draining and not runner.entry.draining:
             catalogue.emit(
                 logger,
@@ -95,10 +97,15 @@
             del self._scheduler_state.runner_by_id[runner_id]
 
     def _start_incarnation(
-        self, runner: runner_state.RunnerState, entry: site.Runner, now: float
+        self,
+        runner: runner_state.RunnerState,
+        started_at: float,
+        shown_by: str,
+        now: float,
     ) -> None:
         catalogue.emit(
-            logger, events.RunnerReborn(entry.id, len(runner.run_by_task))
+            logger,
+            events.RunnerReborn(runner.id, len(runner.run_by_task), shown_by),
         )
         for run in runner.run_by_task.values():
             # The new incarnation may have accepted any of the runs before
@@ -106,8 +113,10 @@
             run.stop_acknowledged_at = 0.0
             if run.phase is _Phase.ASSIGNED and run.sent_at:
                 # The start command may still reach the new incarnation.
-                run.unconfirmed_since = now
-        runner.start_incarnation(entry, now, self._scheduler_state.lease_s)
+                run.unconfirmed_since = run.unconfirmed_since or now
+        runner.start_incarnation(
+            started_at, now, self._scheduler_state.lease_s
+        )
 
     def handle_runner_gone(
         self, runner_id: str, reason: str, now: float
@@ -264,18 +273,27 @@
         *,
         sent_at: float,
         now: float,
-    ) -> None:
+    ) -> bool:
         """Apply a runner's lists of running and ended tasks.
 
         Args:
             sent_at: time at which the call was sent that returned the report.
+
+        Returns:
+            Whether the report is of the newest known incarnation.
         """
         runner = self._scheduler_state.runner_by_id.get(runner_id)
         if runner is None:
-            return
-        if runner_state.is_new_incarnation(runner.entry, report.started_at):
-            # The entry of the new incarnation follows within a heartbeat.
-            return
+            return False
+        started_at = report.started_at
+        if runner_state.is_later_start(runner.started_at, started_at):
+            return False
+        if started_at and runner_state.is_later_start(
+            started_at, runner.started_at
+        ):
+            # The entry of the new incarnation follows within a heartbeat, or
+            # later if the store is down.
+            self._start_incarnation(runner, started_at, "report", now)
         runner.record_clock(report.clock_s, now)
         if not runner.fenced:
             runner.confirm_fenced(now, self._scheduler_state.lease_s)
@@ -293,6 +311,7 @@
             runner.processed_end_number, report.last_number
         )
         self._reconcile_runs(runner, report, sent_at, now)
+        return True
 
     def _reconcile_runs(
         self,
@@ -390,11 +409,11 @@
         elif run.stop_acknowledged_at:
             if sent_at >= run.stop_acknowledged_at:
                 self._release_lost_run(run, "stopped before it began", now)
-        elif run.phase is _Phase.STOPPING:
-            self._scheduler_state.resend_stop_if_due(run, now)
-        elif run.phase is _Phase.RUNNING:
+        elif run.acknowledged_at:
             if sent_at > run.acknowledged_at:
                 self._release_lost_run(run, "runner doesn't know it", now)
+        elif run.phase is _Phase.STOPPING:
+            self._scheduler_state.resend_stop_if_due(run, now)
         elif run.unconfirmed_since and sent_at >= run.unconfirmed_since:
             self._scheduler_state.stop_run(run, "start not confirmed", now)
 
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -103,7 +103,7 @@
             return
         if runner is None or runner.fenced:
             return
-        if self._polled_incarnation not in (None, runner.entry.started_at):
+        if self._polled_incarnation not in (None, runner.started_at):
             # The poll in progress may wait for the previous incarnation
             # until it times out, and the runs are to be judged before.
             background.spawn(
@@ -128,7 +128,7 @@
                 await self._wait_for_wakeup(UNSTORED_POLL_INTERVAL_S)
                 if self._runner() is not runner:
                     continue
-            self._polled_incarnation = runner.entry.started_at
+            self._polled_incarnation = runner.started_at
             try:
                 await self._poll_runner(runner)
             except Exception as error:
@@ -171,7 +171,7 @@
             # Request a report at once instead of waiting for the next end.
             wait_s = 0.0
         try:
-            await self._request_report(
+            applied = await self._request_report(
                 runner,
                 sent_at=sent_at,
                 lease_until_s=lease_until_s,
@@ -188,10 +188,10 @@
             leader.request_planning()
             return
         except exceptions.CallFailed as failure:
-            if runner.entry.started_at == self._polled_incarnation:
+            if runner.started_at == self._polled_incarnation:
                 await self._handle_call_failure(runner, failure)
             return
-        if self._runner() is not runner:
+        if not applied:
             return
         runner.unreachable = False
         if runner.processed_end_number > runner.stored_end_number:
@@ -204,10 +204,15 @@
         sent_at: float,
         lease_until_s: float | None,
         wait_s: float,
-    ) -> None:
-        """Request a report and apply it, unless the runner was removed."""
+    ) -> bool:
+        """Request a report and apply it.
+
+        Returns:
+            False if the runner was removed, or has restarted and the report
+            is of its previous incarnation.
+        """
         last_seen = runner.stored_end_number
-        incarnation = runner.entry.started_at
+        incarnation = runner.started_at
         report = await self._calls.poll(
             self._runner_id,
             runner.entry.address,
@@ -216,15 +221,16 @@
             wait_s=wait_s,
         )
         if self._runner() is not runner:
-            return
-        if runner.entry.started_at == incarnation:
+            return False
+        applied = self._leader.runner_events.handle_report(
+            self._runner_id, report, sent_at=sent_at, now=self._leader.now()
+        )
+        if applied and runner.started_at == incarnation:
             runner.acknowledged_end_number = max(
                 runner.acknowledged_end_number, last_seen
             )
-        self._leader.runner_events.handle_report(
-            self._runner_id, report, sent_at=sent_at, now=self._leader.now()
-        )
         self._leader.request_planning()
+        return applied
 
     async def _request_report_now(
         self, runner: runner_state.RunnerState
@@ -258,10 +264,10 @@
         self, runner: runner_state.RunnerState, number: int
     ) -> None:
         """Acknowledge the ends of runs once their effects are stored."""
-        incarnation = runner.entry.started_at
+        incarnation = runner.started_at
 
         def record_stored(_: None) -> None:
-            if runner.entry.started_at == incarnation:
+            if runner.started_at == incarnation:
                 runner.stored_end_number = max(
                     runner.stored_end_number, number
                 )
@@ -305,6 +311,7 @@
             runner is None
             or not leader.may_send_commands()
             or not runner.lease_allowed
+            or not runner.entry_current
         ):
             leader.scheduler_state.release_run(run, leader.now())
             leader.request_planning()
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -59,6 +59,8 @@
 
     Attributes:
         entry: newest entry of the runner in the store.
+        started_at: Unix time in seconds of the start of the newest
+            incarnation that an entry or a report has shown, or 0.
         listed: whether the store has an entry of the runner.
         fenced: whether the runner has confirmed this leader's fencing token.
         stored_end_number: highest number of a run's end whose effect is
@@ -83,6 +85,7 @@
         self, entry: site.Runner, now: float, previous_lease_until: float
     ) -> None:
         self.entry = entry
+        self.started_at = entry.started_at
         self.listed = True
         self.fenced = False
         self.stored_end_number = 0
@@ -113,9 +116,15 @@
         """Identity that the runner registered under."""
         return self.entry.id
 
+    @property
+    def entry_current(self) -> bool:
+        """Whether the entry describes the incarnation that runs now."""
+        return not is_later_start(self.started_at, self.entry.started_at)
+
     def update_entry(self, entry: site.Runner, now: float) -> None:
         """Apply a newer entry of the same incarnation."""
         self.entry = entry
+        self.started_at = self.started_at or entry.started_at
         self.listed = True
         if entry.leaves_in_s is None:
             self.drain_deadline = None
@@ -233,7 +242,7 @@
         self._backoff_s = INITIAL_BACKOFF_S
 
     def start_incarnation(
-        self, entry: site.Runner, now: float, lease_s: float
+        self, started_at: float, now: float, lease_s: float
     ) -> None:
         """Reset the state after the runner's process restarted.
 
@@ -244,7 +253,7 @@
         Args:
             lease_s: length of the leases that leaders grant, in seconds.
         """
-        self.entry = entry
+        self.started_at = started_at
         self.fenced = False
         self.stored_end_number = 0
         self.processed_end_number = 0
@@ -259,18 +268,20 @@
         self.health = runner_health.RunnerHealth()
         self.unreachable = False
         self.drain_deadline = None
-        self.update_entry(entry, now)
 
 
-def is_new_incarnation(entry: site.Runner, started_at: float | None) -> bool:
-    """Whether a start time belongs to another incarnation than the entry.
+def is_later_start(
+    started_at: float | None, known_started_at: float | None
+) -> bool:
+    """Whether the first start time is of a later incarnation of a runner.
 
     Args:
-        started_at: Unix time in seconds of the runner's start, if known.
+        started_at: Unix time in seconds of a start. It only grows from one
+            incarnation under an id to the next; None or 0 is unknown.
     """
-    if not started_at or not entry.started_at:
+    if not started_at or not known_started_at:
         return False
-    return started_at != entry.started_at
+    return started_at > known_started_at
 
 
 def find_orphaned_runs(
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -25,3 +25,44 @@
     And 0.8 s pass
     Then every task of job "00000000000000d2" runs
     And no task ran twice
+
+  Scenario: A report shows a restart while its entry is still missing
+    Given tasks that run 20.0 s
+    When job "00000000000000d3" of 20 tasks is submitted
+    And 2.0 s pass
+    And a busy runner restarts, and its entry follows 20.0 s later
+    And 3.5 s pass
+    Then every task of job "00000000000000d3" runs
+    And no task ran twice
+
+  Scenario: A late entry of a previous incarnation has no effect
+    Guards against an incarnation that is mistaken for one before it.
+    Given tasks that run 20.0 s
+    When an idle runner restarts, and its entry follows 6.0 s later
+    And 0.2 s pass
+    And job "00000000000000d4" of 120 tasks is submitted
+    And 2.0 s pass
+    And the previous incarnation's entry arrives again
+    And the restarted runner can't be reached
+    And 3.5 s pass
+    Then no task ran twice
+    When the restarted runner can be reached again
+    And 1.0 s pass
+    Then every task of job "00000000000000d4" runs
+    And no task was stopped
+    And 1 restart was noticed
+
+  Scenario: A restarted runner gets no more tasks before its new entry
+    Guards against starts that exceed the capacity of another kind of runner.
+    Given tasks that run 0.3 s
+    When an idle runner restarts, and its entry follows 2.0 s later
+    And job "00000000000000d5" of 120 tasks is submitted
+    And 1.0 s pass
+    Given tasks that run 20.0 s
+    When job "00000000000000d6" of 100 tasks is submitted
+    And 0.5 s pass
+    Then the restarted runner has no tasks
+    When job "00000000000000d7" of 28 tasks is submitted
+    And 2.0 s pass
+    Then the restarted runner has started tasks
+    And no task ran twice
