Acknowledge ends once, and after a failed call only after a report

Cause: every poll carried the highest stored number of an end. A runner that has restarted numbers its ends anew, so until the restart was known a poll let it forget ends that nobody had read. The run was then taken for one that never began, and its task started again after an end that counted as acknowledged.

Change: a poll carries a number only while there is something new to acknowledge, and not after a failed call before a report has confirmed the incarnation; otherwise it carries 0, which acknowledges nothing. While the effects of ends aren't stored, polls without a number go on each 0.2 s and show a restart.

"The first poll of a restarted runner forgets no ends" failed before, with 16 tasks started again, "A repeated acknowledgement forgets no ends of a new incarnation" with one; the latter also fails if the number is sent after a failed call.

Left: a runner that restarts, accepts a run and ends it between its last report and the acknowledgement, which follow each other within about 0.2 s and a write to the store.

--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -173,6 +173,7 @@
         try:
             applied = await self._request_report(
                 runner,
+                last_seen=self._end_number_to_acknowledge(runner),
                 sent_at=sent_at,
                 lease_until_s=lease_until_s,
                 wait_s=wait_s,
@@ -197,21 +198,39 @@
         if runner.processed_end_number > runner.stored_end_number:
             self._acknowledge_ends(runner, runner.processed_end_number)
 
+    @staticmethod
+    def _end_number_to_acknowledge(runner: runner_state.RunnerState) -> int:
+        """Return the highest number of stored ends that a poll acknowledges.
+
+        A runner that has restarted numbers its ends anew, and would forget
+        some that nobody has read. So nothing is acknowledged twice, nor after
+        a failed call before a report has shown that the runner hasn't
+        restarted. It is 0 if there is nothing to acknowledge.
+        """
+        if runner.unreachable:
+            return 0
+        if runner.stored_end_number <= runner.acknowledged_end_number:
+            return 0
+        return runner.stored_end_number
+
     async def _request_report(
         self,
         runner: runner_state.RunnerState,
         *,
+        last_seen: int,
         sent_at: float,
         lease_until_s: float | None,
         wait_s: float,
     ) -> bool:
         """Request a report and apply it.
 
+        Args:
+            last_seen: highest number of the ends to acknowledge, or 0.
+
         Returns:
             False if the runner was removed, or has restarted and the report
             is of its previous incarnation.
         """
-        last_seen = runner.stored_end_number
         incarnation = runner.started_at
         report = await self._calls.poll(
             self._runner_id,
@@ -242,6 +261,7 @@
         try:
             await self._request_report(
                 runner,
+                last_seen=0,
                 sent_at=self._leader.now(),
                 lease_until_s=None,
                 wait_s=0.0,
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -66,3 +66,26 @@
     And 2.0 s pass
     Then the restarted runner has started tasks
     And no task ran twice
+
+  Scenario: The first poll of a restarted runner forgets no ends
+    Guards against an end that counts as acknowledged before it was read.
+    Given tasks that run 0.02 s
+    When job "00000000000000d8" of 120 tasks is submitted
+    And 2.03 s pass
+    And an idle runner restarts, and its entry follows 3.0 s later
+    And the restarted runner's next 16 responses to commands are lost
+    And job "00000000000000d9" of 120 tasks is submitted
+    And 8.0 s pass
+    Then job "00000000000000d9" is "completed"
+    And no task ran twice, but those whose end a crash lost
+
+  Scenario: A repeated acknowledgement forgets no ends of a new incarnation
+    Guards against an acknowledgement that the crash kept from its runner.
+    Given tasks that run 0.3 s
+    When job "00000000000000da" of 120 tasks is submitted
+    And a runner whose ends were just read restarts after 0.1 s, and its entry follows 6.0 s later
+    And 0.2 s pass
+    And job "00000000000000db" of 120 tasks is submitted
+    And 8.0 s pass
+    Then job "00000000000000db" is "completed"
+    And no task ran twice, but those whose end a crash lost
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -5,6 +5,7 @@
 
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
+from support import site_world
 
 
 def _runner(context, *, idle):
@@ -70,3 +71,58 @@
 @then("{count:d} restart was noticed")
 def step_noticed(context, count):
     assert len(context.restarts) == count, context.restarts
+
+
+@when("the restarted runner's next {count:d} responses to commands are lost")
+def step_lose_responses(context, count):
+    _restarted(context).answers_to_lose = count
+
+
+@when(
+    "a runner whose ends were just read restarts after {restart:g} s, and its"
+    " entry follows {lag:g} s later"
+)
+def step_restarts_before_acknowledgement(context, restart, lag):
+    world = context.world
+    # By the time that the effects of the end are stored its runner is down.
+    while not (read := _ends_read(world)):
+        world.advance_time(site_world.STEP_S)
+    runner_id = next(iter(read))
+    runner = next(
+        runner
+        for runner in world.platform.runner_by_address.values()
+        if runner.id == runner_id
+    )
+    _restart(context, runner, restart_s=restart, entry_lag_s=lag)
+
+
+def _ends_read(world):
+    """Return ids of runners with ends that are read but not acknowledged."""
+    leader = world.host_by_name[world.leader_name].leader
+    return [
+        runner.id
+        for runner in leader.scheduler_state.runner_by_id.values()
+        if runner.processed_end_number > runner.acknowledged_end_number
+    ]
+
+
+@then("no task ran twice, but those whose end a crash lost")
+def step_no_task_twice(context):
+    record = context.world.platform.record
+    acknowledged = {
+        (task, attempt)
+        for _, event, _, task, attempt in record
+        if event == "seen done"
+    }
+    assert acknowledged, "no end was acknowledged"
+    running, done, twice = set(), set(), []
+    for _, event, _, task, attempt in record:
+        if event == "start":
+            if task in running or task in done:
+                twice.append(task)
+            running.add(task)
+        elif not event.startswith("seen"):
+            running.discard(task)
+            if event == "done" and (task, attempt) in acknowledged:
+                done.add(task)
+    assert not twice, twice
