Wait for the longest lease that a runner grants after a restart

Cause: a start that is sent before a restart is known has an expiry by the clock of the previous incarnation. If the restart didn't become known, the leader compared the expiry with the clock of the new incarnation and waited as long as the runner had run before.

Change: from the moment a restart is known, a lease of the runner's maximum length is assumed, whoever is fenced afterwards. A published expiry may be as late, and the first report to a new leader doesn't shorten it.

"Tasks of a runner whose restart was never noticed restart elsewhere" fails without the limit after the latest grant, as tasks don't run after 14 s.

Left: a start whose response is lost, to a restarted runner that then reaches neither the leader nor the store, is released after 5.3 s. A new leader doesn't know of a lease by the previous clock unless its expiry was published.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -187,13 +187,19 @@
     ) -> state_module.SchedulerState:
         longest_lease_s = runner_state.longest_lease_s(self.lease_s)
         unreached_until = self._previous_extend_until + longest_lease_s
+        lease_max_s = self._settings.bounds.runner_lease_max_s
         scheduler_state = state_module.SchedulerState(
-            unreached_until, self.lease_s
+            unreached_until, self.lease_s, lease_max_s
+        )
+        # A published lease may be one that only the runner's maximum bounds.
+        latest_expiry = (
+            self._previous_extend_until
+            + runner_state.longest_lease_s(lease_max_s)
         )
         for runner_id, expiry_s in previous.expiry_by_runner.items():
             expires_at = self.store_clock.certainly_passed_at(expiry_s)
             scheduler_state.unreached_until_by_runner[runner_id] = min(
-                expires_at, unreached_until
+                expires_at, latest_expiry
             )
         # The takeover has kept them in the renewal row.
         scheduler_state.publish_expiries(previous.expiry_by_runner)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -67,8 +67,16 @@
 
     def _add_runner(self, entry: site.Runner, now: float) -> None:
         runner = runner_state.RunnerState(
-            entry, now, self._scheduler_state.unreached_until_of(entry.id)
+            entry,
+            now,
+            self._scheduler_state.unreached_until_of(entry.id),
+            self._scheduler_state.lease_max_s,
         )
+        published_until = self._scheduler_state.unreached_until_by_runner.get(
+            entry.id
+        )
+        if published_until is not None:
+            runner.keep_lease_until(published_until)
         runner.expiry_published = (
             entry.id in self._scheduler_state.published_runners
         )
@@ -114,9 +122,7 @@
             if run.phase is _Phase.ASSIGNED and run.sent_at:
                 # The start command may still reach the new incarnation.
                 run.unconfirmed_since = run.unconfirmed_since or now
-        runner.start_incarnation(
-            started_at, now, self._scheduler_state.lease_s
-        )
+        runner.start_incarnation(started_at, now)
 
     def handle_runner_gone(
         self, runner_id: str, reason: str, now: float
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -40,6 +40,9 @@
 
     THIS_LEADER = "this leader"
     PREVIOUS_LEADER = "previous leader"
+    # A command of this or the previous leader that was sent to a runner
+    # whose restart wasn't known.
+    BEFORE_RESTART_KNOWN = "before its restart was known"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,7 +85,11 @@
     """
 
     def __init__(
-        self, entry: site.Runner, now: float, previous_lease_until: float
+        self,
+        entry: site.Runner,
+        now: float,
+        previous_lease_until: float,
+        lease_max_s: float = RUNNER_LEASE_S,
     ) -> None:
         self.entry = entry
         self.started_at = entry.started_at
@@ -105,7 +112,10 @@
         self._clock_s: float | None = None
         self._clock_read_at = now
         self._lease_until_s = 0.0
+        self._lease_granted_at = now
         self._previous_lease_until = previous_lease_until
+        self._kept_lease_until = 0.0
+        self._lease_max_s = lease_max_s
         self._used_cpu = 0
         self._used_memory = 0
         self._used_gpu = 0
@@ -173,21 +183,36 @@
         least_clock_s = self._clock_s + read_s_ago * (1 - MAX_CLOCK_SLOWNESS)
         until_s = least_clock_s + length_s
         self._lease_until_s = max(self._lease_until_s, until_s)
+        self._lease_granted_at = now
         return until_s
 
     def lease_end(self) -> LeaseEnd:
         """Return when the last lease on the runner has certainly expired."""
-        previous = LeaseEnd(
-            self._previous_lease_until, LeaseGrantor.PREVIOUS_LEADER
-        )
-        if self._clock_s is None:
-            return previous
-        left_s = max(self._lease_until_s - self._clock_s, 0.0)
-        expires_at = self._clock_read_at + left_s / (1 - MAX_CLOCK_SLOWNESS)
-        own = LeaseEnd(
-            expires_at + LEASE_EXPIRY_MARGIN_S, LeaseGrantor.THIS_LEADER
-        )
-        return own if own.at >= previous.at else previous
+        ends = [
+            LeaseEnd(self._previous_lease_until, LeaseGrantor.PREVIOUS_LEADER),
+            LeaseEnd(
+                self._kept_lease_until, LeaseGrantor.BEFORE_RESTART_KNOWN
+            ),
+        ]
+        if self._clock_s is not None:
+            left_s = max(self._lease_until_s - self._clock_s, 0.0)
+            expires_at = (
+                self._clock_read_at
+                + left_s / (1 - MAX_CLOCK_SLOWNESS)
+                + LEASE_EXPIRY_MARGIN_S
+            )
+            # After a restart that isn't known the clock may have been read
+            # from another incarnation than that which the lease was for.
+            latest = self._lease_granted_at + longest_lease_s(
+                self._lease_max_s
+            )
+            own_end = min(expires_at, latest)
+            ends.insert(0, LeaseEnd(own_end, LeaseGrantor.THIS_LEADER))
+        return max(ends, key=lambda end: end.at)
+
+    def keep_lease_until(self, at: float) -> None:
+        """Assume that a lease lasts until a time, whoever is fenced."""
+        self._kept_lease_until = max(self._kept_lease_until, at)
 
     def confirm_fenced(self, now: float, lease_s: float) -> None:
         """Record that the runner rejects the commands of previous leaders.
@@ -241,17 +266,13 @@
         """Reset the backoff time."""
         self._backoff_s = INITIAL_BACKOFF_S
 
-    def start_incarnation(
-        self, started_at: float, now: float, lease_s: float
-    ) -> None:
+    def start_incarnation(self, started_at: float, now: float) -> None:
         """Reset the state after the runner's process restarted.
 
         Its runs stay until the new incarnation's report shows whether it
         accepted them before the restart was known, or until the lease that
-        came with such a start has expired.
-
-        Args:
-            lease_s: length of the leases that leaders grant, in seconds.
+        came with such a start has expired. That lease was computed by
+        another clock, so only the runner's own maximum bounds it.
         """
         self.started_at = started_at
         self.fenced = False
@@ -261,9 +282,7 @@
         self.need_by_orphan.clear()
         self._clock_s = None
         self._lease_until_s = 0.0
-        self._previous_lease_until = max(
-            self._previous_lease_until, now + longest_lease_s(lease_s)
-        )
+        self.keep_lease_until(now + longest_lease_s(self._lease_max_s))
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
         self.unreachable = False
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -40,6 +40,7 @@
         draining_runners: ids of runners that get no new tasks because their
             host is about to be moved or maintained.
         lease_s: length of the leases that leaders grant, in seconds.
+        lease_max_s: longest lease that a runner grants, in seconds.
         unreached_until: time until which a runner that this leader has not
             reached yet may execute commands of the previous leader.
         unreached_until_by_runner: the same for runners whose lease expiry
@@ -55,6 +56,7 @@
         self,
         unreached_until: float,
         lease_s: float = runner_state.RUNNER_LEASE_S,
+        lease_max_s: float = runner_state.RUNNER_LEASE_S,
     ) -> None:
         self.config: site.SiteConfig | None = None
         self.zones_out: frozenset[str] = frozenset()
@@ -63,6 +65,7 @@
         self.runner_by_id: dict[str, runner_state.RunnerState] = {}
         self.draining_runners: set[str] = set()
         self.lease_s = lease_s
+        self.lease_max_s = lease_max_s
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
         self.published_runners: set[str] = set()
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -89,3 +89,60 @@
     And 8.0 s pass
     Then job "00000000000000db" is "completed"
     And no task ran twice, but those whose end a crash lost
+
+  Scenario: A lease by the previous incarnation's clock is waited for
+    Guards against a lease that is as long as the runner grants it.
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 1.5 s later
+    And job "00000000000000dc" of 100 tasks is submitted
+    And 0.1 s pass
+    Then the restarted runner has started tasks
+    When the restarted runner can't be reached
+    And 14.0 s pass
+    Then every task of job "00000000000000dc" runs
+    And no task ran twice
+
+  Scenario: A published lease by the previous incarnation's clock is waited for
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 1.5 s later
+    And job "00000000000000dd" of 100 tasks is submitted
+    And 0.1 s pass
+    Then the restarted runner has started tasks
+    When the restarted runner resets all its responses
+    And 2.5 s pass
+    And the leader is told to stop
+    And 14.0 s pass
+    Then every task of job "00000000000000dd" runs
+    And no task ran twice
+
+  Scenario: Tasks of a runner whose restart was never noticed restart elsewhere
+    Guards against a lease that seems to last as long as the runner ran before.
+    Given tasks that run 20.0 s
+    When 30.0 s pass
+    And an idle runner restarts, and its entry follows 60.0 s later
+    And job "00000000000000de" of 100 tasks is submitted
+    And 0.1 s pass
+    Then the restarted runner has started tasks
+    When the restarted runner can't be reached
+    And its entry is removed
+    And 14.0 s pass
+    Then every task of job "00000000000000de" runs
+    And no task ran twice
+
+  Scenario: A report to a new leader doesn't shorten a published lease
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 1.5 s later
+    And job "00000000000000df" of 100 tasks is submitted
+    And 0.1 s pass
+    Then the restarted runner has started tasks
+    When the restarted runner resets all its responses
+    And 2.5 s pass
+    And the leader is told to stop
+    And another host leads for 0.0 s
+    And one response of that runner arrives
+    And 14.0 s pass
+    Then every task of job "00000000000000df" runs
+    And no task ran twice
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -126,3 +126,14 @@
             if event == "done" and (task, attempt) in acknowledged:
                 done.add(task)
     assert not twice, twice
+
+
+@when("the restarted runner resets all its responses")
+def step_resets(context):
+    context.resetting_runner = _restarted(context)
+    context.resetting_runner.responses_until_reset = 0
+
+
+@when("its entry is removed")
+def step_unregister(context):
+    context.world.platform.unregister(_restarted(context))
