Ignore the clock and the stop confirmed by an incarnation that has ended

Cause: a response to a start or a stop that arrived after the restart of its runner was known still counted. The clock reading of the previous incarnation was used for leases on the new one, and a stop that only the previous one had carried out was taken as confirmed.

Change: both are used only if the restart wasn't noticed between the command and its response. The stand-in may deliver responses to commands late, also after a crash.

"A late response of the previous incarnation doesn't tell the time" failed before: the lease was 17.6 s long by the runner's clock instead of 5 s. tests/scheduler: 96 scenarios passed. The stop has no scenario of its own.

--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -337,6 +337,7 @@
             leader.request_planning()
             return
         run.sent_at = leader.now()
+        incarnation = runner.started_at
         lease_until_s = runner.extend_lease(run.sent_at, self._lease_s)
         result = await self._calls.start_task(
             self._runner_id,
@@ -345,7 +346,11 @@
             lease_until_s,
         )
         now = leader.now()
-        if result.clock_s is not None and self._runner() is runner:
+        if (
+            result.clock_s is not None
+            and self._runner() is runner
+            and runner.started_at == incarnation
+        ):
             runner.record_clock(result.clock_s, now)
         leader.runner_events.handle_start_outcome(
             run, attempt, self._runner_id, result.outcome, now
@@ -365,6 +370,7 @@
         if runner is None:
             return
         task, attempt = command.message.task, command.message.attempt
+        incarnation = runner.started_at
         try:
             accepted = await self._calls.stop_task(
                 self._runner_id, runner.entry.address, task, attempt
@@ -375,7 +381,7 @@
         except (exceptions.CallFailed, runner_calls.RunnerMismatch) as failure:
             logger.debug("Stopping task %s failed: %s", task, failure)
             return
-        if accepted:
+        if accepted and runner.started_at == incarnation:
             self._leader.runner_events.handle_stop_accepted(
                 self._runner_id, task, attempt, self._leader.now()
             )
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -257,6 +257,12 @@
         if is_command and runner.answers_to_lose:
             runner.answers_to_lose -= 1
             return None
+        if is_command and runner.response_delay_s:
+            late_answer: defer.Deferred[Response] = defer.Deferred()
+            self.reactor.callLater(
+                runner.response_delay_s, late_answer.callback, answer
+            )
+            return late_answer
         if isinstance(answer, defer.Deferred):
             return self._forward_long_poll(runner, answer)
         return answer
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -54,6 +54,8 @@
         unreachable_from: names of entry hosts whose calls don't arrive.
         command_delay_s: commands are executed this much later, without an
             answer.
+        response_delay_s: responses to commands arrive this much later, also
+            after a crash.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
     """
 
@@ -102,6 +104,7 @@
         self.responses_until_reset: int | None = None
         self.unreachable_from: set[str] = set()
         self.command_delay_s = 0.0
+        self.response_delay_s = 0.0
         self.fails_all_tasks = False
         self._stalled_since: float | None = None
         self.reject_status: int | None = None
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -146,3 +146,17 @@
     And 14.0 s pass
     Then every task of job "00000000000000df" runs
     And no task ran twice
+
+  Scenario: A late response of the previous incarnation doesn't tell the time
+    Guards against leases by the clock of an incarnation that has ended.
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner's responses to commands arrive 0.5 s late
+    And job "00000000000000e0" of 100 tasks is submitted
+    And 0.1 s pass
+    And that runner restarts, and its entry follows at once
+    And 0.6 s pass
+    Then a lease granted to the restarted runner now is at most 5.1 s long
+    When 2.0 s pass
+    Then every task of job "00000000000000e0" runs
+    And no task ran twice
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -137,3 +137,28 @@
 @when("its entry is removed")
 def step_unregister(context):
     context.world.platform.unregister(_restarted(context))
+
+
+@when("an idle runner's responses to commands arrive {delay:g} s late")
+def step_late_responses(context, delay):
+    context.slow_runner = _runner(context, idle=True)
+    context.slow_runner.response_delay_s = delay
+
+
+@when("that runner restarts, and its entry follows at once")
+def step_slow_restarts(context):
+    assert context.slow_runner.task_by_name, "no task runs there"
+    _restart(context, context.slow_runner)
+
+
+@then(
+    "a lease granted to the restarted runner now is at most {longest:g} s long"
+)
+def step_lease_length(context, longest):
+    world = context.world
+    runner = _restarted(context)
+    leader = world.host_by_name[world.leader_name].leader
+    state = leader.scheduler_state.runner_by_id[runner.id]
+    until_s = state.extend_lease(leader.now(), 5.0)
+    left_s = until_s - runner.entry()["clockMs"] / 1000
+    assert left_s <= longest, left_s
