Read the clock of an idle runner from its entries

Cause, found by reading and reproduced: since leases allow for a slow clock, the first lease on a runner that has been idle is shorter by 2 % of the time since its last report. After 250 s nothing is left, so the runner rejects the first start as late; shortly before that a task gets a fraction of a second to be extended in.

Change: the clock reading in a runner's entry, which it renews with its heartbeats, is used where it shows a later time than what follows from the last report. An entry that was written long ago shows an earlier one.

--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -136,6 +136,7 @@
         self.entry = entry
         self.started_at = self.started_at or entry.started_at
         self.listed = True
+        self._record_entry_clock(entry.clock_s, now)
         if entry.leaves_in_s is None:
             self.drain_deadline = None
         elif self.drain_deadline is None:
@@ -150,6 +151,23 @@
             not self.unreachable and now - self.last_contact_at < MAX_SILENCE_S
         )
 
+    def _record_entry_clock(self, clock_s: float, now: float) -> None:
+        """Use an entry's reading of the clock if it is the better one.
+
+        An idle runner isn't polled, so its last report may be old. An entry
+        may have been written long before it is read.
+        """
+        if self._clock_s is None or clock_s < self._least_clock_s(now):
+            return
+        self._clock_s = clock_s
+        self._clock_read_at = now
+
+    def _least_clock_s(self, now: float) -> float:
+        """Return the least that the runner's clock can show."""
+        assert self._clock_s is not None
+        read_s_ago = now - self._clock_read_at
+        return self._clock_s + read_s_ago * (1 - MAX_CLOCK_SLOWNESS)
+
     def record_clock(self, clock_s: float, at: float) -> None:
         """Record a reading of the runner's clock.
 
@@ -178,10 +196,7 @@
         A slow clock is allowed for, so that the lease isn't longer than
         another leader assumes, however old the reading of the clock is.
         """
-        assert self._clock_s is not None
-        read_s_ago = now - self._clock_read_at
-        least_clock_s = self._clock_s + read_s_ago * (1 - MAX_CLOCK_SLOWNESS)
-        until_s = least_clock_s + length_s
+        until_s = self._least_clock_s(now) + length_s
         self._lease_until_s = max(self._lease_until_s, until_s)
         self._lease_granted_at = now
         return until_s
--- a/tests/scheduler/leases.feature
+++ b/tests/scheduler/leases.feature
@@ -6,6 +6,21 @@
     When its lease is extended by 5 s
     Then the lease has expired on the runner after 5.1 s
 
+  Scenario: The lease of a runner that was idle for long isn't shorter
+    Guards against starts that are rejected as late after an idle time.
+    Given a runner whose clock is 0 % slow was last heard 300 s ago
+    And its entry is renewed every 1.5 s
+    When its lease is extended by 5 s
+    Then the lease has expired on the runner after 5.1 s
+    And the lease hasn't expired on the runner after 4.9 s
+
+  Scenario: The clock of an entry that was written long ago isn't taken over
+    Guards against leases that last shorter than known.
+    Given a runner whose clock is 0 % slow was last heard 1 s ago
+    And its entry of 60 s ago is read
+    When its lease is extended by 5 s
+    Then the lease hasn't expired on the runner after 4.9 s
+
   Scenario: A published expiry isn't earlier than the lease in a slow store
     Guards against a reading of the store's clock that is as old as its response.
     Given a site with service "press" on 8 hosts and queue "fit"
--- a/tests/scheduler/steps/lease_steps.py
+++ b/tests/scheduler/steps/lease_steps.py
@@ -1,5 +1,7 @@
 """Steps about the leases on runners."""
 
+import dataclasses
+
 from behave import given
 from behave import then
 from behave import when
@@ -32,6 +34,25 @@
     context.now = age
 
 
+def _update_entry(context, clock_s, now):
+    entry = dataclasses.replace(context.runner.entry, clock_s=clock_s)
+    context.runner.update_entry(entry, now)
+
+
+@given("its entry is renewed every {interval:g} s")
+def step_renewed(context, interval):
+    for number in range(int(context.now / interval) + 1):
+        at = number * interval
+        _update_entry(context, CLOCK_S + at * context.rate, at)
+
+
+@given("its entry of {age:g} s ago is read")
+def step_old_entry(context, age):
+    written_at = context.now - age
+    clock_s = CLOCK_S + written_at * context.rate
+    _update_entry(context, clock_s, context.now)
+
+
 @when("its lease is extended by {length_s:g} s")
 def step_extend(context, length_s):
     context.until_s = context.runner.extend_lease(context.now, length_s)
@@ -39,5 +60,16 @@
 
 @then("the lease has expired on the runner after {seconds:g} s")
 def step_expired(context, seconds):
-    left_s = context.until_s - (CLOCK_S + context.now * context.rate)
-    assert 0 < left_s / context.rate <= seconds + 0.01, left_s
+    left_s = _lease_left_s(context)
+    assert 0 < left_s <= seconds + 0.01, left_s
+
+
+@then("the lease hasn't expired on the runner after {seconds:g} s")
+def step_not_expired(context, seconds):
+    left_s = _lease_left_s(context)
+    assert left_s > seconds, left_s
+
+
+def _lease_left_s(context):
+    clock_s = CLOCK_S + context.now * context.rate
+    return (context.until_s - clock_s) / context.rate
