Keep published expiry times through several changes of the leader

Cause: since a new leader renews as soon as it has read the jobs, before it has called any runner, its first renewal drops the expiry times that the previous leader published. If it ends soon, the leader after it waits for a whole lease again.

Change: a leader keeps an expiry in its renewals until it has reached the runner or the expiry has passed. When the runner responds, a renewal without it is written at once, and the next poll extends the lease as soon as it is stored instead of after a long poll. The renewal after the jobs were read isn't needed any more.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -442,10 +442,6 @@
         self.request_planning()
 
     def _handle_loaded(self) -> None:
-        if self.scheduler_state.published_runners:
-            # Until a renewal without them is stored, the leases of runners
-            # that respond again can't be extended.
-            self._renew()
         catalogue.emit(
             logger,
             events.LeaderReady(
@@ -544,12 +540,16 @@
 
     def _encode_renewal(self) -> bytes:
         self._renewals += 1
-        self._written_expiries = {}
-        for runner_id, state in self.scheduler_state.runner_by_id.items():
-            if state.unreachable and state.run_by_task:
-                self._written_expiries[runner_id] = self.store_clock.latest(
-                    state.lease_end().at
-                )
+        # This also keeps what previous leaders published of runners that this
+        # one hasn't reached, so that their tasks don't wait for another lease
+        # if the leader changes again.
+        expiries = self.scheduler_state.lease_ends_to_publish(
+            self.now(), all_read=self._site_tables.loaded
+        )
+        self._written_expiries = {
+            runner_id: self.store_clock.latest(expires_at)
+            for runner_id, expires_at in expiries.items()
+        }
         # From now on a later leader may read these expiries and rely on them.
         self.scheduler_state.publish_expiries(self._written_expiries)
         manager = self._host_manager
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -25,7 +25,7 @@
 # lease is extended with every poll, hence also at this interval.
 MAX_POLL_WAIT_S = 1.5
 # Interval of polls, and so of lease extensions, while the effects of ended
-# runs can't be stored.
+# runs or the withdrawal of a published expiry can't be stored.
 UNSTORED_POLL_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.1
 
@@ -45,6 +45,9 @@
     def may_extend_leases(self) -> bool:
         """Whether runners' leases may still be extended."""
 
+    def confirm_leadership(self) -> "defer.Deferred[None]":
+        """Store a renewal, which withdraws expiries of responding runners."""
+
     def verify_leadership(self, reason: str) -> None:
         """Write a renewal now; it fails if another host leads."""
 
@@ -124,7 +127,7 @@
                 await self._wait_for_wakeup(None)
                 self._idle = False
                 continue
-            if runner.stored_end_number < runner.processed_end_number:
+            if self._awaits_store(runner):
                 await self._wait_for_wakeup(UNSTORED_POLL_INTERVAL_S)
                 if self._runner() is not runner:
                     continue
@@ -148,6 +151,14 @@
             and runner.acknowledged_end_number >= runner.processed_end_number
         )
 
+    @staticmethod
+    def _awaits_store(runner: runner_state.RunnerState) -> bool:
+        """Whether the next poll can do more once the store has responded."""
+        return (
+            runner.stored_end_number < runner.processed_end_number
+            or runner.awaits_withdrawal
+        )
+
     async def _wait_for_wakeup(self, timeout_s: float | None) -> None:
         self._wakeup = defer.Deferred()
         wakeup = self._wakeup
@@ -164,10 +175,7 @@
             lease_until_s = runner.extend_lease(sent_at, self._lease_s)
         wait_s = MAX_POLL_WAIT_S
         report_needed = runner.unreachable or not runner.fenced
-        if (
-            report_needed
-            or runner.stored_end_number < runner.processed_end_number
-        ):
+        if report_needed or self._awaits_store(runner):
             # Request a report at once instead of waiting for the next end.
             wait_s = 0.0
         try:
@@ -195,6 +203,10 @@
         if not applied:
             return
         runner.unreachable = False
+        if runner.awaits_withdrawal:
+            leader.confirm_leadership().addCallbacks(
+                lambda _: self.wake(), lambda _: None
+            )
         if runner.processed_end_number > runner.stored_end_number:
             self._acknowledge_ends(runner, runner.processed_end_number)
 
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -181,6 +181,16 @@
         self._clock_read_at = at
         self.last_contact_at = at
 
+    @property
+    def reached(self) -> bool:
+        """Whether this incarnation has responded to this leader."""
+        return self._clock_s is not None
+
+    @property
+    def awaits_withdrawal(self) -> bool:
+        """Whether only its published expiry forbids to extend the lease."""
+        return self.reached and not self.unreachable and self.expiry_published
+
     @property
     def lease_allowed(self) -> bool:
         """Whether the runner's lease may be extended."""
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -84,6 +84,31 @@
             runner_id, self.unreached_until
         )
 
+    def lease_ends_to_publish(
+        self, now: float, *, all_read: bool
+    ) -> dict[str, float]:
+        """Return the ends of leases that this leader can't extend.
+
+        Args:
+            all_read: whether all jobs and runners have been read.
+        """
+        lease_ends = {
+            runner_id: runner.lease_end().at
+            for runner_id, runner in self.runner_by_id.items()
+            if runner.run_by_task
+            and (
+                runner.unreachable
+                or (runner.expiry_published and not runner.reached)
+            )
+        }
+        for runner_id in self.published_runners:
+            if runner_id in self.runner_by_id:
+                continue
+            expires_at = self.unreached_until_of(runner_id)
+            if now < expires_at or not all_read:
+                lease_ends[runner_id] = expires_at
+        return lease_ends
+
     def publish_expiries(self, runner_ids: Iterable[str]) -> None:
         """Extend no lease of these runners from now on."""
         self.published_runners.update(runner_ids)
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -42,6 +42,21 @@
     Then every task of job "00000000000000c3" runs
     And no task ran twice
 
+  Scenario: A crashed runner's tasks restart soon even if leaders change in turn
+    Guards against a wait that begins anew with each change of the leader.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000cf" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks crashes
+    And 3.6 s pass
+    And the leader is told to stop
+    And another host leads for 0.3 s
+    And the leader is told to stop
+    And another host leads for 2.2 s
+    Then every task of job "00000000000000cf" runs
+    And no task ran twice
+
   Scenario: A start command executed late duplicates no task
     Given tasks that run 6.0 s
     When the runners carry out commands 3.0 s late
@@ -94,6 +109,7 @@
     And a runner with tasks resets all its responses
     And the leader is told to stop
     And 1.2 s pass
+    And the store's responses to the leader are lost for 1.0 s
     And one response of that runner arrives
     And 8.0 s pass
     Then every task of job "00000000000000cb" runs
