Hand over a lead that begins after its host was told to stop

Cause, found by reading and reproduced: a host that is told to stop while the store's response to its takeover is on the way begins a term that nobody hands over. It leads until its process ends, 2.8 s later at the earliest, and its successor has to find out that it is gone.

Change: such a term is handed over before anything is read.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -259,6 +259,10 @@
             process_lag=self._process_lag,
             on_ended=self._handle_term_ended,
         )
+        if self._resigned:
+            # This host was told to stop before the store responded.
+            await self.leader.hand_over_leadership()
+            return
         self._on_leading()
         await self.leader.run()
 
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -34,6 +34,15 @@
     Then job "00000000000000a3" is "completed"
     And no task ran twice
 
+  Scenario: A host that is told to stop while it takes over leads no term
+    Guards against a leader whose process ends seconds later.
+    When the leader is killed
+    And the host that takes over is told to stop before the store responds
+    And 0.7 s pass
+    Then another host leads
+    When 3.0 s pass
+    Then another host leads
+
   Scenario: A killed leader is replaced within 3.5 seconds
     When the leader is killed
     And 3.5 s pass
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -68,6 +68,22 @@
     world.kill_host(world.leader_name)
 
 
+@when("the host that takes over is told to stop before the store responds")
+def step_stop_candidate(context):
+    world = context.world
+    names = []
+    while not names:
+        world.advance_time(site_world.STEP_S)
+        names = [
+            name
+            for name, host in world.host_by_name.items()
+            if host.candidate._taking_over
+        ]
+    name = context.previous_leader = names[0]
+    assert world.leader_name is None, world.leader_name
+    world.host_by_name[name].stop(lambda: world.kill_host(name))
+
+
 @then('job "{job_id}" is "{state}"')
 def step_state(context, job_id, state):
     actual = context.world.job_state(context.queue, job_id)
