Test that a successor counts leases from the released leader's last extension

"A released leader extends no lease that its successor can't know" passes even if the time in the released row is ignored: the former leader's last poll lies just after the release there.

--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -140,6 +140,19 @@
     And 14.0 s pass
     Then no task ran twice
 
+  Scenario: A lease that a released leader extended last isn't cut short
+    Guards against counting leases only from the takeover of its successor.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000aa" of 20 tasks is submitted
+    And 3.6 s pass
+    And only the leader can reach a runner with tasks
+    And the store's responses to the leader are lost
+    And the leader is told to stop
+    And 9.0 s pass
+    Then every task of job "00000000000000aa" runs
+    And no task ran twice
+
   Scenario: A command whose confirmation took long isn't sent late
     Guards against a command after the time that later leaders were told.
     Given tasks that run 3.0 s
