Test that a confirmed token bounds the wait for earlier leases

No scenario failed if a runner's confirmation of the new token didn't bound the time that its tasks wait for earlier leases.

--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -57,6 +57,19 @@
     Then every task of job "00000000000000cf" runs
     And no task ran twice
 
+  Scenario: Tasks of a runner that confirmed the new token wait for one lease
+    Guards against the longer wait after a leader that may still be active.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000d0" of 20 tasks is submitted
+    And 2.0 s pass
+    And the leader is isolated from the network
+    And 3.5 s pass
+    And a runner with tasks crashes
+    And 5.6 s pass
+    Then every task of job "00000000000000d0" runs
+    And no task ran twice
+
   Scenario: A start command executed late duplicates no task
     Given tasks that run 6.0 s
     When the runners carry out commands 3.0 s late
