Run seeded series of leader changes beside other faults

Callers have seen tasks run twice while leaders changed in turn; scenarios for single causes don't find the next ones.

The stand-in's runners can have a slow clock and accept starts beyond their capacity; an end that was unseen when the lease lapsed is recorded as seen late. A move or maintenance that is already done is accepted without effect. A host's process may have its own reactor.

--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -34,6 +34,7 @@
     rack: str
     runner: site_runner.SiteRunner | None = None
     state: str = "up"
+    maintained_waves: set[int] = dataclasses.field(default_factory=set)
 
 
 class SitePlatform:
@@ -326,12 +327,21 @@
     def _carry_out_command(
         self, host: FleetHost, request: "PlatformRequest"
     ) -> Response:
+        is_move = request.path.endswith("move")
+        if (
+            request.body["pool"] == host.pool
+            if is_move
+            else request.body["wave"] in host.maintained_waves
+        ):
+            # Already done; nothing is terminated.
+            return Response(200, {})
         if host.state != "up":
             return Response(409, {"reason": "busy"})
-        if request.path.endswith("move"):
+        if is_move:
             host.pool = request.body["pool"]
             self._take_host_down(host, "moving")
         else:
+            host.maintained_waves.add(request.body["wave"])
             self._take_host_down(host, "upkeep")
             down = sum(
                 other.state == "upkeep" for other in self.host_by_name.values()
@@ -393,10 +403,21 @@
 
 
 class SiteClient:
-    """Replaces ``http_client.HttpClient`` without using the network."""
+    """Replaces ``http_client.HttpClient`` without using the network.
 
-    def __init__(self, platform: SitePlatform, entry_host: str) -> None:
+    Args:
+        process_reactor: reactor of the entry host's process, if it isn't the
+            platform's; responses wait for it.
+    """
+
+    def __init__(
+        self,
+        platform: SitePlatform,
+        entry_host: str,
+        process_reactor: Any = None,
+    ) -> None:
         self._platform = platform
+        self._reactor = process_reactor or platform.reactor
         self._entry_host = entry_host
         # Set when the entry host is isolated or killed.
         self.silent = False
@@ -424,9 +445,12 @@
         send_before: float | None,
         response_wait: "defer.Deferred[Response]",
     ) -> None:
-        reactor = self._platform.reactor
+        reactor = self._reactor
 
         def fail(reason: Any) -> None:
+            reactor.callLater(0, deliver_failure, reason)
+
+        def deliver_failure(reason: Any) -> None:
             if not response_wait.called:
                 response_wait.errback(reason)
 
@@ -470,7 +494,7 @@
             exceptions.CallFailed: the connection was refused or reset, it
                 opened too late, or the call timed out.
         """
-        reactor = self._platform.reactor
+        reactor = self._reactor
         name, _, query = path.partition("?")
         request = PlatformRequest(
             address,
@@ -483,9 +507,13 @@
         response_wait: defer.Deferred[Response] = defer.Deferred()
 
         delay_s = self._platform.latency_s
-        if address == HOSTS_ADDRESS:
+        # What has been sent arrives, whatever becomes of the process; a
+        # connection that isn't open yet waits for it.
+        sender = self._platform.reactor
+        if address == HOSTS_ADDRESS and self.hosts_connect_delay_s:
             delay_s += self.hosts_connect_delay_s
-        reactor.callLater(
+            sender = reactor
+        sender.callLater(
             delay_s, self._execute, request, send_before, response_wait
         )
         response_wait.addTimeout(timeout_s, reactor)
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -44,6 +44,8 @@
     Args:
         plan: returns the plan of a task by its name and attempt.
         record: called with (event, runner id, task, attempt).
+        clock_rate: seconds of the runner's clock in one second.
+        guards_capacity: whether a start beyond the capacity is rejected.
 
     Attributes:
         reachable: whether calls reach the runner.
@@ -57,6 +59,7 @@
         response_delay_s: responses to commands arrive this much later, also
             after a crash.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
+        crashed: whether the process has ended.
     """
 
     def __init__(
@@ -74,6 +77,8 @@
         lease_max_s: float = 10.0,
         stop_s: float = 0.1,
         started_at_ms: int = 1_000,
+        clock_rate: float = 1.0,
+        guards_capacity: bool = True,
     ) -> None:
         self._reactor = reactor
         self.id = runner_id
@@ -87,10 +92,14 @@
         self._lease_max_s = lease_max_s
         self._stop_s = stop_s
         self.started_at_ms = started_at_ms
+        self._clock_rate = clock_rate
+        self._guards_capacity = guards_capacity
         self._clock_zero = reactor.seconds() - 100.0
         self.task_by_name: dict[str, _Task] = {}
         self._unseen_ends: list[list[Any]] = []
         self._last_end_number = 0
+        # Ends up to this number were unseen when the lease lapsed.
+        self._lapsed_end_number = 0
         self._highest_token = 0
         self._ended_attempt_by_task: dict[str, int] = {}
         self._lease_expires_at: float | None = None
@@ -99,7 +108,7 @@
         self.state = "ready"
         self.sequence = 0
         self.reachable = True
-        self._crashed = False
+        self.crashed = False
         self.answers_to_lose = 0
         self.responses_until_reset: int | None = None
         self.unreachable_from: set[str] = set()
@@ -131,7 +140,8 @@
         return entry
 
     def _clock_ms(self) -> int:
-        return round((self._reactor.seconds() - self._clock_zero) * 1000)
+        elapsed_s = self._reactor.seconds() - self._clock_zero
+        return round(elapsed_s * self._clock_rate * 1000)
 
     # HTTP API.
 
@@ -139,7 +149,7 @@
         self, path: str, body: Any
     ) -> "Response | defer.Deferred[Response]":
         """Return the response to a call, possibly deferred."""
-        if self._crashed:
+        if self.crashed:
             # A delayed command may arrive after the runner has crashed.
             return Response(404)
         if self.reject_status is not None:
@@ -180,7 +190,7 @@
         plan: TaskPlan = self._plan(name, attempt)
         if self.fails_all_tasks:
             plan = TaskPlan(0.05, "failed", plan.need)
-        if not self._has_capacity(plan.need):
+        if self._guards_capacity and not self._has_capacity(plan.need):
             self._extend_leases(body["expiresMs"])
             return self._answer(409, reason="room")
         now = self._reactor.seconds()
@@ -252,7 +262,9 @@
         seen = body["lastSeen"]
         for row in self._unseen_ends:
             if row[0] <= seen:
-                self._record(f"seen {row[3]}", self.id, row[1], row[2])
+                in_time = row[0] > self._lapsed_end_number
+                event = f"seen {row[3]}" if in_time else "seen late"
+                self._record(event, self.id, row[1], row[2])
         self._unseen_ends = [row for row in self._unseen_ends if row[0] > seen]
         if body.get("expiresMs"):
             self._extend_leases(body["expiresMs"])
@@ -306,12 +318,13 @@
             self._lease_expires_at - self._clock_ms() / 1000, 0.0
         )
         self._lease_timer = self._reactor.callLater(
-            remaining_s, self._expire_leases
+            remaining_s / self._clock_rate, self._expire_leases
         )
 
     def _expire_leases(self) -> None:
         for task in list(self.task_by_name.values()):
             self._end_task(task, "lapsed")
+        self._lapsed_end_number = self._last_end_number
 
     # Faults.
 
@@ -330,12 +343,14 @@
             lease_max_s=self._lease_max_s,
             stop_s=self._stop_s,
             started_at_ms=started_at_ms,
+            clock_rate=self._clock_rate,
+            guards_capacity=self._guards_capacity,
         )
 
     def crash(self) -> None:
         """Crash: all tasks end and unacknowledged ends are lost."""
         self.reachable = False
-        self._crashed = True
+        self.crashed = True
         for task in self.task_by_name.values():
             if task.timer is not None and task.timer.active():
                 task.timer.cancel()
--- /dev/null
+++ b/tests/scheduler/steps/series_steps.py
@@ -0,0 +1,74 @@
+"""Steps about series of leader changes, and about single findings of them."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.standins import site_runner
+from support import series_run
+from support import site_world
+
+RUNNER_CPU = 32000
+
+
+@when("the series of leader changes of seed {seed:d} is run")
+def step_series(context, seed):
+    context.problems = series_run.SeriesRun(seed).run()
+
+
+@then("no rule is broken")
+def step_no_problem(context):
+    assert not context.problems, "\n".join(context.problems)
+
+
+@given("{count:d} runners that start whatever they are told to")
+def step_unguarded(context, count):
+    world = context.world = site_world.SiteWorld()
+    context.queue = "grind"
+    world.add_service("mill", constraints=False)
+    world.add_queue(context.queue, "mill")
+    for number in range(count):
+        world.platform.add_host(
+            f"m-{number}", "mill", "east", "r0", guards_capacity=False
+        )
+    world.start()
+    world.platform.plan_task = lambda task, attempt: site_runner.TaskPlan(
+        6.0, "done", {"cpu": context.cpu_by_job[task.partition(".")[0]]}
+    )
+    context.cpu_by_job = {}
+
+
+@when('job "{job_id}" of {count:d} tasks of {cpu:d} millicores is submitted')
+def step_submit_sized(context, job_id, count, cpu):
+    context.cpu_by_job[job_id] = cpu
+    phase = {"count": count, "cpu": cpu, "memMb": 100, "estimateMs": 1000}
+    response = context.world.submit_job(context.queue, job_id, [phase])
+    assert response.status == 200, response
+
+
+@when("the runner with tasks can't be reached for {seconds:g} s")
+def step_unreachable_for(context, seconds):
+    world = context.world
+    runners = world.platform.runner_by_address.values()
+    (runner,) = [runner for runner in runners if runner.task_by_name]
+    runner.reachable = False
+    world.clock.callLater(seconds, setattr, runner, "reachable", True)
+
+
+@then('task "{task}" has started {count:d} times')
+def step_started_times(context, task, count):
+    starts = context.world.task_starts(task)
+    assert len(starts) == count, starts
+
+
+@then("no runner was over its capacity")
+def step_within_capacity(context):
+    used_by_runner = {}
+    for at, event, runner, task, _ in context.world.platform.record:
+        cpu = context.cpu_by_job[task.partition(".")[0]]
+        used = used_by_runner.setdefault(runner, {})
+        if event == "start":
+            used[task] = cpu
+            assert sum(used.values()) <= RUNNER_CPU, (at, runner, used)
+        elif not event.startswith("seen"):
+            used.pop(task, None)
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -74,9 +74,9 @@
 
     # Setup of the site.
 
-    def add_service(self, name, *, standby=False):
+    def add_service(self, name, *, standby=False, constraints=True):
         self.config["services"].append(
-            {"name": name, "standby": standby, "constraints": True}
+            {"name": name, "standby": standby, "constraints": constraints}
         )
         if standby:
             self.platform.standby_pools.add(name)
@@ -134,14 +134,7 @@
             hosts_listen=address,
             **limits,
         )
-        client, reactor = self.platform.client(name), self.clock
-        if callback_cost_s:
-            # Otherwise each callback would take a whole step.
-            self.step_s = min(self.step_s, callback_cost_s)
-            reactor = charged_process.ChargedReactor(
-                self.clock, callback_cost_s
-            )
-            client = charged_process.ChargedClient(client, reactor)
+        client, reactor = self._make_process(name, callback_cost_s)
         host = site_host.SiteHost(
             reactor,
             settings,
@@ -162,6 +155,16 @@
         host.start()
         return host
 
+    def _make_process(self, name, callback_cost_s):
+        """Return an entry host's client of the platform and its reactor."""
+        client = self.platform.client(name)
+        if not callback_cost_s:
+            return client, self.clock
+        # Otherwise each callback would take a whole step.
+        self.step_s = min(self.step_s, callback_cost_s)
+        reactor = charged_process.ChargedReactor(self.clock, callback_cost_s)
+        return charged_process.ChargedClient(client, reactor), reactor
+
     def _address(self, name):
         number = int(name.rpartition("-")[2])
         return host_settings.Address(f"10.1.0.{number}", 7000)
