Count the capacity of a superseded attempt until it has stopped

Cause: a runner that was silent past its lease reports, once it can be reached again, that the first attempt of a task was done. The task is then done, and its second attempt, at work on another runner, was taken off that runner at once. Its capacity was given to other tasks, although it ran on until that runner's next report, after which it was told to stop.

Change: an attempt that is superseded this way is told to stop at once, and its runner counts it like any other run that isn't assigned to it, until its reports no longer show it.

--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -63,7 +63,7 @@
         )
         self._update_health(runner, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
-            self._handle_done(run, current=current, now=now)
+            self._handle_done(run, ended.attempt, current=current, now=now)
             return
         if current:
             if ended.checkpoint:
@@ -95,7 +95,7 @@
             log_runner_pause(runner, "its tasks fail", now)
 
     def _handle_done(
-        self, run: runs.Run, *, current: bool, now: float
+        self, run: runs.Run, attempt: int, *, current: bool, now: float
     ) -> None:
         if run.phase is _Phase.DONE:
             return
@@ -103,7 +103,7 @@
             if current:
                 self._scheduler_state.release_run(run, now)
             return
-        self._scheduler_state.finish_run(run, now)
+        self._scheduler_state.finish_run(run, attempt, now)
 
     def _record_failure(self, run: runs.Run, attempt: int, now: float) -> None:
         """Count a failed attempt; the last one allowed fails the job."""
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -311,15 +311,22 @@
         self.mark_job_changed(run.job)
         self._drop_job_if_inactive(run.job)
 
-    def finish_run(self, run: runs.Run, now: float) -> None:
-        """Mark a task as done; its job completes with its last task."""
+    def finish_run(self, run: runs.Run, attempt: int, now: float) -> None:
+        """Mark a task as done; its job completes with its last task.
+
+        Args:
+            attempt: attempt that ended so. A later one may still run.
+        """
         state = run.job
         members = [run]
         if run.step.gang:
             members = state.runs_by_step[run.name.occurrence, run.name.step]
         for member in members:
-            if member.occupies_capacity:
-                self._remove_from_runner(member)
+            if not member.occupies_capacity:
+                continue
+            if member.attempt != attempt and self._maybe_begun(member):
+                self._stop_superseded_run(member, now)
+            self._remove_from_runner(member)
         state.mark_task_done(run)
         self.mark_job_changed(state)
         if state.complete and not state.status.ended:
@@ -328,6 +335,17 @@
             )
         self._drop_job_if_inactive(state)
 
+    def _stop_superseded_run(self, run: runs.Run, now: float) -> None:
+        """Stop a run whose task is done.
+
+        It occupies capacity until its runner no longer reports it.
+        """
+        runner = self.runner_by_id.get(run.runner_id)
+        if runner is not None:
+            orphan = run.name, run.attempt
+            runner.need_by_orphan[orphan] = run.step.need
+        self._send_stop(run, "an earlier attempt is done", now)
+
     def _remove_from_runner(self, run: runs.Run) -> None:
         runner = self.runner_by_id.get(run.runner_id)
         if runner is not None:
@@ -341,7 +359,7 @@
 
         A run whose start command was certainly not sent is released at once.
         """
-        if run.phase is runs.Phase.ASSIGNED and not self._maybe_sent(run):
+        if not self._maybe_begun(run):
             self.release_run(run, now)
             return
         if run.serving:
@@ -366,8 +384,10 @@
         )
 
     @staticmethod
-    def _maybe_sent(run: runs.Run) -> bool:
+    def _maybe_begun(run: runs.Run) -> bool:
         """Whether the run's start command may have been sent."""
+        if run.phase is not runs.Phase.ASSIGNED:
+            return True
         return bool(run.inherited or run.sent_at)
 
     def _count_usage(self, run: runs.Run, sign: int) -> None:
