--- a/tests/scheduler/leader_series.feature
+++ b/tests/scheduler/leader_series.feature
@@ -13,3 +13,17 @@
     Then job "00000000000000b2" is "completed"
     And job "00000000000000b1" is "completed"
     And no runner was over its capacity
+
+  Scenario: A silent leader's leases count in the term after the next one too
+    Guards against a leader that was told to stop just after it had taken over.
+    Given a site with service "press" on 8 hosts and queue "fit"
+    And hosts stay in their pools
+    And takeovers aren't spread
+    And every fourth task runs 4.0 s, the others 30.0 s
+    When job "00000000000000b3" of 20 tasks is submitted
+    And 2.0 s pass
+    And only the leader can reach a runner with tasks
+    And the leader reaches neither the store nor other hosts
+    And the host that takes over is told to stop at once
+    And 9.0 s pass
+    Then no task ran twice
--- a/tests/scheduler/steps/series_steps.py
+++ b/tests/scheduler/steps/series_steps.py
@@ -72,3 +72,43 @@
             assert sum(used.values()) <= RUNNER_CPU, (at, runner, used)
         elif not event.startswith("seen"):
             used.pop(task, None)
+
+
+@given("takeovers aren't spread")
+def step_no_jitter(context):
+    for host in context.world.host_by_name.values():
+        host.candidate._view._delay_with_jitter_s = 0.0
+
+
+@given("every fourth task runs {short_s:g} s, the others {long_s:g} s")
+def step_mixed_tasks(context, short_s, long_s):
+    context.world.platform.plan_task = lambda task, attempt: (
+        site_runner.TaskPlan(
+            long_s if int(task.rpartition(".")[2]) % 4 else short_s
+        )
+    )
+
+
+@when("the leader reaches neither the store nor other hosts")
+def step_leader_without_store(context):
+    world = context.world
+    context.previous_leader = world.leader_name
+    world.platform.store_silent_for.add(context.previous_leader)
+    address = str(world._address(context.previous_leader))
+    world.platform.entry_host_by_address[address] = lambda question: None
+
+
+@when("the host that takes over is told to stop at once")
+def step_stop_next_leader(context):
+    world = context.world
+    while True:
+        names = [
+            name
+            for name, host in world.host_by_name.items()
+            if host.leader is not None and name != context.previous_leader
+        ]
+        if names:
+            break
+        world.advance_time(site_world.STEP_S)
+    host = world.host_by_name[names[0]]
+    host.stop(lambda: world.kill_host(names[0]))
