Restart a failed task on its own runner if the others stay full

Cause: a task isn't started again where it failed or stalled while any other runner of the service takes tasks, even a full one. If long-running tasks fill the others, it never starts, although its own runner is empty, and no host is added, because the pool has room. In addition, the first task of a step that found no runner kept all tasks behind it from starting, even those that avoided none.

Change: the runners are avoided for 2 s after the failure. A task that avoids runners no longer holds up the others of its step.

--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -37,7 +37,7 @@
             for any.
         avoided_runners_by_index: by task index, IDs of runners on which
             the task isn't started while the step has any other candidate,
-            even a full one.
+            even a full one. The caller drops them after some time.
     """
 
     job_id: str
@@ -268,11 +268,7 @@
     count_by_runner = dict(request.task_count_by_runner)
     count_by_rack: dict[str, int] = {}
     if step.long_running:
-        for balance in candidates:
-            runner = balance.runner
-            count_by_rack[runner.rack] = count_by_rack.get(
-                runner.rack, 0
-            ) + count_by_runner.get(runner.runner_id, 0)
+        count_by_rack = _count_by_rack(candidates, count_by_runner)
     spread_count = spread_runner_count(step)
     placements = []
     for index in request.waiting_indexes[:max_count]:
@@ -300,6 +296,9 @@
                 rank = (remote, balance.cpu)
             if best is None or rank < best_rank:
                 best, best_rank = balance, rank
+        if best is None and avoided:
+            # A task that avoids no runner may still fit.
+            continue
         if best is None:
             break
         best.reserve(need, cpu)
@@ -310,6 +309,18 @@
     return placements
 
 
+def _count_by_rack(
+    candidates: list[_RunnerBalance], count_by_runner: dict[str, int]
+) -> dict[str, int]:
+    count_by_rack: dict[str, int] = {}
+    for balance in candidates:
+        runner = balance.runner
+        count_by_rack[runner.rack] = count_by_rack.get(
+            runner.rack, 0
+        ) + count_by_runner.get(runner.runner_id, 0)
+    return count_by_rack
+
+
 def spread_runner_count(step: job_models.Step) -> int:
     """Return the number of runners over which a long-running step is spread.
 
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -18,6 +18,10 @@
 # Runs on a draining runner are stopped this much earlier than the time that
 # they need to save their state before it leaves.
 DRAIN_STOP_MARGIN_S = 0.5
+# A task waits this long for another runner than those on which it failed or
+# stalled. After that it may use them again, since the others may be full for
+# hours with long-running tasks.
+MAX_AVOIDANCE_S = 2.0
 
 
 class Planner:
@@ -226,6 +230,7 @@
                 index: frozenset(step_runs[index].failed_on)
                 for index in waiting
                 if step_runs[index].failed_on
+                and now < step_runs[index].not_before + MAX_AVOIDANCE_S
             },
         )
 
--- a/tests/scheduler/failing_runner.feature
+++ b/tests/scheduler/failing_runner.feature
@@ -42,3 +42,15 @@
     And 22.0 s pass
     Then job "00000000000000f3" is "completed"
     And no task was stopped
+
+  Scenario: A failed task restarts although all other runners stay full
+    Guards against a task that waits for a runner which never becomes free.
+    Given a site with service "press" on 2 hosts and queue "fit"
+    And hosts stay in their pools
+    And tasks that run 60.0 s
+    When job "00000000000000f4" of 16 tasks is submitted
+    And 1.0 s pass
+    Given the first attempt of each task fails after 0.5 s
+    When job "00000000000000f5" of 2 tasks is submitted
+    And 5.0 s pass
+    Then job "00000000000000f5" is "completed"
--- a/tests/scheduler/steps/failing_steps.py
+++ b/tests/scheduler/steps/failing_steps.py
@@ -27,6 +27,13 @@
     context.world.platform.plan_task = plan
 
 
+@given("the first attempt of each task fails after {seconds:g} s")
+def step_first_fails(context, seconds):
+    context.world.platform.plan_task = lambda task, attempt: (
+        site_runner.TaskPlan(seconds, "failed" if attempt == 1 else "done")
+    )
+
+
 def _states(context):
     return {
         job_id: context.world.job_state(context.queue, job_id)
