--- a/tests/scheduler/leader_series.feature
+++ b/tests/scheduler/leader_series.feature
@@ -27,3 +27,22 @@
     And the host that takes over is told to stop at once
     And 9.0 s pass
     Then no task ran twice
+
+  Scenario Outline: Leader changes in series beside other faults
+    Guards against tasks that run twice, starts beyond a runner's capacity, host
+    commands of two leaders, and jobs that don't complete.
+    When the series of leader changes of seed <seed> is run
+    Then no rule is broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
+      | 9    |
+      | 10   |
