Tell later leaders of leases that runners got before a restart was known

Cause: a command that is sent before a restart is known may give the new incarnation a lease of the runner's own maximum. Only the leader that noticed the restart knew of it. A later leader that couldn't reach the runner counted 5.3 s from its takeover and started the runs elsewhere while they went on.

Change: the renewal row has, by runner, until when such a lease may last, and a takeover keeps it there. Other than a published expiry it doesn't keep the lease from being extended.

Random faults found it: a restart at 1015.91 s, a poll that was under way with an expiry 7.7 s ahead on the new clock, a leader that ended at 1017.0 s, and runs started again at 1023.19 s, 0.45 s before the lease ended.

Left: a leader that ends between noticing a restart and its next renewal (0.6 s at most), or before it notices it.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -201,6 +201,11 @@
             scheduler_state.unreached_until_by_runner[runner_id] = min(
                 expires_at, latest_expiry
             )
+        for runner_id, until_s in previous.restart_lease_by_runner.items():
+            until = self.store_clock.certainly_passed_at(until_s)
+            scheduler_state.restart_lease_by_runner[runner_id] = min(
+                until, latest_expiry
+            )
         # The takeover has kept them in the renewal row.
         scheduler_state.publish_expiries(previous.expiry_by_runner)
         return scheduler_state
@@ -566,4 +571,23 @@
             extends_leases_until=self.store_clock.latest(
                 self._previous_extend_until
             ),
+            restart_lease_by_runner=self._restart_leases(),
         )
+
+    def _restart_leases(self) -> dict[str, float]:
+        """Return the leases to tell later leaders, by the store's clock."""
+        now = self.now()
+        state = self.scheduler_state
+        until_by_runner = {
+            # Of runners that aren't registered with this leader as well.
+            **state.restart_lease_by_runner,
+            **{
+                runner_id: runner.kept_lease_until
+                for runner_id, runner in state.runner_by_id.items()
+            },
+        }
+        return {
+            runner_id: self.store_clock.latest(until)
+            for runner_id, until in until_by_runner.items()
+            if until > now
+        }
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -91,12 +91,16 @@
             leaders before it.
         expiry_by_runner: expiry times, by the store's clock, of the leases
             of runners that it couldn't reach and doesn't extend.
+        restart_lease_by_runner: until when, by the store's clock, a lease may
+            last that a runner got before its restart was known. It may be
+            longer than those that leaders grant.
     """
 
     may_extend_leases: bool
     extends_leases_until: float
     command_by_host: dict[str, recent_commands.RecentCommand]
     expiry_by_runner: dict[str, float]
+    restart_lease_by_runner: dict[str, float]
 
 
 def takeover_delay_s(processors: float, link_mbps: float) -> float:
@@ -153,6 +157,11 @@
     extends_leases: bool = False
     # Until when they may do so, in seconds of the store's clock.
     extends_leases_until: float = 0.0
+    # Until when restarted runners may hold leases of before their restart was
+    # known, in seconds of the store's clock.
+    restart_lease_by_runner: dict[str, float] = msgspec.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,6 +308,7 @@
             ),
             command_by_host=self._renewal.command_by_host,
             expiry_by_runner=self._renewal.expiry_by_runner,
+            restart_lease_by_runner=self._renewal.restart_lease_by_runner,
         )
         renewal = _RenewalRow(
             token,
@@ -308,6 +318,7 @@
             previous.command_by_host,
             extends_leases=previous.may_extend_leases,
             extends_leases_until=previous.extends_leases_until,
+            restart_lease_by_runner=previous.restart_lease_by_runner,
         )
         return Takeover(
             self._leader_row_version,
@@ -328,6 +339,7 @@
     command_by_host: dict[str, recent_commands.RecentCommand],
     *,
     extends_leases_until: float = 0.0,
+    restart_lease_by_runner: dict[str, float] | None = None,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
 
@@ -336,6 +348,8 @@
             or None if the leader doesn't know it yet.
         extends_leases_until: until when previous leaders may extend leases,
             in seconds of the store's clock.
+        restart_lease_by_runner: until when restarted runners may hold leases
+            of before their restart was known, by the same clock.
     """
     return msgspec.json.encode(
         _RenewalRow(
@@ -345,6 +359,7 @@
             expiry_by_runner,
             command_by_host,
             extends_leases_until=extends_leases_until,
+            restart_lease_by_runner=restart_lease_by_runner or {},
         )
     )
 
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -72,11 +72,12 @@
             self._scheduler_state.unreached_until_of(entry.id),
             self._scheduler_state.lease_max_s,
         )
-        published_until = self._scheduler_state.unreached_until_by_runner.get(
-            entry.id
-        )
-        if published_until is not None:
-            runner.keep_lease_until(published_until)
+        for until_by_runner in (
+            self._scheduler_state.unreached_until_by_runner,
+            self._scheduler_state.restart_lease_by_runner,
+        ):
+            if entry.id in until_by_runner:
+                runner.keep_lease_until(until_by_runner[entry.id])
         runner.expiry_published = (
             entry.id in self._scheduler_state.published_runners
         )
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -81,6 +81,8 @@
         unreachable: whether the last call to the runner failed.
         expiry_published: whether the next leader may rely on the published
             end of the lease, so that it must not be extended.
+        kept_lease_until: until when a lease may last that was granted before
+            the runner's restart was known, or published.
         drain_deadline: when the draining runner leaves, or None.
     """
 
@@ -114,7 +116,7 @@
         self._lease_until_s = 0.0
         self._lease_granted_at = now
         self._previous_lease_until = previous_lease_until
-        self._kept_lease_until = 0.0
+        self.kept_lease_until = 0.0
         self._lease_max_s = lease_max_s
         self._used_cpu = 0
         self._used_memory = 0
@@ -215,9 +217,7 @@
         """Return when the last lease on the runner has certainly expired."""
         ends = [
             LeaseEnd(self._previous_lease_until, LeaseGrantor.PREVIOUS_LEADER),
-            LeaseEnd(
-                self._kept_lease_until, LeaseGrantor.BEFORE_RESTART_KNOWN
-            ),
+            LeaseEnd(self.kept_lease_until, LeaseGrantor.BEFORE_RESTART_KNOWN),
         ]
         if self._clock_s is not None:
             left_s = max(self._lease_until_s - self._clock_s, 0.0)
@@ -237,7 +237,7 @@
 
     def keep_lease_until(self, at: float) -> None:
         """Assume that a lease lasts until a time, whoever is fenced."""
-        self._kept_lease_until = max(self._kept_lease_until, at)
+        self.kept_lease_until = max(self.kept_lease_until, at)
 
     def confirm_fenced(self, now: float, lease_s: float) -> None:
         """Record that the runner rejects the commands of previous leaders.
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -45,6 +45,8 @@
             reached yet may execute commands of the previous leader.
         unreached_until_by_runner: the same for runners whose lease expiry
             the previous leader published.
+        restart_lease_by_runner: until when a runner may hold a lease that it
+            got before its restart was known to a previous leader.
         published_runners: ids of runners whose lease expiry the renewal row
             may show, so that a later leader relies on it.
         advice_by_step: advisor's latest response for each step name.
@@ -68,6 +70,7 @@
         self.lease_max_s = lease_max_s
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
+        self.restart_lease_by_runner: dict[str, float] = {}
         self.published_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
@@ -80,8 +83,11 @@
 
     def unreached_until_of(self, runner_id: str) -> float:
         """Return the ``unreached_until`` time of one runner."""
-        return self.unreached_until_by_runner.get(
-            runner_id, self.unreached_until
+        return max(
+            self.unreached_until_by_runner.get(
+                runner_id, self.unreached_until
+            ),
+            self.restart_lease_by_runner.get(runner_id, 0.0),
         )
 
     def lease_ends_to_publish(
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -160,3 +160,19 @@
     When 2.0 s pass
     Then every task of job "00000000000000e0" runs
     And no task ran twice
+
+  Scenario: Later leaders wait for a lease by the previous incarnation's clock
+    Guards against a lease that only the leader knew that saw the restart.
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 0.5 s later
+    And job "00000000000000e1" of 100 tasks is submitted
+    And 1.7 s pass
+    Then the restarted runner has started tasks
+    When the restarted runner can't be reached
+    And the leader is told to stop
+    And another host leads for 0.1 s
+    And the leader is told to stop
+    And 14.0 s pass
+    Then every task of job "00000000000000e1" runs
+    And no task ran twice
