Renew as soon as a restart is noticed

Cause: a leader told later ones of a lease that a runner got before its restart was known only with its next periodic renewal, up to 0.6 s later. If it ended before, the next one released the runs 5.3 s after its takeover.

Change: a noticed restart is followed by a renewal at once.

Random faults found it: a restart noticed at 1027.55 s by a leader that handed over at 1027.91 s, runs started again at 1033.51 s while their lease lasted until 1036.5 s.

Left: a leader that ends, or whose runner stops responding, before it notices the restart.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -474,6 +474,9 @@
             return
         if self._site_tables.loaded and self.may_send_commands():
             self._plan()
+        if self.scheduler_state.restart_noticed:
+            # The next leader is to know of the runner's lease.
+            self._renew()
         self._write_changed_jobs()
         starts: list[commands.StartCommand] = []
         for command in self.scheduler_state.take_commands():
@@ -545,6 +548,7 @@
 
     def _encode_renewal(self) -> bytes:
         self._renewals += 1
+        self.scheduler_state.restart_noticed = False
         # This also keeps what previous leaders published of runners that this
         # one hasn't reached, so that their tasks don't wait for another lease
         # if the leader changes again.
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -124,6 +124,7 @@
                 # The start command may still reach the new incarnation.
                 run.unconfirmed_since = run.unconfirmed_since or now
         runner.start_incarnation(started_at, now)
+        self._scheduler_state.restart_noticed = True
 
     def handle_runner_gone(
         self, runner_id: str, reason: str, now: float
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -47,6 +47,8 @@
             the previous leader published.
         restart_lease_by_runner: until when a runner may hold a lease that it
             got before its restart was known to a previous leader.
+        restart_noticed: whether a restart was noticed that the renewal row
+            doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
             may show, so that a later leader relies on it.
         advice_by_step: advisor's latest response for each step name.
@@ -71,6 +73,7 @@
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
         self.restart_lease_by_runner: dict[str, float] = {}
+        self.restart_noticed = False
         self.published_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -176,3 +176,19 @@
     And 14.0 s pass
     Then every task of job "00000000000000e1" runs
     And no task ran twice
+
+  Scenario: A leader tells of a restart's lease as soon as it knows of it
+    Guards against a leader that ends before its next periodic renewal.
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 20.0 s later
+    And job "00000000000000e2" of 100 tasks is submitted
+    And 0.1 s pass
+    Then the restarted runner has started tasks
+    When the leader is told to stop
+    And another host leads for 0.15 s
+    And the restarted runner can't be reached
+    And the leader is told to stop
+    And 14.0 s pass
+    Then every task of job "00000000000000e2" runs
+    And no task ran twice
