Tell the next controller of starts that may have no record

Callers may see a task run twice when two controllers fail within 85 s of an outage of the store.

Cause: in an outage a controller starts tasks first and records them later. The next one knew from the gap between its reads that such starts may exist, and waits with the queued tasks until every worker has reported or the leases have expired. This was known only in its memory: the controller after it saw a lease that had changed after the outage, and started the tasks again.

Change: the lease row says whether starts may exist without a record. A takeover keeps it, and the holder withdraws it once all workers have reported and what they reported is written, or their leases have expired.

--- a/src/azurevane/_internal/daemons/control_service.py
+++ b/src/azurevane/_internal/daemons/control_service.py
@@ -142,6 +142,8 @@
             self._apply_effects(
                 placer, pool, placer.tick(now, self.leases.store_down)
             )
+            if held.uncertain and placer.are_starts_known(now):
+                self.leases.record_starts_known(pool)
 
     def _drop_placer(self, pool: str, reason: str) -> None:
         placer = self.placer_by_pool.pop(pool, None)
--- a/src/azurevane/_internal/tasks/controller_lease.py
+++ b/src/azurevane/_internal/tasks/controller_lease.py
@@ -38,8 +38,9 @@
             the holder; writes for the pool are conditional on it.
         confirmed_until: monotonic seconds at which the lease expires
             unless it is renewed.
-        uncertain: whether an outage may lie between the previous
-            holder's last renewal and the takeover.
+        uncertain: whether tasks may run that a previous holder started
+            during an outage, without a record. The lease row says so too,
+            for the next holder.
     """
 
     epoch: int
@@ -54,6 +55,7 @@
     """A lease row as read.
 
     Attributes:
+        uncertain: whether its holder was ``HeldLease.uncertain``.
         unchanged_since: monotonic seconds at which this version was
             first read.
     """
@@ -64,6 +66,7 @@
     incarnation: str
     epoch: int
     token: str
+    uncertain: bool
     unchanged_since: float
 
 
@@ -136,6 +139,14 @@
         held = self._held_by_pool.get(pool)
         return None if held is None else held.epoch
 
+    def record_starts_known(self, pool: str) -> None:
+        """Record that all starts of previous holders have records now."""
+        held = self._held_by_pool.get(pool)
+        if held is not None and held.uncertain:
+            self._held_by_pool[pool] = dataclasses.replace(
+                held, uncertain=False
+            )
+
     @property
     def store_down(self) -> bool:
         """Whether the last call to the store failed."""
@@ -311,6 +322,7 @@
             value.get("incarnation", ""),
             value.get("epoch", 0),
             value.get("token", ""),
+            value.get("uncertain", False),
             now if restarted else unchanged_since,
         )
         self._observed_by_pool[pool] = observed
@@ -335,12 +347,15 @@
         )
         self._renew_due_at = 0.0
 
-    def _lease_value(self, epoch: int, token: str) -> dict[str, Any]:
+    def _lease_value(
+        self, epoch: int, token: str, *, uncertain: bool
+    ) -> dict[str, Any]:
         return {
             "holder": self._holder,
             "incarnation": self._incarnation,
             "epoch": epoch,
             "token": token,
+            "uncertain": uncertain,
         }
 
     def _build_renewal(self) -> row_models.WriteBatch:
@@ -358,7 +373,9 @@
                 for pool, held in self._held_by_pool.items()
             },
             {
-                lease_row(pool): self._lease_value(held.epoch, token)
+                lease_row(pool): self._lease_value(
+                    held.epoch, token, uncertain=held.uncertain
+                )
                 for pool, held in self._held_by_pool.items()
             },
         )
@@ -373,7 +390,9 @@
             checks[lease_row(pool)] = observed.version
             checks[fence_row(pool)] = observed.fence_version
             values[lease_row(pool)] = self._lease_value(
-                observed.epoch + 1, token
+                observed.epoch + 1,
+                token,
+                uncertain=self._is_takeover_uncertain(pool),
             )
             values[fence_row(pool)] = {"epoch": observed.epoch + 1}
         return row_models.WriteBatch(self._number, token, checks, values)
@@ -396,14 +415,14 @@
             if taken_over or before is None
             else before.fence_version,
             self._operation_sent_at + LEASE_S,
-            self._is_takeover_uncertain(pool)
+            batch.value_by_row[lease_row(pool)]["uncertain"]
             if taken_over
             else _is_uncertain(before),
         )
 
     def _is_takeover_uncertain(self, pool: str) -> bool:
         observed = self._observed_by_pool[pool]
-        return (
+        return observed.uncertain or (
             observed.version > 0
             and self._read_gap_at >= observed.unchanged_since
         )
--- a/src/azurevane/_internal/tasks/placer.py
+++ b/src/azurevane/_internal/tasks/placer.py
@@ -62,6 +62,21 @@
             or self.control.workers.reserved_worker_by_task
         )
 
+    def are_starts_known(self, now: float) -> bool:
+        """Whether all starts of previous controllers have records.
+
+        Each worker has reported what it runs, and the records are written;
+        or the leases of starts without a record have expired.
+        """
+        if self._loaded_at is None:
+            return False
+        if now - self._loaded_at > worker_registry.WORKER_LOST_AFTER_S:
+            return True
+        written = (
+            self._batch is None and not self.control.tasks.unwritten_count
+        )
+        return written and not self._delays_starts
+
     def configure(
         self, now: float, view: control_models.PoolView
     ) -> list[task_control.Effect]:
--- a/tests/tasks/placer.feature
+++ b/tests/tasks/placer.feature
@@ -41,6 +41,19 @@
     And 300 seconds pass in the pool
     And every task is finished and none ran twice
 
+  Scenario: Two takeovers follow an outage in which tasks were started
+    Guards against a second takeover that starts queued tasks again which
+    the controller of the outage started without recording them.
+    Given a pool of 4 workers and control daemons "c1,c2,c3" with seed 3
+    When 56 tasks of 20 seconds are submitted
+    And 5 seconds pass in the pool
+    And the store is down until a worker and the controller fail after a start
+    And 6 seconds pass in the pool
+    And the controller is killed
+    And 10 seconds pass in the pool
+    Then a daemon places tasks
+    And none ran twice
+
   Scenario: Answers to writes are lost
     Guards against an accepted task that is lost or started twice.
     When half of the write answers are lost
--- a/tests/tasks/steps/placer_steps.py
+++ b/tests/tasks/steps/placer_steps.py
@@ -108,6 +108,40 @@
     context.started = len(pool.started_at) - before
 
 
+def _unreported_starts(pool):
+    """Return a worker with a start that no record and no report shows."""
+    for worker in pool.workers.values():
+        reported = {run["task_id"] for run in worker._last_report["running"]}
+        for run in worker.running:
+            unreported = run.task_id not in reported
+            if unreported and pool.phase(run.task_id) == "queued":
+                return worker
+    return None
+
+
+@when("the store is down until a worker and the controller fail after a start")
+def fail_after_start(context):
+    pool = context.pool
+    pool.faults.down = True
+    while (worker := _unreported_starts(pool)) is None:
+        pool.run(0.05)
+    worker.faults.unreachable = True
+    pool.kill_daemon(pool.placing_daemon())
+    pool.run(10)
+    pool.faults.down = False
+
+
+@then("a daemon places tasks")
+def check_placing(context):
+    assert context.pool.placing_daemon() is not None
+
+
+@then("none ran twice")
+def check_not_twice(context):
+    pool = context.pool
+    assert not pool.violations, pool.violations[:5]
+
+
 @then("at least {ratio:f} of {seconds:d} seconds' work was done")
 def check_outage(context, ratio, seconds):
     # 28 of the tasks had started before.
