Release a seat only once nothing of its predecessor can be in use

Callers of a team may get more than its upper limit when a seat changes hands twice within 34 s.

Cause: a new holder waits until loans and work of its predecessor must have ended. When it stopped during that wait it used and lent nothing itself, and so released the seat as one whose next holder needn't wait.

Change: a seat whose holder still waits isn't released; the next holder waits as after a crash.

--- a/src/azurevane/_internal/daemons/caller_server.py
+++ b/src/azurevane/_internal/daemons/caller_server.py
@@ -166,8 +166,9 @@
         await self._wait_while(
             lambda: not self._permits.handed_over, _HANDOVER_TIMEOUT_S
         )
-        # While a permit is in use or lent, or an outcome isn't written, the
-        # seat isn't released: its next holder must wait as after a crash.
+        # While a permit is in use or lent, or may be by a predecessor, or an
+        # outcome isn't written, the seat isn't released: its next holder must
+        # wait as after a crash.
         if self._permits.handed_over and not self.claims.has_pending_writes:
             await self.release_seat()
         self._runners.close()
--- a/src/azurevane/_internal/daemons/entry_permits.py
+++ b/src/azurevane/_internal/daemons/entry_permits.py
@@ -86,7 +86,7 @@
     @property
     def handed_over(self) -> bool:
         """Whether the seat's next holder can start without a wait."""
-        return self._permit_keeper.handed_over
+        return self._permit_keeper.handed_over(self._reactor.seconds())
 
     def carry_out_effect(self, effect: effects.Effect) -> None:
         """Carry out an effect that concerns permits."""
--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -170,9 +170,13 @@
         """
         self._ledger.in_handover = True
 
-    @property
-    def handed_over(self) -> bool:
-        """Whether nothing is in use or lent, so the seat may be released."""
+    def handed_over(self, now: float) -> bool:
+        """Whether the seat may be released.
+
+        Nothing is in use or lent, and nothing of a predecessor can be.
+        """
+        if self._seat is not None and now < self._ledger.seat_valid_from:
+            return False
         return not any(
             account.running or account.lent
             for account in self._ledger.account_by_key.values()
--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -150,6 +150,17 @@
     When work for 60 permits waits at "e0"
     Then "e0" may use 50 permits
 
+  Scenario: A new holder that still waits doesn't release its seat
+    Guards against a successor that uses base parts at once while work of
+    the holder before the previous one still runs.
+    Given a team with a limit of 60
+    When a host "x" takes the seat of "e1"
+    And 5 s pass
+    And "x" begins its handover
+    Then "x" may not release its seat
+    When 29.1 s pass
+    Then "x" may release its seat
+
   Scenario: A host that isn't fresh uses and lends nothing
     Guards against work admitted under an outdated state.
     Given a team with a limit of 60
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -278,12 +278,14 @@
 
 @then('"{name}" may not release its seat')
 def check_seat_not_releasable(context, name):
-    assert not context.hosts.keeper_by_name[name].handed_over
+    hosts = context.hosts
+    assert not hosts.keeper_by_name[name].handed_over(hosts.now)
 
 
 @then('"{name}" may release its seat')
 def check_seat_releasable(context, name):
-    assert context.hosts.keeper_by_name[name].handed_over
+    hosts = context.hosts
+    assert hosts.keeper_by_name[name].handed_over(hosts.now)
 
 
 @when('"{name}" isn\'t fresh')
