Release a seat only once all seats fit a lowered limit

Callers of a team may get more than its lowered limit when a seat changes hands within 34 s of the change.

Cause: until the other seats have reported that their work fits the lowered limit, a holder leaves unused what they may use beyond their parts. A host that starts after the change knows nothing of that, and used its part of a seat that had been released at once.

Change: a holder that still leaves permits unused for that reason doesn't release its seat; the next holder waits as after a crash.

"A seat isn't handed over while other seats may exceed a lowered limit" failed before; with the handover made, the successor could use 1 permit of a limit of 6 while 10 runs went on at another host. tests/tasks/permit_keeper: 43 scenarios passed.

Left: a limit that is lowered while a released seat has no holder.

--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -173,12 +173,14 @@
     def handed_over(self, now: float) -> bool:
         """Whether the seat may be released.
 
-        Nothing is in use or lent, and nothing of a predecessor can be.
+        Nothing is in use or lent, nothing of a predecessor can be, and no
+        other seat may exceed its part of a lowered limit, which a successor
+        wouldn't know.
         """
         if self._seat is not None and now < self._ledger.seat_valid_from:
             return False
         return not any(
-            account.running or account.lent
+            account.running or account.lent or account.reserve
             for account in self._ledger.account_by_key.values()
         )
 
--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -206,6 +206,17 @@
     And 2 runs end at "e0" and 1 new ones start
     And all hosts together may use 20 permits
 
+  Scenario: A seat isn't handed over while other seats may exceed a lowered limit
+    Guards against new work of a successor, which doesn't know that the limit
+    was lowered, while older work keeps the team above it.
+    Given a team with a limit of 60
+    When "e0" runs work under 10 permits
+    And the limit is lowered to 6
+    And "e1" begins its handover
+    Then "e1" may not release its seat
+    When 34.1 s pass
+    Then "e1" may release its seat
+
   Scenario: A host that can't report delays a lowered limit for a limited time
     Guards against a team that never reaches its lowered limit again, and
     against a host that treats a missing report as received.
