Let the next holder of a released seat wait after a lowered limit

Callers of a team may get more than its lowered limit when the limit is lowered while a released seat has no holder.

Cause: a host that starts after the change and takes such a seat doesn't know that the limit was lowered, and used its part at once while older work went on above the limit at other hosts.

Change: a manifest that lowers a limit withdraws from released seats that their next holder needn't wait, and a host that takes a released seat keeps to that.

--- a/src/azurevane/_internal/operators/changes.py
+++ b/src/azurevane/_internal/operators/changes.py
@@ -7,6 +7,7 @@
 from azurevane import exceptions
 from azurevane._internal.models import fleet
 from azurevane._internal.operators import manifest_check
+from azurevane._internal.policy import seats as seat_policy
 from azurevane._internal.utils import suggestions
 
 _StateBuilder = Callable[[fleet.FleetState, Any], fleet.FleetState]
@@ -128,6 +129,7 @@
     return dataclasses.replace(
         state,
         manifest=manifest,
+        seats=seat_policy.seats_under_manifest(state, manifest),
         api_keys=tuple(
             key for key in state.api_keys if key.team in manifest.team_by_name
         ),
--- a/src/azurevane/_internal/policy/seats.py
+++ b/src/azurevane/_internal/policy/seats.py
@@ -1,9 +1,11 @@
 """Decides which seat an entry host may take."""
 
 from collections.abc import Collection
+import dataclasses
 import hashlib
 
 from azurevane._internal.models import fleet
+from azurevane._internal.models import manifest as manifest_models
 from azurevane._internal.policy import limits
 
 
@@ -45,8 +47,10 @@
     released = [n for n, seat in seat_by_number.items() if not seat.holder]
     if released:
         number = _pick_seat(released, host)
-        epoch = seat_by_number[number].epoch + 1
-        return fleet.Seat(number, host, incarnation, epoch, clean=True)
+        seat = seat_by_number[number]
+        return fleet.Seat(
+            number, host, incarnation, seat.epoch + 1, clean=seat.clean
+        )
     unused = [n for n in range(state.entry_seats) if n not in seat_by_number]
     if unused:
         return fleet.Seat(_pick_seat(unused, host), host, incarnation, 1)
@@ -71,6 +75,40 @@
     return fleet.Seat(seat.number, "", "", seat.epoch, clean=True)
 
 
+def seats_under_manifest(
+    state: fleet.FleetState, manifest: manifest_models.Manifest
+) -> tuple[fleet.Seat, ...]:
+    """Return a state's seats once a new manifest replaces its manifest.
+
+    If the new one lowers a limit, the next holder of a released seat waits
+    as after a crash: it may have started later and not know that older work
+    still runs above the limit.
+    """
+    previous = state.manifest
+    if previous is None or not _lowers_a_limit(previous, manifest):
+        return state.seats
+    return tuple(
+        seat if seat.holder else dataclasses.replace(seat, clean=False)
+        for seat in state.seats
+    )
+
+
+def _lowers_a_limit(
+    previous: manifest_models.Manifest, manifest: manifest_models.Manifest
+) -> bool:
+    limit_by_team = {team.name: team.request_limit for team in manifest.teams}
+    slots_by_runner = {
+        runner.name: runner.slots for runner in manifest.runners
+    }
+    return any(
+        limit_by_team.get(team.name, 0) < team.request_limit
+        for team in previous.teams
+    ) or any(
+        slots_by_runner.get(runner.name, 0) < runner.slots
+        for runner in previous.runners
+    )
+
+
 def _pick_seat(numbers: list[int], host: str) -> int:
     """Choose a seat by hash, so that hosts that start together differ."""
     return min(
--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -217,6 +217,18 @@
     When 34.1 s pass
     Then "e1" may release its seat
 
+  Scenario: A limit is lowered while a released seat has no holder
+    Guards against a host that takes the seat after the change, which it
+    doesn't know, and uses its part at once.
+    Given a team with a limit of 60
+    When "e0" runs work under 10 permits
+    And "e1" releases its seat
+    And the limit is lowered to 6
+    And a new host "x" takes the released seat
+    Then all hosts together may use 0 permits
+    When 34.1 s pass
+    Then "x" may use 1 permits
+
   Scenario: A host that can't report delays a lowered limit for a limited time
     Guards against a team that never reaches its lowered limit again, and
     against a host that treats a missing report as received.
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -16,6 +16,7 @@
 from azurevane._internal.models import fleet
 from azurevane._internal.models import permit_messages
 from azurevane._internal.policy import limits
+from azurevane._internal.policy import seats as seat_policy
 from azurevane._internal.tasks import permit_keeper
 from azurevane._internal.tasks import permit_ledger
 
@@ -276,6 +277,33 @@
         )
 
 
+@when('"{name}" releases its seat')
+def release_seat(context, name):
+    hosts = context.hosts
+    begin_handover(context, name)
+    check_seat_releasable(context, name)
+    released = seat_policy.released_seat(hosts.state, name, f"{name}-1")
+    hosts.change(
+        seats=tuple(
+            released if seat.number == released.number else seat
+            for seat in hosts.state.seats
+        )
+    )
+
+
+@when('a new host "{name}" takes the released seat')
+def take_released_seat(context, name):
+    hosts = context.hosts
+    hosts.start(name, 1)
+    taken = seat_policy.choose_seat(hosts.state, name, f"{name}-1", ())
+    hosts.change(
+        seats=tuple(
+            taken if seat.number == taken.number else seat
+            for seat in hosts.state.seats
+        )
+    )
+
+
 @then('"{name}" may not release its seat')
 def check_seat_not_releasable(context, name):
     hosts = context.hosts
@@ -297,7 +325,9 @@
 @when("the limit is raised to {limit:d}")
 def set_limit(context, limit):
     plan = dataclasses.replace(context.hosts.plan, limit_by_team={"t": limit})
-    context.hosts.change(manifest=permit_site.build_manifest(plan))
+    manifest = permit_site.build_manifest(plan)
+    seats = seat_policy.seats_under_manifest(context.hosts.state, manifest)
+    context.hosts.change(manifest=manifest, seats=seats)
 
 
 @when(
