Send no request on a connection that opened later than its timeout

Callers' requests may be run long after they were admitted, for example after their key was withdrawn or their zone was taken out.

Cause: a request is admitted while the fleet state is fresh, and is sent once its connection is open. While the process stands still no timer ends the attempt, and when it went on the request was sent whatever the time.

Change: a request whose connection took longer to open than the connect timeout isn't sent; the attempt ends as not run with that reason.

Left: a process that stands still between this check and the system call.

--- a/src/azurevane/_internal/upstreams/client.py
+++ b/src/azurevane/_internal/upstreams/client.py
@@ -93,6 +93,7 @@
         # idempotent requests reuse connections. A request with a body also
         # gets a new connection, so that an early answer can't belong to
         # another request.
+        began_at = self._reactor.seconds()
         acquired = await self.connections_to(runner).acquire(
             connections.connections_per_host(runner.connections, seats),
             new_only=not outgoing.idempotent or outgoing.body is not None,
@@ -100,6 +101,14 @@
         if not pipeline.is_successful(acquired):
             return result.Failure(acquired.failure())
         connection = acquired.unwrap()
+        # No timer ends the attempt while the process stands still, and the
+        # fleet state under which the request was admitted may have changed.
+        opened_s = self._reactor.seconds() - began_at
+        if opened_s > connections.CONNECT_TIMEOUT_S:
+            connection.abort()
+            return result.Failure(
+                verdicts.build_failure("connect-time-out", "process was late")
+            )
         if not outgoing.wanted():
             connection.abort()
             return result.Failure(verdicts.build_failure("not-wanted"))
--- a/src/azurevane/_internal/upstreams/connections.py
+++ b/src/azurevane/_internal/upstreams/connections.py
@@ -15,7 +15,7 @@
 # Lower bound of the connections of an entry host to a runner, also where the
 # runner allows fewer than one per entry host.
 _MIN_CONNECTIONS_PER_HOST = 1
-_CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
 # Shorter than the keep-alive time of common HTTP servers (5 s and more), so
 # that a runner rarely closes a connection just when it is reused.
 _IDLE_TIMEOUT_S = 4.0
@@ -37,7 +37,7 @@
     def __init__(self, reactor: Any, address: str, port: int) -> None:
         self._reactor = reactor
         self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, address, port, timeout=_CONNECT_TIMEOUT_S
+            reactor, address, port, timeout=CONNECT_TIMEOUT_S
         )
         self._open: set[connection_module.RunnerConnection] = set()
         self._idle: collections.deque[connection_module.RunnerConnection] = (
--- a/tests/upstreams/steps/verdict_steps.py
+++ b/tests/upstreams/steps/verdict_steps.py
@@ -264,6 +264,27 @@
     assert not context.runner.requests, context.runner.requests
 
 
+@when(
+    "the process stands still for {seconds:g} s while a request's connection"
+    " opens"
+)
+def stand_still(context, seconds):
+    connections = context.client.connections_to(context.target)
+
+    def connect_and_block(endpoint_connect):
+        async def connect(factory):
+            connection = await endpoint_connect(factory)
+            # Blocks the reactor, so that no timer runs either.
+            time.sleep(seconds)
+            return connection
+
+        return connect
+
+    endpoint = connections._endpoint
+    endpoint.connect = connect_and_block(endpoint.connect)
+    context.outcome = reactor_thread.call(send, context, "POST")
+
+
 @when('{count:d} "{method}" requests are sent to it at the same time')
 def send_many(context, count, method):
     def begin():
--- a/tests/upstreams/verdicts.feature
+++ b/tests/upstreams/verdicts.feature
@@ -73,6 +73,14 @@
     When a request is about to use a connection that was closed
     Then the failure is "closed-before-request" with verdict "not-run"
 
+  Scenario: A process that stands still while a connection is opened
+    Guards against a request that is sent long after it was admitted, for
+    example after its key was withdrawn.
+    Given a runner with the behaviour "good answer"
+    When the process stands still for 2.1 s while a request's connection opens
+    Then the failure is "connect-time-out" with verdict "not-run"
+    And the runner's record agrees with the verdict
+
   Scenario: A request body that ends prematurely
     Guards against a truncated body that a runner takes for complete.
     Given a runner with the behaviour "wait for the body"
