Check whether the fleet state is fresh when a task is started

Operators may see a task start in a zone over 3 s after it was taken out.

Cause: whether the state was confirmed recently enough was computed periodically and kept in the view of the pool. A controller that stood still processed the answer to the record of a start first, and sent the start under the result from before.

Change: the placer keeps until when the state is fresh and compares it with the time of each start.

Left: a controller that stands still while the connection for the start opens.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -118,6 +118,7 @@
         lambda: "token",
     )
     placer.configure(0.0, control.PoolView("p", hosts, teams))
+    placer.set_fresh_until(float("inf"))
     placer.load_records(0.0, [], None, False)
     reports = [
         worker_models.WorkerReport(host.name, 1, 1, (), ()) for host in hosts
--- a/src/azurevane/_internal/daemons/control_service.py
+++ b/src/azurevane/_internal/daemons/control_service.py
@@ -200,12 +200,12 @@
         self, now: float, pool: str, placer: placer_module.Placer
     ) -> None:
         state = self._source.state
-        fresh = self._source.fresh(now)
-        key = (state.version, state.zones_out, state.draining, fresh)
+        placer.set_fresh_until(self._source.fresh_until)
+        key = (state.version, state.zones_out, state.draining)
         if self._view_key_by_pool.get(pool) == key:
             return
         self._view_key_by_pool[pool] = key
-        view = fleet_source.build_pool_view(state, pool, fresh)
+        view = fleet_source.build_pool_view(state, pool)
         self._apply_effects(placer, pool, placer.configure(now, view))
 
     async def _read_reports(self) -> None:
--- a/src/azurevane/_internal/daemons/fleet_source.py
+++ b/src/azurevane/_internal/daemons/fleet_source.py
@@ -25,8 +25,9 @@
     def state(self) -> fleet.FleetState:
         """The latest fleet state known, with prepared restrictions."""
 
-    def fresh(self, now: float) -> bool:
-        """Whether the state was confirmed recently enough to start work."""
+    @property
+    def fresh_until(self) -> float:
+        """Monotonic seconds until which work may start under the state."""
 
     async def refresh(self) -> None:
         """Read the state, or confirm that it is still current."""
@@ -58,9 +59,10 @@
         """The latest fleet state known."""
         return self._state
 
-    def fresh(self, now: float) -> bool:
-        """Whether the state was confirmed in the 2.0 s before ``now``."""
-        return now - self._confirmed_at <= FRESHNESS_S
+    @property
+    def fresh_until(self) -> float:
+        """Monotonic seconds until which work may start under the state."""
+        return self._confirmed_at + FRESHNESS_S
 
     async def refresh(self) -> None:
         """Read the store; ask the entry process if the store is down."""
@@ -96,7 +98,7 @@
 
 
 def build_pool_view(
-    state: fleet.FleetState, pool: str, fresh: bool
+    state: fleet.FleetState, pool: str
 ) -> control_models.PoolView:
     """Build the view of a pool from a fleet state."""
     manifest = state.manifest
@@ -107,6 +109,4 @@
         manifest.teams,
         frozenset(state.zones_out),
         frozenset(state.draining),
-        {},
-        fresh,
     )
--- a/src/azurevane/_internal/models/control.py
+++ b/src/azurevane/_internal/models/control.py
@@ -17,8 +17,6 @@
         draining: hosts that get no new work, for any reason.
         assignment_by_host: number of each host's record in force; 0 if
             only the manifest assigns the host to the pool.
-        fresh: whether the view was confirmed recently enough to start
-            work under it.
     """
 
     pool: str
@@ -29,7 +27,6 @@
     assignment_by_host: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
-    fresh: bool = True
 
     @functools.cached_property
     def team_by_name(self) -> dict[str, manifest_models.Team]:
--- a/src/azurevane/_internal/tasks/placer.py
+++ b/src/azurevane/_internal/tasks/placer.py
@@ -89,6 +89,10 @@
         self._planner.fail_impossible_tasks(now)
         return self._take_effects()
 
+    def set_fresh_until(self, fresh_until: float) -> None:
+        """Set until when work may start under the view of the pool."""
+        self.control.fresh_until = fresh_until
+
     def load_records(
         self,
         now: float,
@@ -284,7 +288,7 @@
             self._handle_lost_workers(now)
         self._repeat_starts(now)
         self._drain_hosts(now)
-        if self._may_start_tasks(now) and self.control.view.fresh:
+        if self._may_start_tasks(now) and now < self.control.fresh_until:
             self._planner.start_waiting_tasks(now)
         self._write_changes(now)
         return self._take_effects()
--- a/src/azurevane/_internal/tasks/task_control.py
+++ b/src/azurevane/_internal/tasks/task_control.py
@@ -61,7 +61,9 @@
         self.pool = pool
         self.epoch = epoch
         self.ledger = ledger
-        self.view = control_models.PoolView(pool, fresh=False)
+        self.view = control_models.PoolView(pool)
+        # Monotonic seconds until which work may start under the view.
+        self.fresh_until = float("-inf")
         self.tasks = task_registry.TaskRegistry()
         self.workers = worker_registry.WorkerRegistry(epoch)
         self.estimate_by_kind: dict[str, task_sizes.SizeEstimate] = {}
@@ -238,7 +240,8 @@
         """
         if record.task.phase != "running" or record.start_sent:
             return
-        if self.view.fresh and self.workers.can_start(now, record.task.worker):
+        fresh = now < self.fresh_until
+        if fresh and self.workers.can_start(now, record.task.worker):
             self.send_start(now, record)
         else:
             self.requeue_task(now, record, "worker closed before the start")
--- a/tests/support/task_world.py
+++ b/tests/support/task_world.py
@@ -85,8 +85,9 @@
         self.state = fleet.FleetState()
         self._asked_at = float("-inf")
 
-    def fresh(self, now):
-        return now - self._asked_at <= fleet_source.FRESHNESS_S
+    @property
+    def fresh_until(self):
+        return self._asked_at + fleet_source.FRESHNESS_S
 
     async def refresh(self):
         asked_at = self._clock.seconds()
--- a/tests/tasks/placer.feature
+++ b/tests/tasks/placer.feature
@@ -69,6 +69,14 @@
     And 200 seconds pass in the pool
     Then every task is finished and none ran twice
 
+  Scenario: The controller is paused before a start as a zone is taken out
+    Guards against a start under a fleet state that was confirmed before
+    the pause.
+    When tasks are submitted until one is recorded and about to start
+    And its zone is taken out and the controller is paused for 3.1 seconds
+    And 5 seconds pass in the pool
+    Then no task started in a zone over 3 seconds after it was taken out
+
   Scenario: A worker fails every task
     Guards against one faulty worker that makes tasks fail for good or uses
     up the queue.
--- a/tests/tasks/steps/placer_steps.py
+++ b/tests/tasks/steps/placer_steps.py
@@ -5,6 +5,7 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.models import task as task_models
 from azurevane._internal.tasks import controller_lease
 from support import task_faults
 from support import task_world
@@ -159,6 +160,56 @@
     context.pool.change_state(zones_out=(zone,))
 
 
+def _start_to_send(pool):
+    """Return a task whose start is recorded and isn't sent yet."""
+    for task_id in pool.submitted:
+        recorded = pool.phase(task_id) == "running"
+        if recorded and task_id not in pool.started_at:
+            return task_id
+    return None
+
+
+@when("tasks are submitted until one is recorded and about to start")
+def submit_until_recorded(context):
+    pool = context.pool
+    daemon = pool.daemons[pool.placing_daemon()]
+    for number in range(200):
+        pool.submit(f"t{number}", cores=1.0, memory_gb=1.0, run_s=0.1)
+        for _ in range(600):
+            pool.advance(0.002, 0.002, pool.check)
+            task_id = _start_to_send(pool)
+            held = daemon.service.leases.active_lease(
+                daemon.clock.seconds(), "pool-1"
+            )
+            left_s = held.confirmed_until - daemon.clock.seconds()
+            if task_id is not None and left_s > 3.2:
+                context.task_id = task_id
+                return
+    raise AssertionError("no start was about to be sent")
+
+
+@when(
+    "its zone is taken out and the controller is paused for {seconds:g}"
+    " seconds"
+)
+def pause_before_start(context, seconds):
+    pool = context.pool
+    key = task_models.task_row("quoting", context.task_id)
+    worker = pool.table.row_by_name[key][1]["worker"]
+    zone = pool.state.manifest.host_by_name[worker].zone
+    pool.change_state(zones_out=(zone,))
+    clock = pool.daemons[pool.placing_daemon()].clock
+    clock.pause()
+    pool.advance(seconds, 0.05, pool.check)
+    clock.resume()
+
+
+@then("no task started in a zone over 3 seconds after it was taken out")
+def check_zone(context):
+    violations = context.pool.violations
+    assert not violations, violations[:5]
+
+
 @when('worker "{worker}" fails every task')
 def fail_worker(context, worker):
     context.pool.workers[worker].faults.fail_all = True
