Wait for work that started under a longer run time after a seat change

Callers of a team may get more than its upper limit when the longest run time is lowered and a seat changes its holder within 34 s.

Cause: that work from before may run for longer was kept only until the next change of the fleet state, which the change of the holder is. The new holder, and a limit lowered at that time, waited for the new run time only.

Change: until when such work may run is kept as a time and bounds every wait.

Left: a host that starts after the run time was lowered doesn't know of it.

--- a/src/azurevane/_internal/tasks/permit_keeper.py
+++ b/src/azurevane/_internal/tasks/permit_keeper.py
@@ -59,6 +59,8 @@
         self._returned_at_by_zone: dict[str, float] = {}
         self._connected_peers: tuple[str, ...] | None = None
         self._longest_run_s = 0.0
+        # When work that started under a longer run time has ended.
+        self._older_work_until = -math.inf
         self._next_key_offset = 0
         self._timers: permit_lender.Timers = timers.Timers()
         self._ledger = permit_ledger.PermitLedger()
@@ -228,15 +230,29 @@
             now, self._state, self._restrictions, self._returned_at_by_zone
         )
         self._topology = topology
-        # Work that started just before this change may run for longer
-        # than the new configuration allows.
-        self._longest_run_s = max(self._ledger.max_run_s, topology.max_run_s)
+        self._update_longest_run(now, topology.max_run_s)
         self._ledger.max_run_s = topology.max_run_s
         self._update_seat(now)
         self._update_peers()
         reports = self._reductions.send_due_reports(now)
         return reports + self._offer_all(now)
 
+    def _update_longest_run(self, now: float, max_run_s: float) -> None:
+        """Update how long work that starts until now may run.
+
+        Work that started before the run time was lowered may run for longer
+        than the configuration in force allows.
+        """
+        latest_start_s = limits.FRESHNESS_S + limits.LOAN_LIFETIME_S
+        previous_run_s = self._ledger.max_run_s
+        if max_run_s < previous_run_s:
+            self._older_work_until = max(
+                self._older_work_until, now + latest_start_s + previous_run_s
+            )
+        self._longest_run_s = max(
+            max_run_s, self._older_work_until - latest_start_s - now
+        )
+
     def _update_peers(self) -> None:
         holders = {seat.holder for seat in self._state.seats} - {""}
         peers = self._connected_peers
--- a/tests/tasks/permit_keeper.feature
+++ b/tests/tasks/permit_keeper.feature
@@ -131,6 +131,22 @@
     When 0.2 s pass
     Then "x" may use 10 permits
 
+  Scenario: A new holder waits for work that started under a longer run time
+    Guards against a wait that is too short for work that its predecessor
+    started before the longest run time was lowered.
+    Given a team with a limit of 60
+    And a host "x" without a seat
+    When "e1" runs work under 10 permits
+    And the longest run time is lowered to 5 s
+    And 1 s pass
+    And a host "x" that knows the change takes the seat of "e1"
+    And 9.1 s pass
+    Then "x" may use 0 permits
+    When 23.7 s pass
+    Then "x" may use 0 permits
+    When 0.3 s pass
+    Then "x" may use 10 permits
+
   Scenario: The new holder of a seat that was handed over doesn't wait
     Guards against a rolling restart that leaves no host with permits.
     Given a team with a limit of 60
--- a/tests/tasks/steps/permit_keeper_steps.py
+++ b/tests/tasks/steps/permit_keeper_steps.py
@@ -253,6 +253,21 @@
     context.hosts.change(seats=tuple(seats))
 
 
+@when('a host "{name}" that knows the change takes the seat of "{holder}"')
+def take_seat_later(context, name, holder):
+    hosts = context.hosts
+    number = SEATS.index(holder)
+    seats = list(hosts.state.seats)
+    seats[number] = fleet.Seat(number, name, f"{name}-1", 2)
+    hosts.change(seats=tuple(seats))
+
+
+@when("the longest run time is lowered to {seconds:g} s")
+def lower_run_time(context, seconds):
+    plan = dataclasses.replace(context.hosts.plan, max_run_s=seconds)
+    context.hosts.change(manifest=permit_site.build_manifest(plan))
+
+
 @when('"{name}" begins its handover')
 def begin_handover(context, name):
     context.hosts.keeper_by_name[name].begin_handover()
