Keep a submission from being stored late once its job was cancelled

Callers may see a job run that they have cancelled: a submission without a response may be stored seconds later, and a cancel in between was answered with 410, since there was no such job yet.

Change: a cancel of a job that isn't stored is stored before the 410, and a submission is stored on condition that there is no cancel. So the late one fails, and a repeated one is answered with 410 as not run. If the job was stored meanwhile, the cancel is one of a stored job. The leader deletes such a cancel after 60 s.

A cancel of a job that was deleted or never submitted costs a write.

--- a/src/azurevane/_internal/callers/job_handler.py
+++ b/src/azurevane/_internal/callers/job_handler.py
@@ -227,9 +227,14 @@
             raise _RequestRefused(400, str(error)) from error
         version = self._config.version
         row_key = _job_row_key(job.id)
-        await self._write_rows(
-            {row_key: 0}, {row_key: records.encode_job(job)}
+        conflict = await self._write_rows(
+            {row_key: 0, _cancel_row_key(job.id): 0},
+            {row_key: records.encode_job(job)},
         )
+        if conflict is not None and not _exists(conflict, row_key):
+            raise _RequestRefused(
+                410, "job was cancelled before it was stored"
+            )
         catalogue.emit(
             logger,
             events.JobAccepted(
@@ -246,21 +251,22 @@
         self,
         expected_by_row_key: dict[store.RowKey, int],
         value_by_row_key: dict[store.RowKey, bytes],
-    ) -> None:
+    ) -> store.Conflict | None:
         """Write rows, retrying while the outcome is unknown.
 
-        A version conflict counts as success: the row exists already.
+        Returns:
+            The version conflict, if some of the rows exist already.
         """
         deadline = self._seconds() + WRITE_TIMEOUT_S
         unknown_failure = ""
         while (remaining_s := deadline - self._seconds()) > 0:
             try:
-                await self._client.transact(
+                outcome = await self._client.transact(
                     expected_by_row_key,
                     value_by_row_key,
                     max_wait_s=remaining_s,
                 )
-                return
+                return outcome if isinstance(outcome, store.Conflict) else None
             except exceptions.CallFailed as failure:
                 if failure.verdict is verdict.Verdict.NOT_RUN:
                     if not unknown_failure:
@@ -319,12 +325,10 @@
         job_rows = await self._read_job_rows(
             records.JOBS_TABLE, partition, job_id
         )
+        row_key = _cancel_row_key(job_id)
         if job_id not in job_rows:
-            raise _RequestRefused(410, "no such job")
-        row_key = store.RowKey(
-            records.JOBS_TABLE, partition, job_id + records.CANCEL_SUFFIX
-        )
-        if row_key.key not in job_rows:
+            await self._cancel_unknown_job(job_id)
+        elif row_key.key not in job_rows:
             await self._write_rows({row_key: 0}, {row_key: b"{}"})
         catalogue.emit(
             logger,
@@ -334,6 +338,34 @@
         )
         return JobResponse(200)
 
+    async def _cancel_unknown_job(self, job_id: str) -> None:
+        """Keep a submission that the store may still carry out from running.
+
+        Returns if the job has been stored and cancelled meanwhile.
+        """
+        job_row_key = _job_row_key(job_id)
+        row_key = _cancel_row_key(job_id)
+        conflict = await self._write_rows(
+            {job_row_key: 0, row_key: 0}, {row_key: b"{}"}
+        )
+        if conflict is None or not _exists(conflict, job_row_key):
+            raise _RequestRefused(410, "no such job")
+        if not _exists(conflict, row_key):
+            await self._write_rows({row_key: 0}, {row_key: b"{}"})
+
+
+def _exists(conflict: store.Conflict, row_key: store.RowKey) -> bool:
+    row = conflict.row_by_row_key.get(row_key)
+    return row is not None and row.value is not None
+
+
+def _cancel_row_key(job_id: str) -> store.RowKey:
+    return store.RowKey(
+        records.JOBS_TABLE,
+        records.job_partition(job_id),
+        job_id + records.CANCEL_SUFFIX,
+    )
+
 
 def _job_row_key(job_id: str) -> store.RowKey:
     return store.RowKey(
--- a/src/azurevane/_internal/scheduler/job_rows.py
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -54,6 +54,8 @@
         self._unix_time = unix_time
         self._may_send_commands = may_send_commands
         self._stored_state_by_job: dict[str, bytes] = {}
+        # When cancellations of jobs that aren't stored were read.
+        self._cancel_read_at_by_unknown_job: dict[str, float] = {}
         self._stopped = False
 
     def stop(self) -> None:
@@ -72,7 +74,11 @@
         for row in rows:
             key = row.row_key.key
             if key.endswith(records.CANCEL_SUFFIX):
-                cancelled.append(key.removesuffix(records.CANCEL_SUFFIX))
+                job_id = key.removesuffix(records.CANCEL_SUFFIX)
+                if row.value is not None:
+                    cancelled.append(job_id)
+                else:
+                    self._cancel_read_at_by_unknown_job.pop(job_id, None)
             elif row.value is None:
                 self._scheduler_state.forget_job(key)
             else:
@@ -85,7 +91,10 @@
                 stored_state=self._stored_state_by_job.pop(job.id, None),
             )
         for job_id in cancelled:
-            self._scheduler_state.cancel_job(job_id, now)
+            if job_id in self._scheduler_state.job_by_id:
+                self._scheduler_state.cancel_job(job_id, now)
+            else:
+                self._cancel_read_at_by_unknown_job.setdefault(job_id, now)
 
     @staticmethod
     def _decode_job(row: store.Row) -> list[job_models.Job]:
@@ -110,6 +119,16 @@
                 and state.ended_at < delete_before
                 and not state.runs_occupying_capacity()
             ]
+            # A submission that was cancelled before it was stored isn't stored
+            # later than this.
+            now = self._reactor.seconds()
+            ended += [
+                job_id
+                for job_id, read_at in (
+                    self._cancel_read_at_by_unknown_job.items()
+                )
+                if now - read_at > RESUBMISSION_WINDOW_S
+            ]
             for job_id in ended[:MAX_DELETES_PER_INTERVAL]:
                 if self._stopped or not self._may_send_commands():
                     break
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -49,6 +49,8 @@
         store_answers_lost_for: names of entry hosts whose store writes are
             applied but not answered.
         record: (time, event, runner, task, attempt) of all runners.
+        submission_delay_s: how late writes to the table of jobs are carried
+            out, without an answer.
         host_command_delay_s: how late commands for hosts are carried out
             and then answered.
         lease_expiries: (time, runner) of the expired leases.
@@ -80,6 +82,7 @@
         self.store_delay_s = 0.0
         self.hosts_delay_s = 0.0
         self.host_command_delay_s = 0.0
+        self.submission_delay_s = 0.0
         self.store_answers_to_lose = 0
         self.store_answers_lost_for: set[str] = set()
         self.late_commands: set[tuple[str, int]] = set()
@@ -201,6 +204,16 @@
                 return None
             if self.store_down or entry_host in self.store_down_for:
                 return Response(503)
+            if self.submission_delay_s and _writes_jobs(request):
+                self.reactor.callLater(
+                    self.submission_delay_s,
+                    self.store.handle_request,
+                    request.method,
+                    request.path,
+                    request.query,
+                    request.body,
+                )
+                return None
             answer = self.store.handle_request(
                 request.method, request.path, request.query, request.body
             )
@@ -368,6 +381,13 @@
             self.add_runner(host)
 
 
+def _writes_jobs(request: "PlatformRequest") -> bool:
+    if not request.path.endswith("rows-tx"):
+        return False
+    rows = request.body["setKeys"]
+    return any(row["table"] == "azurevane-jobs" for row in rows)
+
+
 def _host_entry(host: FleetHost) -> dict[str, Any]:
     runner = host.runner
     return {
--- a/tests/scheduler/jobs.feature
+++ b/tests/scheduler/jobs.feature
@@ -160,6 +160,14 @@
     Then the state of job "00000000000000f1" is refused with 410
     And the store has no row of the job
 
+  Scenario: A cancelled job that isn't stored can't be submitted any more
+    Guards against rows of such cancellations that stay in the store.
+    When job "00000000000000f1" is cancelled and answered with 410
+    And job "00000000000000f1" of 1 task is submitted and answered with 410
+    And job "00000000000000f1" is cancelled and answered with 410
+    And 70.0 s pass
+    Then the store has no row of the job
+
   Scenario: A job that ended just before a change of the leader is kept
     Guards against a new leader that drops a job whose tasks are stopping.
     When a new leader reads a failed job of which a task is stopping
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -9,6 +9,16 @@
     And job "00000000000000b5" of 1 task is submitted within 0.5 s
     Then job "00000000000000b5" is known at every host
 
+  Scenario: A job that is cancelled before its submission is stored never starts
+    Guards against a cancel that is answered while the store may still carry
+    out the submission.
+    Given submissions are stored 2.5 s late, without a response
+    When job "00000000000000ba" of 1 task is submitted and answered with 504
+    And submissions are stored on time again
+    And job "00000000000000ba" is cancelled and answered with 410
+    And 3.0 s pass
+    Then no task of job "00000000000000ba" started
+
   Scenario: Lost responses to the leader delay starts by a fraction of a second
     When job "00000000000000b6" of 4 tasks is submitted
     And the store loses its next 2 responses
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -421,6 +421,35 @@
     assert took_s <= seconds, took_s
 
 
+@given("submissions are stored {seconds:g} s late, without a response")
+def step_late_submissions(context, seconds):
+    context.world.platform.submission_delay_s = seconds
+
+
+@when("submissions are stored on time again")
+def step_submissions_on_time(context):
+    context.world.platform.submission_delay_s = 0.0
+
+
+@when('job "{job_id}" of 1 task is submitted and answered with {status:d}')
+def step_submit_answered(context, job_id, status):
+    response = context.world.submit_job(context.queue, job_id, [_job(1)])
+    assert response.status == status, response
+
+
+@when('job "{job_id}" is cancelled and answered with {status:d}')
+def step_cancel_answered(context, job_id, status):
+    path = f"/{context.queue}/{job_id}"
+    response = context.world.send_request("DELETE", path)
+    assert response.status == status, response
+
+
+@then('no task of job "{job_id}" started')
+def step_none_started(context, job_id):
+    starts = context.world.task_starts(job_id)
+    assert not starts, starts
+
+
 @then('job "{job_id}" is known at every host')
 def step_known(context, job_id):
     for host in context.world.host_by_name:
