--- a/tests/scheduler/leases.feature
+++ b/tests/scheduler/leases.feature
@@ -21,6 +21,12 @@
     When its lease is extended by 5 s
     Then the lease hasn't expired on the runner after 4.9 s
 
+  Scenario: The store's clock is known within the time of a response
+    Guards against times of other leaders that seem to have passed too early.
+    Given the store showed 100 s in a response that took from 10 s to 12 s
+    Then at 20 s the store's clock shows 108 s to 110 s
+    And 100 s have certainly passed on it at 12 s, not before
+
   Scenario: A published expiry isn't earlier than the lease in a slow store
     Guards against a reading of the store's clock that is as old as its response.
     Given a site with service "press" on 8 hosts and queue "fit"
--- a/tests/scheduler/silent_runner.feature
+++ b/tests/scheduler/silent_runner.feature
@@ -144,6 +144,28 @@
     Then every task of job "00000000000000cc" runs
     And no task ran twice
 
+  Scenario: A leader that ends soon after a takeover passes on earlier leases
+    Guards against renewals without what the takeover stored.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000d2" of 20 tasks is submitted
+    And 2.0 s pass
+    And the leader reaches nothing but runners
+    And a further host leads for 0.7 s, is killed and leads again
+    Then the new leader waits for the leases of the one that reaches runners
+
+  Scenario: The lease of a runner that responds again is extended at once
+    Guards against waiting for the next renewal and the end of a long poll.
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000d3" of 20 tasks is submitted
+    And 2.0 s pass
+    And a runner with tasks resets all its responses
+    And 2.8 s pass
+    And that runner's responses arrive again
+    And 0.3 s pass
+    Then that runner's lease lasts at least 4.5 s
+
   Scenario: An idle runner gets tasks as soon as it responds again
     Guards against capacity that stays unused after a call without a response.
     Given hosts stay in their pools
--- a/tests/scheduler/steps/lease_steps.py
+++ b/tests/scheduler/steps/lease_steps.py
@@ -9,6 +9,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import store_clock
 
 # Clock of the runner when it was read, at the monotonic time 0.
 CLOCK_S = 100.0
@@ -73,3 +74,25 @@
 def _lease_left_s(context):
     clock_s = CLOCK_S + context.now * context.rate
     return (context.until_s - clock_s) / context.rate
+
+
+@given(
+    "the store showed {shown:g} s in a response that took from {sent:g} s to"
+    " {handled:g} s"
+)
+def step_store_response(context, shown, sent, handled):
+    context.store_clock = store_clock.StoreClock.from_response(
+        shown, sent_at=sent, handled_at=handled
+    )
+
+
+@then("at {at:g} s the store's clock shows {least:g} s to {most:g} s")
+def step_store_shows(context, at, least, most):
+    shown = context.store_clock.earliest(at), context.store_clock.latest(at)
+    assert shown == (least, most), shown
+
+
+@then("{shown:g} s have certainly passed on it at {at:g} s, not before")
+def step_certainly_passed(context, shown, at):
+    passed_at = context.store_clock.certainly_passed_at(shown)
+    assert passed_at == at, passed_at
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -10,7 +10,9 @@
 
 from azurevane._internal.callers import job_handler
 from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import leader
 from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import runner_state
 from azurevane._internal.standins import site_runner
 from support import site_world
 
@@ -298,6 +300,50 @@
         assert at <= announced_until, (host, at, announced_until)
 
 
+@then("that runner's lease lasts at least {seconds:g} s")
+def step_lease_lasts(context, seconds):
+    runner = context.resetting_runner
+    left_s = runner._lease_expires_at - runner._clock_ms() / 1000
+    assert left_s >= seconds, left_s
+
+
+@when("the leader reaches nothing but runners")
+def step_reaches_runners(context):
+    world = context.world
+    name = context.previous_leader = world.leader_name
+    world.platform.store_silent_for.add(name)
+    world.leave_queries_unanswered(name)
+
+
+@when("a further host leads for {seconds:g} s, is killed and leads again")
+def step_further_leader(context, seconds):
+    world = context.world
+    while not _other_leaders(context):
+        world.advance_time(site_world.STEP_S)
+    world.advance_time(seconds)
+    (name,) = _other_leaders(context)
+    world.kill_host(name)
+    world.start_host(name)
+    while not _other_leaders(context):
+        world.advance_time(site_world.STEP_S)
+
+
+@then("the new leader waits for the leases of the one that reaches runners")
+def step_waits_for_leases(context):
+    world = context.world
+    (name,) = _other_leaders(context)
+    silent = world.host_by_name[context.previous_leader].leader
+    extends_until = (
+        silent.leadership_confirmed_at() + leader.EXTEND_WITHOUT_STORE_S
+    )
+    waits_until = extends_until + runner_state.longest_lease_s(silent.lease_s)
+    state = world.host_by_name[name].leader.scheduler_state
+    assert state.unreached_until >= waits_until, (
+        state.unreached_until,
+        waits_until,
+    )
+
+
 @when("that runner resets all its responses again")
 def step_reset_again(context):
     context.resetting_runner.responses_until_reset = 0
@@ -382,9 +428,8 @@
 @when("the leader reaches only the runners, and one of them only it")
 def step_leader_without_store(context):
     world = context.world
-    name = context.previous_leader = world.leader_name
-    world.platform.store_silent_for.add(name)
-    world.leave_queries_unanswered(name)
+    step_reaches_runners(context)
+    name = context.previous_leader
     runner = _busy_runner(world)
     runner.unreachable_from = set(world.host_by_name) - {name}
 
