Say which commands a leader still sends after it released its row

The documentation said none. With the response to the release lost and a job of 20 tasks cancelled, the leader sent 20 stops after it had scheduled the release. These are wanted: cancelled tasks end sooner, and a runner that knows the next leader rejects them. The text says so now.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -382,8 +382,10 @@
     async def hand_over_leadership(self) -> None:
         """Store pending changes, then release the leader's row and stop.
 
-        No command is sent from now on, since the row may be released long
-        before the response arrives.
+        Nothing is planned or started and no host is commanded from now on,
+        since the row may be released long before the response arrives. Stops
+        of cancelled jobs are still sent; a runner that knows the next leader
+        rejects them.
         """
         extend_until = self.now() + EXTEND_AFTER_RELEASE_S
         self._released_extend_until = extend_until
