Add a host for a task that fits on none beside long-running tasks

Cause: the size of a pool is computed from the sum of the processors that tasks use and wait for. Two hosts with 8 and 12 cores free look like room for a task of 16 cores, which fits on neither, and no host is added.

Change: if the largest waiting task fits on no host of the pool even when all but its long-running tasks have ended, the pool wants one host more.

--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -33,6 +33,8 @@
         min_hosts: hosts that the long-running tasks need.
         missing_label_count: labels that waiting tasks need and that only
             hosts outside the pool have.
+        task_blocked: whether a waiting task fits on no host as long as the
+            long-running tasks stay, however much they leave in total.
     """
 
     name: str
@@ -45,6 +47,7 @@
     arriving_cpu: float
     min_hosts: int
     missing_label_count: int = 0
+    task_blocked: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,9 +111,11 @@
     enough = max(
         math.ceil(max(current_cpu, expected_cpu) / pool.host_cpu), minimum
     )
+    host_count = pool.ready_hosts + pool.incoming_hosts
+    if pool.task_blocked:
+        enough = max(enough, pool.ready_hosts + 1)
     if not pool.missing_label_count:
         return enough
-    host_count = pool.ready_hosts + pool.incoming_hosts
     # Each incoming host may have one of the missing labels.
     extra = max(pool.missing_label_count - pool.incoming_hosts, 0)
     return max(enough, host_count + extra)
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator
+import dataclasses
 
 from azurevane._internal.models import site
 from azurevane._internal.policy import job_order
@@ -19,6 +20,14 @@
 CRITICAL_PATH_WEIGHT = 0.1
 
 
+@dataclasses.dataclass(slots=True)
+class _WaitingWork:
+    """CPU of a service's waiting tasks, in total and of the largest one."""
+
+    cpu: int = 0
+    largest_cpu: int = 0
+
+
 class DemandMeter:
     """Measures the demand of services; times are monotonic seconds."""
 
@@ -54,7 +63,7 @@
             demands.append(
                 self._pool_demand(
                     service.name,
-                    waiting_by_service.get(service.name, 0),
+                    waiting_by_service.get(service.name, _WaitingWork()),
                     min_hosts_by_service.get(service.name, 0),
                     incoming_by_pool.get(service.name, 0),
                     missing_labels_by_service.get(service.name, 0),
@@ -107,7 +116,7 @@
     def _pool_demand(
         self,
         service: str,
-        waiting_cpu: int,
+        waiting: _WaitingWork,
         min_hosts: int,
         incoming_hosts: int,
         missing_label_count: int,
@@ -115,22 +124,27 @@
         now: float,
     ) -> pool_sizing.PoolDemand:
         ready, busy_cpu, long_running_cpu, host_cpu = 0, 0, 0, 0
+        most_room_cpu = 0
         for runner in self._scheduler_state.runner_by_id.values():
             if runner.entry.service != service:
                 continue
             busy_cpu += runner.entry.capacity.cpu - runner.free_capacity().cpu
-            long_running_cpu += sum(
+            long_running_here = sum(
                 run.step.need.cpu
                 for run in runner.run_by_task.values()
                 if run.step.long_running and not run.step.fills
             )
+            long_running_cpu += long_running_here
             usable = runner.listed and not runner.entry.draining
             if (
                 usable
                 and runner.id not in self._scheduler_state.draining_runners
             ):
                 ready += 1
-                host_cpu = max(host_cpu, runner.entry.capacity.cpu)
+                capacity_cpu = runner.entry.capacity.cpu
+                host_cpu = max(host_cpu, capacity_cpu)
+                room_cpu = capacity_cpu - long_running_here
+                most_room_cpu = max(most_room_cpu, room_cpu)
         if not host_cpu:
             host_cpu = max((host.capacity.cpu for host in hosts), default=0)
         return pool_sizing.PoolDemand(
@@ -139,11 +153,12 @@
             ready_hosts=ready,
             incoming_hosts=incoming_hosts,
             busy_cpu=busy_cpu,
-            waiting_cpu=waiting_cpu,
+            waiting_cpu=waiting.cpu,
             long_running_cpu=long_running_cpu,
             arriving_cpu=self._arriving_cpu(service, now),
             min_hosts=min_hosts,
             missing_label_count=missing_label_count,
+            task_blocked=most_room_cpu < waiting.largest_cpu <= host_cpu,
         )
 
     def _arriving_cpu(self, service: str, now: float) -> float:
@@ -160,9 +175,9 @@
 
     def _measure_waiting(
         self, now: float
-    ) -> tuple[dict[str, int], dict[str, int]]:
-        """Return each service's waiting CPU and least number of hosts."""
-        waiting_by_service: dict[str, int] = {}
+    ) -> tuple[dict[str, _WaitingWork], dict[str, int]]:
+        """Return each service's waiting work and least number of hosts."""
+        waiting_by_service: dict[str, _WaitingWork] = {}
         min_hosts_by_service: dict[str, int] = {}
         for job in self._scheduler_state.live_job_by_id.values():
             if job.status.ended:
@@ -177,9 +192,10 @@
                     )
             if not job.waiting_count:
                 continue
-            cpu = _waiting_cpu(job, now)
-            waiting = waiting_by_service.get(service, 0)
-            waiting_by_service[service] = waiting + cpu
+            waiting = waiting_by_service.setdefault(service, _WaitingWork())
+            for cpu in _waiting_cpus(job, now):
+                waiting.cpu += cpu
+                waiting.largest_cpu = max(waiting.largest_cpu, cpu)
         self._recorded_job_ids.intersection_update(
             self._scheduler_state.live_job_by_id
         )
@@ -207,10 +223,8 @@
         )
 
 
-def _waiting_cpu(job: runs.JobState, now: float) -> int:
-    total = 0
+def _waiting_cpus(job: runs.JobState, now: float) -> Iterator[int]:
     for key in job.ready_steps(float("inf")):
         for run in job.runs_by_step[key]:
             if run.phase is runs.Phase.WAITING and run.not_before <= now:
-                total += 0 if run.step.fills else run.step.need.cpu
-    return total
+                yield 0 if run.step.fills else run.step.need.cpu
--- a/tests/scheduler/hosts.feature
+++ b/tests/scheduler/hosts.feature
@@ -70,3 +70,13 @@
     And a job of 4 tasks that needs label "r0-0" is submitted
     And 4.0 s pass
     Then every task of job "00000000000000e2" runs
+
+  Scenario: A task that fits on no host beside long-running tasks gets one
+    Guards against a task that waits for as long as long-running tasks do.
+    Given 2 runners that start whatever they are told to
+    And 1 host on standby
+    When long-running job "00000000000000e5" of 10 tasks of 4000 millicores is submitted
+    And 2.0 s pass
+    And job "00000000000000e6" of 1 tasks of 16000 millicores is submitted
+    And 11.0 s pass
+    Then job "00000000000000e6" is "completed"
--- a/tests/scheduler/steps/series_steps.py
+++ b/tests/scheduler/steps/series_steps.py
@@ -32,16 +32,45 @@
             f"m-{number}", "mill", "east", "r0", guards_capacity=False
         )
     world.start()
-    world.platform.plan_task = lambda task, attempt: site_runner.TaskPlan(
-        6.0, "done", {"cpu": context.cpu_by_job[task.partition(".")[0]]}
-    )
+    context.lasting_jobs = set()
+
+    def plan_task(task, attempt):
+        job_id = task.partition(".")[0]
+        run_s = 5000.0 if job_id in context.lasting_jobs else 6.0
+        need = {"cpu": context.cpu_by_job[job_id]}
+        return site_runner.TaskPlan(run_s, "done", need)
+
+    world.platform.plan_task = plan_task
     context.cpu_by_job = {}
 
 
+@given("{count:d} host on standby")
+def step_standby_host(context, count):
+    world = context.world
+    world.config["version"] += 1
+    world.add_service("reserve", standby=True)
+    world.put_config()
+    world.add_machines(count, "reserve")
+
+
 @when('job "{job_id}" of {count:d} tasks of {cpu:d} millicores is submitted')
 def step_submit_sized(context, job_id, count, cpu):
+    _submit(context, job_id, count, cpu)
+
+
+@when(
+    'long-running job "{job_id}" of {count:d} tasks of {cpu:d} millicores is'
+    " submitted"
+)
+def step_submit_lasting(context, job_id, count, cpu):
+    context.lasting_jobs.add(job_id)
+    _submit(context, job_id, count, cpu, longRunning=True)
+
+
+def _submit(context, job_id, count, cpu, **fields):
     context.cpu_by_job[job_id] = cpu
     phase = {"count": count, "cpu": cpu, "memMb": 100, "estimateMs": 1000}
+    phase.update(fields)
     response = context.world.submit_job(context.queue, job_id, [phase])
     assert response.status == 200, response
 
