--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 SECONDS ?= 20
+SEEDS ?= 1:100
 
-.PHONY: all demo test lint docs format bench soak site-soak clean
+.PHONY: all demo test lint docs format bench soak site-soak leader-soak clean
 
 all: test
 
@@ -47,5 +48,8 @@
 	$(BIN)/python -W ignore tools/site_soak.py --seed $(SEED) \
 	    --seconds $(SECONDS)
 
+leader-soak: $(STAMP)
+	$(BIN)/python tools/leader_soak.py --seeds $(SEEDS)
+
 clean:
 	rm -rf $(VENV) build dist
