Move what renewals tell later leaders out of the leader

The module renewals now holds what a term takes over of them and what its renewal row and its release tell the next ones; the two times for which leases are extended without the store move there too.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -28,11 +28,11 @@
 from azurevane._internal.scheduler import planner as planner_module
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import renewals
 from azurevane._internal.scheduler import row_writer as row_writer_module
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import runner_state
-from azurevane._internal.scheduler import scheduler_state as state_module
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
 from azurevane._internal.scheduler import store_clock
@@ -46,12 +46,6 @@
 # The pause after a planning pass is this multiple of its length, so that a
 # slow host still handles what its runners report.
 PLANNING_PAUSE_RATIO = 2.0
-# Runners' leases are extended for this long without access to the store, so
-# that tasks outlive its outages. A new leader waits this much longer before
-# it treats the leases of a previous one as expired.
-EXTEND_WITHOUT_STORE_S = 4.0
-# The same for a leader that has released its row and got no response yet.
-EXTEND_AFTER_RELEASE_S = 1.0
 _READ_RETRY_S = 0.2
 
 LEADER_ROW_KEY = store.RowKey(
@@ -99,8 +93,6 @@
         self._on_ended = on_ended
         self._unix_time = unix_time
         self._confirmed_at = taken_over_at
-        self._renewals = 0
-        self._written_expiries: dict[str, float] = {}
         self._taken_over_at = taken_over_at
         self.lease_s = min(
             runner_state.RUNNER_LEASE_S, settings.bounds.runner_lease_max_s
@@ -110,10 +102,19 @@
             sent_at=taken_over_at,
             handled_at=self.now(),
         )
-        self._previous_extend_until = self._find_previous_extend_until(
-            previous
+        previous_extend_until = renewals.find_previous_extend_until(
+            previous, self.store_clock, self.now()
+        )
+        self.scheduler_state = renewals.make_scheduler_state(
+            previous,
+            self.store_clock,
+            previous_extend_until,
+            lease_s=self.lease_s,
+            lease_max_s=settings.bounds.runner_lease_max_s,
+        )
+        self._renewals = renewals.Renewals(
+            token, self.scheduler_state, previous_extend_until
         )
-        self.scheduler_state = self._make_scheduler_state(previous)
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
         )
@@ -170,46 +171,6 @@
         self._planning_call: Any = None
         self.stopped = False
 
-    def _find_previous_extend_until(
-        self, previous: leadership.PreviousLeader
-    ) -> float:
-        """Return until when previous leaders may be extending leases."""
-        now = self.now()
-        if previous.may_extend_leases:
-            now += EXTEND_WITHOUT_STORE_S
-        released_until = self.store_clock.certainly_passed_at(
-            previous.extends_leases_until
-        )
-        return max(now, released_until)
-
-    def _make_scheduler_state(
-        self, previous: leadership.PreviousLeader
-    ) -> state_module.SchedulerState:
-        longest_lease_s = runner_state.longest_lease_s(self.lease_s)
-        unreached_until = self._previous_extend_until + longest_lease_s
-        lease_max_s = self._settings.bounds.runner_lease_max_s
-        scheduler_state = state_module.SchedulerState(
-            unreached_until, self.lease_s, lease_max_s
-        )
-        # A published lease may be one that only the runner's maximum bounds.
-        latest_expiry = (
-            self._previous_extend_until
-            + runner_state.longest_lease_s(lease_max_s)
-        )
-        for runner_id, expiry_s in previous.expiry_by_runner.items():
-            expires_at = self.store_clock.certainly_passed_at(expiry_s)
-            scheduler_state.unreached_until_by_runner[runner_id] = min(
-                expires_at, latest_expiry
-            )
-        for runner_id, until_s in previous.restart_lease_by_runner.items():
-            until = self.store_clock.certainly_passed_at(until_s)
-            scheduler_state.restart_lease_by_runner[runner_id] = min(
-                until, latest_expiry
-            )
-        # The takeover has kept them in the renewal row.
-        scheduler_state.publish_expiries(previous.expiry_by_runner)
-        return scheduler_state
-
     def _make_host_manager(
         self, previous: leadership.PreviousLeader
     ) -> host_manager.HostManager | None:
@@ -263,7 +224,7 @@
 
     def may_extend_leases(self) -> bool:
         """Whether runners' leases may be extended, also without the store."""
-        extend_until = self._confirmed_at + EXTEND_WITHOUT_STORE_S
+        extend_until = self._confirmed_at + renewals.EXTEND_WITHOUT_STORE_S
         if self._released_extend_until is not None:
             extend_until = min(extend_until, self._released_extend_until)
         return not self.stopped and self.now() < extend_until
@@ -305,7 +266,7 @@
             # from taking over.
             return
         self._confirmed_at = max(self._confirmed_at, sent_at)
-        self.scheduler_state.withdraw_expiries(self._written_expiries)
+        self._renewals.handle_stored()
 
     # Start and stop.
 
@@ -387,13 +348,10 @@
         of cancelled jobs are still sent; a runner that knows the next leader
         rejects them.
         """
-        extend_until = self.now() + EXTEND_AFTER_RELEASE_S
+        extend_until = self.now() + renewals.EXTEND_AFTER_RELEASE_S
         self._released_extend_until = extend_until
-        released_row = leadership.encode_released_row(
-            self.token,
-            self.store_clock.latest(
-                max(extend_until, self._previous_extend_until)
-            ),
+        released_row = self._renewals.encode_release(
+            extend_until, self.store_clock
         )
         try:
             self._row_writer.schedule_write(
@@ -549,51 +507,12 @@
         self.store_changes().addErrback(lambda _: None)
 
     def _encode_renewal(self) -> bytes:
-        self._renewals += 1
-        self.scheduler_state.restart_noticed = False
-        # This also keeps what previous leaders published of runners that this
-        # one hasn't reached, so that their tasks don't wait for another lease
-        # if the leader changes again.
-        expiries = self.scheduler_state.lease_ends_to_publish(
-            self.now(), all_read=self._site_tables.loaded
-        )
-        self._written_expiries = {
-            runner_id: self.store_clock.latest(expires_at)
-            for runner_id, expires_at in expiries.items()
-        }
-        # From now on a later leader may read these expiries and rely on them.
-        self.scheduler_state.publish_expiries(self._written_expiries)
         manager = self._host_manager
-        return leadership.encode_renewal(
-            self.token,
-            self._renewals,
-            self.scheduler_state.pending_by_queue()
-            if self._site_tables.loaded
-            else None,
-            self._written_expiries,
+        return self._renewals.encode(
+            self.now(),
+            self.store_clock,
             {}
             if manager is None
             else manager.recent_commands.unexpired(self.store_now()),
-            extends_leases_until=self.store_clock.latest(
-                self._previous_extend_until
-            ),
-            restart_lease_by_runner=self._restart_leases(),
+            all_read=self._site_tables.loaded,
         )
-
-    def _restart_leases(self) -> dict[str, float]:
-        """Return the leases to tell later leaders, by the store's clock."""
-        now = self.now()
-        state = self.scheduler_state
-        until_by_runner = {
-            # Of runners that aren't registered with this leader as well.
-            **state.restart_lease_by_runner,
-            **{
-                runner_id: runner.kept_lease_until
-                for runner_id, runner in state.runner_by_id.items()
-            },
-        }
-        return {
-            runner_id: self.store_clock.latest(until)
-            for runner_id, until in until_by_runner.items()
-            if until > now
-        }
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -118,6 +118,25 @@
                 lease_ends[runner_id] = expires_at
         return lease_ends
 
+    def restart_leases(self, now: float) -> dict[str, float]:
+        """Return until when runners may hold leases of before a restart.
+
+        Only leases that may last longer than until now are included.
+        """
+        until_by_runner = {
+            # Of runners that aren't registered with this leader as well.
+            **self.restart_lease_by_runner,
+            **{
+                runner_id: runner.kept_lease_until
+                for runner_id, runner in self.runner_by_id.items()
+            },
+        }
+        return {
+            runner_id: until
+            for runner_id, until in until_by_runner.items()
+            if until > now
+        }
+
     def publish_expiries(self, runner_ids: Iterable[str]) -> None:
         """Extend no lease of these runners from now on."""
         self.published_runners.update(runner_ids)
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -10,8 +10,8 @@
 
 from azurevane._internal.callers import job_handler
 from azurevane._internal.models import job as job_models
-from azurevane._internal.scheduler import leader
 from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import renewals
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.standins import site_runner
 from support import site_world
@@ -334,7 +334,7 @@
     (name,) = _other_leaders(context)
     silent = world.host_by_name[context.previous_leader].leader
     extends_until = (
-        silent.leadership_confirmed_at() + leader.EXTEND_WITHOUT_STORE_S
+        silent.leadership_confirmed_at() + renewals.EXTEND_WITHOUT_STORE_S
     )
     waits_until = extends_until + runner_state.longest_lease_s(silent.lease_s)
     state = world.host_by_name[name].leader.scheduler_state
