--- a/src/azurevane/_internal/models/runner_messages.py
+++ b/src/azurevane/_internal/models/runner_messages.py
@@ -96,6 +96,8 @@
             the runner doesn't report it.
         last_number: highest number in the list of ended runs, including
             entries that can't be decoded.
+        all_ends_listed: whether the runner has listed all ended runs that
+            aren't acknowledged; it lists only so many at a time.
     """
 
     clock_s: float
@@ -103,3 +105,4 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     last_number: int
+    all_ends_listed: bool = True
--- a/src/azurevane/_internal/platform/runner_calls.py
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -19,6 +19,9 @@
 # end. Each needs a connection, and many tasks may start on it at once; those
 # that a runner leaves unanswered must not hold up the others.
 MAX_PARALLEL_COMMANDS = 8
+# Ended runs that a runner lists at a time; the others follow once these are
+# acknowledged.
+MAX_LISTED_ENDS = 500
 
 _OUTCOME_BY_REASON = {
     "fence": messages.StartOutcome.FENCED,
@@ -283,6 +286,7 @@
         running=tuple(row for row in running if row is not None),
         ended=tuple(row for row in ended if row is not None),
         last_number=max(numbers, default=0),
+        all_ends_listed=len(answer.finished) < MAX_LISTED_ENDS,
     )
 
 
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -115,6 +115,25 @@
     assert len(names) == len(set(names)), names
 
 
+@then("the new leader started no task again")
+def step_one_attempt(context):
+    world = context.world
+    state = world.host_by_name[world.leader_name].leader.scheduler_state
+    attempts = [
+        run.attempt
+        for job in state.job_by_id.values()
+        for run in job.all_runs()
+    ]
+    assert attempts and max(attempts) == 1, attempts.count(1)
+
+
+@when("a job of {count:d} tasks of {cpu:d} millicores is submitted")
+def step_submit_small(context, count, cpu):
+    phase = {"count": count, "cpu": cpu, "memMb": 10, "estimateMs": 1000}
+    response = context.world.submit_job(context.queue, "0" * 15 + "1", [phase])
+    assert response.status == 200, response
+
+
 def _job(count, cpu=2000):
     return {"count": count, "cpu": cpu, "memMb": 1000, "estimateMs": 1000}
 
