Use one held call for the charged and the freezable test process

The class of delayed calls stood twice in tests/support, word for word but for the method that receives a call that is due and keyword arguments. Both processes now use held_call.

--- a/tests/support/charged_process.py
+++ b/tests/support/charged_process.py
@@ -7,35 +7,9 @@
 import collections
 
 from twisted.internet import defer
-from twisted.internet import error
 
 from azurevane import exceptions
-
-
-class ChargedCall:
-    """A delayed call that may also wait for its turn."""
-
-    def __init__(self, reactor, delay, function, arguments):
-        self._function = function
-        self._arguments = arguments
-        self._pending = True
-        self._timer = reactor.clock.callLater(delay, reactor.enqueue, self)
-
-    def run(self):
-        if self._pending:
-            self._pending = False
-            function, arguments = self._function, self._arguments
-            function(*arguments)
-
-    def active(self):
-        return self._pending
-
-    def cancel(self):
-        if not self._pending:
-            raise error.AlreadyCalled
-        self._pending = False
-        if self._timer.active():
-            self._timer.cancel()
+from support import held_call
 
 
 class ChargedReactor:
@@ -51,7 +25,9 @@
         return self.clock.seconds()
 
     def callLater(self, delay, function, *arguments):  # noqa: N802
-        return ChargedCall(self, delay, function, arguments)
+        return held_call.HeldCall(
+            self.clock, delay, self.enqueue, function, arguments, {}
+        )
 
     def listenTCP(self, port, factory, **options):  # noqa: N802
         """Ignore the request to listen."""
--- a/tests/support/freezable_process.py
+++ b/tests/support/freezable_process.py
@@ -1,32 +1,6 @@
 """A process that can be frozen, in virtual time."""
 
-from twisted.internet import error
-
-
-class HeldCall:
-    """A delayed call that waits while its process is frozen."""
-
-    def __init__(self, process, delay, function, arguments, options):
-        self._call = function, arguments, options
-        self._pending = True
-        self._process = process
-        self._timer = process.clock.callLater(delay, process.run, self)
-
-    def run(self):
-        if self._pending:
-            self._pending = False
-            function, arguments, options = self._call
-            function(*arguments, **options)
-
-    def active(self):
-        return self._pending
-
-    def cancel(self):
-        if not self._pending:
-            raise error.AlreadyCalled
-        self._pending = False
-        if self._timer.active():
-            self._timer.cancel()
+from support import held_call
 
 
 class FreezableProcess:
@@ -42,7 +16,9 @@
         return self.clock.seconds()
 
     def callLater(self, delay, function, *arguments, **options):  # noqa: N802
-        return HeldCall(self, delay, function, arguments, options)
+        return held_call.HeldCall(
+            self.clock, delay, self.run, function, arguments, options
+        )
 
     def listenTCP(self, port, factory, **options):  # noqa: N802
         """Ignore the request to listen."""
