--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections.abc import Callable, Sequence
+import dataclasses
 import logging
 import os
 import pathlib
@@ -31,6 +32,7 @@
 from azurevane._internal.scheduler import candidate
 from azurevane._internal.scheduler import leader as leader_module
 from azurevane._internal.scheduler import table_follower
+from azurevane._internal.settings import scheduling
 from azurevane._internal.utils import process_lag
 
 logger = logging.getLogger(__name__)
@@ -294,21 +296,42 @@
         default=0,
         help="port to serve /metrics for Prometheus; 0 for none",
     )
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        help="INI file with the section [scheduling]; all off without it",
+    )
     parser.add_argument(
         "--check", action="store_true", help="check the settings file and exit"
     )
     return parser.parse_args()
 
 
+def _load_settings(
+    platform_path: pathlib.Path, own_path: pathlib.Path | None
+) -> host_settings.HostSettings:
+    """Return the settings from the platform's file and the project's own.
+
+    Raises:
+        SettingsError: one of the files can't be read or is invalid.
+    """
+    settings = node_settings.load_settings(platform_path)
+    if own_path is None:
+        return settings
+    return dataclasses.replace(
+        settings, scheduling=scheduling.load_scheduling_settings(own_path)
+    )
+
+
 def main() -> None:
     """Run an entry host until SIGTERM."""
     options = _parse_arguments()
     lines = output.configure_output("INFO")
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
-        settings = node_settings.load_settings(path)
+        settings = _load_settings(path, options.settings)
     except exceptions.SettingsError as error:
-        sys.exit(f"settings file of {SETTINGS_VARIABLE}: {error}")
+        sys.exit(f"settings: {error}")
     if options.check:
         sys.exit(0)
     from twisted.internet import reactor
@@ -328,7 +351,7 @@
 
     def reload_settings(*_: Any) -> None:
         try:
-            host.reload(node_settings.load_settings(path))
+            host.reload(_load_settings(path, options.settings))
         except exceptions.SettingsError as error:
             logger.error(
                 "Reloading failed; the current settings stay: %s", error
--- a/src/azurevane/_internal/models/host_settings.py
+++ b/src/azurevane/_internal/models/host_settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from azurevane._internal.models import scheduling_settings
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -74,6 +76,7 @@
         store_row_bytes: maximum size of a row's value.
         processors: cores of usual speed that this host may use.
         link_mbps: capacity of its network link in megabits per second.
+        scheduling: optional decisions that are in use.
     """
 
     host_name: str
@@ -90,3 +93,6 @@
     processors: float = 1.0
     link_mbps: float = 1000.0
     hosts_listen: Address | None = None
+    scheduling: scheduling_settings.SchedulingSettings = (
+        scheduling_settings.SchedulingSettings()
+    )
--- /dev/null
+++ b/src/azurevane/_internal/models/scheduling_settings.py
@@ -0,0 +1,31 @@
+"""Settings of the scheduler's optional decisions."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulingSettings:
+    """Which optional decisions are in use; all are off by default.
+
+    Even when in use, each decision only takes effect where the site's
+    configuration and jobs call for it.
+
+    Attributes:
+        admission: reject jobs that can't end in time to be of use.
+        fair_shares: order jobs under scarcity by what their teams have used.
+        preemption: stop tasks for urgent jobs of queues that may preempt.
+        learned_run_times: learn the run times of images and the speeds of
+            runners from ended and running tasks.
+        copies: run copies of tasks that the job marks as speculative.
+        forecast: move hosts to a pool before its next busy period.
+        reservations: keep capacity free for tasks that are too large for
+            what ends by itself.
+    """
+
+    admission: bool = False
+    fair_shares: bool = False
+    preemption: bool = False
+    learned_run_times: bool = False
+    copies: bool = False
+    forecast: bool = False
+    reservations: bool = False
--- a/src/azurevane/_internal/settings/loader.py
+++ b/src/azurevane/_internal/settings/loader.py
@@ -1,5 +1,6 @@
 """Loads and validates INI settings."""
 
+from collections.abc import Collection, Mapping
 import configparser
 import difflib
 import pathlib
@@ -33,9 +34,14 @@
         return bool(self._value_by_key[section, name])
 
 
-def load_settings(path: pathlib.Path) -> Settings:
+def load_settings(
+    path: pathlib.Path, sections: Collection[str] | None = None
+) -> Settings:
     """Read and validate a settings file.
 
+    Args:
+        sections: sections that the file may have; None for all.
+
     Raises:
         SettingsError: the file can't be read or is invalid; the text lists
             every problem.
@@ -49,8 +55,13 @@
             f"Can't read settings file {path}: {error}"
         ) from error
     problems: list[str] = []
-    value_by_key = _parse_known_settings(parser, problems)
-    _report_unknown_settings(parser, problems)
+    option_by_key = {
+        key: option
+        for key, option in schema.option_by_key.items()
+        if sections is None or option.section in sections
+    }
+    value_by_key = _parse_known_settings(parser, option_by_key, problems)
+    _report_unknown_settings(parser, option_by_key, problems)
     if problems:
         raise exceptions.SettingsError(
             "\n".join(f"{path}: {problem}" for problem in problems)
@@ -59,10 +70,12 @@
 
 
 def _parse_known_settings(
-    parser: configparser.ConfigParser, problems: list[str]
+    parser: configparser.ConfigParser,
+    option_by_key: Mapping[tuple[str, str], schema.Option],
+    problems: list[str],
 ) -> dict[tuple[str, str], schema.Value]:
     value_by_key: dict[tuple[str, str], schema.Value] = {}
-    for key, option in schema.option_by_key.items():
+    for key, option in option_by_key.items():
         setting_name = f"[{option.section}] {option.name}"
         raw = parser.get(option.section, option.name, fallback=None)
         if raw is None:
@@ -107,12 +120,14 @@
 
 
 def _report_unknown_settings(
-    parser: configparser.ConfigParser, problems: list[str]
+    parser: configparser.ConfigParser,
+    option_by_key: Mapping[tuple[str, str], schema.Option],
+    problems: list[str],
 ) -> None:
-    known = [f"[{s}] {n}" for s, n in schema.option_by_key]
+    known = [f"[{s}] {n}" for s, n in option_by_key]
     for section in parser.sections():
         for name in parser.options(section):
-            if (section, name) in schema.option_by_key:
+            if (section, name) in option_by_key:
                 continue
             setting_name = f"[{section}] {name}"
             matches = difflib.get_close_matches(setting_name, known, n=1)
--- a/tools/generate_docs.py
+++ b/tools/generate_docs.py
@@ -15,6 +15,7 @@
 from azurevane._internal.metrics import instruments
 from azurevane._internal.metrics import site_instruments  # noqa: F401
 from azurevane._internal.operators import manifest_check
+from azurevane._internal.settings import scheduling  # noqa: F401
 from azurevane._internal.settings import schema
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
