--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -258,6 +258,15 @@
         queue = self.config.queue_by_name.get(job.queue)
         return job.service if queue is None else queue.service
 
+    def expected_run_s(
+        self, job: job_models.Job, step: job_models.Step
+    ) -> float:
+        """Return the expected run time of a step's task, in seconds.
+
+        The time is that of a whole run on a sound runner near its data.
+        """
+        return step.estimate_s
+
     def forget_job(self, job_id: str) -> None:
         """Remove a job whose rows were deleted."""
         self.job_by_id.pop(job_id, None)
