Run copies of slow speculative tasks

A step of eight tasks of which three in a hundred run seven times as long waits for a single task in one of five cases. Steps may be marked so that copies run beside each other, but the planner never started one.

With "copies" in [scheduling], a run whose progress foretells a late end, or that has run far longer than its siblings, gets a second run on another runner, in capacity that no first run can use. The first end counts and the other run is stopped; a failed, lost or stopped run leaves the other one. The copy's attempt and runner are stored in the job's row before its start is sent; rows of tasks without copies keep their format.

Runs that are stopped as superseded now count against their team's limit and their step's limit on a runner until the runner no longer lists them.

--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -17,6 +17,14 @@
     memory: int = 0
     gpu: int = 0
 
+    def covers(self, need: "Capacity") -> bool:
+        """Whether this is at least as large as a need in every part."""
+        return (
+            self.cpu >= need.cpu
+            and self.memory >= need.memory
+            and self.gpu >= need.gpu
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -148,7 +148,7 @@
         if room <= 0:
             break
         need = _need(request.step)
-        if any(_covers(need, other) for other in too_large):
+        if any(need.covers(other) for other in too_large):
             continue
         max_count = len(request.waiting_indexes)
         if not request.step.gang:
@@ -173,15 +173,6 @@
     return dataclasses.replace(step.need, cpu=0) if step.fills else step.need
 
 
-def _covers(need: job_models.Capacity, other: job_models.Capacity) -> bool:
-    """Whether one need is at least as large as another in every part."""
-    return (
-        need.cpu >= other.cpu
-        and need.memory >= other.memory
-        and need.gpu >= other.gpu
-    )
-
-
 def _is_unrestricted(request: StepRequest) -> bool:
     """Whether only free capacity decides where a request's tasks can run."""
     step = request.step
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -129,6 +129,12 @@
             if runner.entry.service != service:
                 continue
             busy_cpu += runner.entry.capacity.cpu - runner.free_capacity().cpu
+            # Copies use capacity that is there; no host is fetched for them.
+            busy_cpu -= sum(
+                run.step.need.cpu
+                for run in runner.run_by_task.values()
+                if run.is_copy
+            )
             long_running_here = sum(
                 run.step.need.cpu
                 for run in runner.run_by_task.values()
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -22,6 +22,7 @@
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import command_sender
 from azurevane._internal.scheduler import commands
+from azurevane._internal.scheduler import copy_planner
 from azurevane._internal.scheduler import host_manager
 from azurevane._internal.scheduler import job_rows
 from azurevane._internal.scheduler import leadership
@@ -121,6 +122,11 @@
         self._planner = planner_module.Planner(
             self.scheduler_state, settings.bounds.runner_stop_s
         )
+        self._copy_planner: copy_planner.CopyPlanner | None = None
+        if settings.scheduling.copies:
+            self._copy_planner = copy_planner.CopyPlanner(
+                self.scheduler_state, self._planner
+            )
         advice: advice_calls.AdviceCalls | None = None
         if settings.advisor_address is not None:
             advice = advice_calls.AdviceCalls(client, settings.advisor_address)
@@ -455,6 +461,8 @@
             began_at, self._unix_time(), self._start_limiter.available()
         )
         self._start_limiter.record_left_over(left_over)
+        if self._copy_planner is not None and not left_over:
+            self._copy_planner.plan(began_at, self._unix_time())
         ended_at = self.now()
         self._plan_not_before = ended_at + PLANNING_PAUSE_RATIO * (
             ended_at - began_at
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -65,7 +65,7 @@
         services = sorted(waiting_by_service)
         self._passes += 1
         turn = self._passes % len(services) if services else 0
-        runners_by_service = self._accepting_runners(services, now)
+        runners_by_service = self.accepting_runners(services, now)
         left_over = 0
         for service in services[turn:] + services[:turn]:
             if max_starts <= 0:
@@ -110,7 +110,7 @@
         """Start runs of one service; return how many."""
         if not runners:
             return 0
-        capacities = [_capacity(runner) for runner in runners]
+        capacities = [capacity_of(runner) for runner in runners]
         placements = task_placement.place_tasks(
             self._step_requests(jobs, capacities, now, unix_now),
             capacities,
@@ -135,7 +135,7 @@
                         run, "runner is draining", now
                     )
 
-    def _accepting_runners(
+    def accepting_runners(
         self, services: Collection[str], now: float
     ) -> dict[str, list[runner_state.RunnerState]]:
         """Return the runners that may start tasks, by service."""
@@ -208,12 +208,11 @@
         step = job.job.steps[index]
         if not waiting or (step.gang and len(waiting) < step.count):
             return None
-        task_count_by_runner: dict[str, int] = {}
+        count_by_runner: dict[str, int] = {}
         if len(waiting) < step.count:
-            for run in step_runs:
-                if run.occupies_capacity:
-                    count = task_count_by_runner.get(run.runner_id, 0)
-                    task_count_by_runner[run.runner_id] = count + 1
+            count_by_runner = self._scheduler_state.task_count_by_runner(
+                job, (occurrence, index)
+            )
         allowed = None
         if job.job.advised:
             allowed = self._allowed_runners(job, occurrence, index, now)
@@ -224,7 +223,7 @@
             team=job.job.team,
             step=step,
             waiting_indexes=waiting,
-            task_count_by_runner=task_count_by_runner,
+            task_count_by_runner=count_by_runner,
             allowed_runners=allowed,
             avoided_runners_by_index={
                 index: frozenset(step_runs[index].failed_on)
@@ -234,6 +233,27 @@
             },
         )
 
+    def copy_request(
+        self, run: runs.Run, key: tuple[int, int], now: float
+    ) -> task_placement.StepRequest:
+        """Return the request to place a copy of a running task."""
+        job = run.job
+        allowed = None
+        if job.job.advised:
+            allowed = self._allowed_runners(job, *key, now)
+        return task_placement.StepRequest(
+            job_id=job.job.id,
+            occurrence=key[0],
+            step_index=key[1],
+            team=job.job.team,
+            step=run.step,
+            waiting_indexes=(run.name.index,),
+            task_count_by_runner=self._scheduler_state.task_count_by_runner(
+                job, key
+            ),
+            allowed_runners=allowed,
+        )
+
     def _allowed_runners(
         self, job: runs.JobState, occurrence: int, index: int, now: float
     ) -> frozenset[str]:
@@ -248,7 +268,7 @@
         if name not in self._scheduler_state.pending_advice_steps:
             self._scheduler_state.pending_advice_steps.add(name)
             service = self._scheduler_state.service_of(job.job)
-            runners = self._accepting_runners((service,), now)
+            runners = self.accepting_runners((service,), now)
             runner_ids = tuple(
                 runner.id for runner in runners.get(service, ())
             )
@@ -265,14 +285,14 @@
         key = request.occurrence, request.step_index
         run = job.runs_by_step[key][placement.index]
         runner = self._scheduler_state.runner_by_id[placement.runner_id]
-        attempt, checkpoint = run.attempt + 1, run.checkpoint
+        attempt, checkpoint = run.last_attempt + 1, run.checkpoint
         if request.step.gang:
             attempt, checkpoint = self._gang_attempt(job, key)
         if not request.step.checkpointing:
             checkpoint = ""
         free_cpu = runner.free_capacity().cpu
         self._scheduler_state.assign_run(run, runner, attempt)
-        ticket = self._advice_ticket(request, placement.runner_id)
+        ticket = self.advice_ticket(request, placement.runner_id)
         message = messages.StartTask(
             run.name, attempt, job.job.spec, checkpoint, ticket
         )
@@ -303,9 +323,10 @@
             )
         return self._gang_attempt_by_step[name]
 
-    def _advice_ticket(
+    def advice_ticket(
         self, request: task_placement.StepRequest, runner_id: str
     ) -> str:
+        """Return the advisor's ticket for a placement, or empty."""
         if request.allowed_runners is None:
             return ""
         name = f"{request.job_id}.{request.occurrence}.{request.step_index}"
@@ -314,9 +335,10 @@
         ]
 
 
-def _capacity(
+def capacity_of(
     runner: runner_state.RunnerState,
 ) -> task_placement.RunnerCapacity:
+    """Return a runner as the placement of tasks sees it."""
     return task_placement.RunnerCapacity(
         runner.id,
         runner.entry.rack,
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -29,7 +29,21 @@
     checkpoint: str
 
 
+class _CopiedTask(_Task, array_like=True):
+    """A task that had a copy; rows of other tasks lack these fields."""
+
+    last_attempt: int = 0
+    # Run beside that of the task, if there is one.
+    copy_attempt: int = 0
+    copy_runner_id: str = ""
+
+
 class _Record(msgspec.Struct, array_like=True):
+    status: str
+    tasks: list[_CopiedTask]
+
+
+class _EncodedRecord(msgspec.Struct, array_like=True):
     status: str
     tasks: list[_Task]
 
@@ -73,11 +87,11 @@
     tasks = []
     if not state.status.ended or state.runs_occupying_capacity():
         tasks = [_encode_task(run) for run in state.all_runs() if run.attempt]
-    return msgspec.json.encode(_Record(state.status.value, tasks))
+    return msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
 
 
 def _encode_task(run: runs_module.Run) -> _Task:
-    return _Task(
+    fields = (
         run.name.occurrence,
         run.name.step,
         run.name.index,
@@ -87,6 +101,12 @@
         sorted(run.failed_attempts),
         run.checkpoint,
     )
+    if run.last_attempt == run.attempt:
+        return _Task(*fields)
+    copy = run.job.copy_by_task.get(run.name)
+    if copy is None:
+        return _CopiedTask(*fields, run.last_attempt)
+    return _CopiedTask(*fields, run.last_attempt, copy.attempt, copy.runner_id)
 
 
 def decode_status(value: bytes) -> runs_module.JobStatus:
@@ -111,6 +131,7 @@
         if run is None:
             continue
         run.attempt = task.attempt
+        run.last_attempt = max(task.attempt, task.last_attempt)
         run.failed_attempts = set(task.failed_attempts)
         run.checkpoint = task.checkpoint
         phase = runs_module.Phase(task.phase)
@@ -120,3 +141,7 @@
         elif phase is not runs_module.Phase.WAITING:
             run.assign(task.runner_id, task.attempt)
             run.inherited = True
+            if task.copy_attempt:
+                copy = run.make_copy(task.copy_runner_id, task.copy_attempt)
+                copy.inherited = True
+                state.copy_by_task[run.name] = copy
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -43,11 +43,14 @@
         run = None if job is None else job.find_run(ended.task)
         if run is None:
             return
-        current = (
-            run.occupies_capacity
-            and run.attempt == ended.attempt
-            and run.runner_id == runner.id
-        )
+        current = False
+        for task_run in run.job.runs_of_task(ended.task):
+            if (
+                task_run.occupies_capacity
+                and task_run.attempt == ended.attempt
+                and task_run.runner_id == runner.id
+            ):
+                run, current = task_run, True
         ran_s = now - run.acknowledged_at if run.acknowledged_at else 0.0
         catalogue.emit(
             logger,
@@ -63,6 +66,8 @@
         )
         self._update_health(runner, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
+            if current:
+                self._record_run_time(run, now)
             self._handle_done(run, ended.attempt, current=current, now=now)
             return
         if current:
@@ -74,6 +79,17 @@
         if ended.reason is messages.EndReason.FAILED:
             self._record_failure(run, ended.attempt, now)
 
+    @staticmethod
+    def _record_run_time(run: runs.Run, now: float) -> None:
+        """Record the run time for copies of the other tasks of the step."""
+        run_s = run.whole_run_s(now)
+        if not run.step.speculative or run_s is None:
+            return
+        key = run.name.occurrence, run.name.step
+        run.job.run_s_by_step.setdefault(key, []).append(
+            (run.runner_id, run_s)
+        )
+
     def _update_health(
         self,
         runner: runner_state.RunnerState,
@@ -106,8 +122,12 @@
         self._scheduler_state.finish_run(run, attempt, now)
 
     def _record_failure(self, run: runs.Run, attempt: int, now: float) -> None:
-        """Count a failed attempt; the last one allowed fails the job."""
-        if run.step.long_running or run.phase is _Phase.DONE:
+        """Count a failed attempt.
+
+        The last one allowed fails the job, unless a copy of the task goes on.
+        """
+        task_runs = run.job.runs_of_task(run.name)
+        if run.step.long_running or task_runs[0].phase is _Phase.DONE:
             return
         run.failed_attempts.add(attempt)
         self._scheduler_state.mark_job_changed(run.job)
@@ -117,6 +137,11 @@
             members = run.job.runs_by_step[key]
         failed = set().union(*(member.failed_attempts for member in members))
         exhausted = len(failed) >= run.job.job.attempts
+        if run.step.speculative and any(
+            other.occupies_capacity and other.maybe_begun
+            for other in task_runs
+        ):
+            return
         if exhausted and not run.job.status.ended:
             self._scheduler_state.end_job(
                 run.job,
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -372,9 +372,7 @@
         self, run: runs.Run, running: messages.RunningTask, now: float
     ) -> None:
         was_serving = run.serving
-        if running.percent != run.percent or not run.progress_at:
-            run.progress_at = now
-        run.percent = running.percent
+        run.record_progress(running.percent, now)
         run.load = running.load
         if running.checkpoint:
             run.checkpoint = running.checkpoint
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -46,11 +46,16 @@
 
     Attributes:
         runner_id: runner of the current run, empty while there is none.
+        last_attempt: highest number of any attempt of the task. It exceeds
+            ``attempt`` once a copy was started beside the run.
+        is_copy: whether the run was started beside another one of its task.
         failed_attempts: numbers of the attempts that failed.
         failed_on: ids of the runners on which the task failed or stalled,
             as far as this leader knows.
         percent: reported progress; 100 while a long-running task serves.
         progress_at: when the reported progress last changed.
+        measured_from: time and percent since which this leader has observed
+            the run's progress, or None.
         load: tail latency of a serving task in milliseconds, otherwise the
             processors in use, in thousandths of a core.
         pace: speed that the runner last accepted, in percent of full speed.
@@ -74,8 +79,11 @@
         "failed_attempts",
         "failed_on",
         "inherited",
+        "is_copy",
         "job",
+        "last_attempt",
         "load",
+        "measured_from",
         "name",
         "not_before",
         "not_serving_since",
@@ -103,6 +111,8 @@
         self.step = step
         self.phase = Phase.WAITING
         self.attempt = 0
+        self.last_attempt = 0
+        self.is_copy = False
         self.runner_id = ""
         self.failed_attempts: set[int] = set()
         self.failed_on: set[str] = set()
@@ -116,6 +126,7 @@
         """Reset what is known of the current run."""
         self.percent = 0
         self.progress_at = 0.0
+        self.measured_from: tuple[float, int] | None = None
         self.load = 0.0
         self.pace = 100
         self.sent_at = 0.0
@@ -129,6 +140,13 @@
         """Whether the run may use capacity of its runner."""
         return self.phase in _CAPACITY_PHASES
 
+    @property
+    def maybe_begun(self) -> bool:
+        """Whether the run's start command may have been sent."""
+        if self.phase is not Phase.ASSIGNED:
+            return True
+        return bool(self.inherited or self.sent_at)
+
     @property
     def serving(self) -> bool:
         """Whether a long-running task is ready to serve."""
@@ -142,6 +160,7 @@
         self.inherited = False
         self.runner_id = runner_id
         self.attempt = attempt
+        self.last_attempt = max(self.last_attempt, attempt)
         self._reset_run_fields()
 
     def release(self, now: float, not_before: float = 0.0) -> None:
@@ -160,9 +179,57 @@
         """Mark the task as done."""
         if self.phase is Phase.WAITING:
             self.job.waiting_count -= 1
+        self.discard()
+
+    def discard(self) -> None:
+        """End the run while its task is done or has another run."""
         self.phase = Phase.DONE
         self.runner_id = ""
 
+    def make_copy(self, runner_id: str, attempt: int) -> "Run":
+        """Return a further run of the task, beside this one.
+
+        Both share what is known of earlier attempts.
+        """
+        copy = Run(self.job, self.name, self.step, 0.0)
+        copy.phase = Phase.ASSIGNED
+        copy.is_copy = True
+        copy.failed_attempts = self.failed_attempts
+        copy.failed_on = self.failed_on
+        copy.checkpoint = self.checkpoint
+        copy.assign(runner_id, attempt)
+        self.last_attempt = max(self.last_attempt, attempt)
+        return copy
+
+    def whole_run_s(self, now: float) -> float | None:
+        """Return the run time of a run that ends now.
+
+        It is None unless this leader has observed the run from its beginning.
+        """
+        if not self.acknowledged_at:
+            return None
+        begun_at = self.acknowledged_at, 0
+        if self.checkpoint and self.measured_from != begun_at:
+            return None
+        if self.measured_from not in (None, begun_at):
+            return None
+        return now - self.acknowledged_at
+
+    def record_progress(self, percent: int, now: float) -> None:
+        """Record the progress that the runner reports.
+
+        The time and progress of a run that resumed from a checkpoint, or
+        that a previous leader started, count from its first report.
+        """
+        if self.measured_from is None:
+            begun_here = self.acknowledged_at and not self.checkpoint
+            self.measured_from = (
+                (self.acknowledged_at, 0) if begun_here else (now, percent)
+            )
+        if percent != self.percent or not self.progress_at:
+            self.progress_at = now
+        self.percent = percent
+
 
 class JobState:
     """A job, the runs of its tasks and its status.
@@ -176,6 +243,10 @@
         beyond_share: whether its team had used up its share of submissions
             when the job arrived.
         runs_by_step: runs of the tasks of each (occurrence, step index).
+        copy_by_task: second run of each task that has two.
+        speculative: whether copies of some of its tasks may run.
+        run_s_by_step: runners and run times of ended tasks of the steps
+            whose tasks may be copied, by (occurrence, step index).
         unfinished_by_step: number of tasks not done, by the same key.
     """
 
@@ -208,6 +279,9 @@
                     )
                     for i in range(step.count)
                 ]
+        self.copy_by_task: dict[job_models.TaskName, Run] = {}
+        self.speculative = any(step.speculative for step in job.steps)
+        self.run_s_by_step: dict[tuple[int, int], list[tuple[str, float]]] = {}
         self.unfinished_by_step = {
             key: len(runs) for key, runs in self.runs_by_step.items()
         }
@@ -245,7 +319,9 @@
 
     def runs_occupying_capacity(self) -> list[Run]:
         """Return the runs that may use capacity of a runner."""
-        return [run for run in self.all_runs() if run.occupies_capacity]
+        occupying = [run for run in self.all_runs() if run.occupies_capacity]
+        occupying += self.copy_by_task.values()
+        return occupying
 
     def find_run(self, name: job_models.TaskName) -> Run | None:
         """Return the run of a task, or None if the job has no such task."""
@@ -254,6 +330,42 @@
             return None
         return runs[name.index]
 
+    def runs_of_task(self, name: job_models.TaskName) -> list[Run]:
+        """Return the run of a task, and its copy if there is one."""
+        run = self.find_run(name)
+        task_runs = [] if run is None else [run]
+        if name in self.copy_by_task:
+            task_runs.append(self.copy_by_task[name])
+        return task_runs
+
+    def task_count_by_runner(self, key: tuple[int, int]) -> dict[str, int]:
+        """Return how many runs of a step each runner has, copies included."""
+        count_by_runner: dict[str, int] = {}
+        for run in self.runs_by_step[key]:
+            for task_run in (run, self.copy_by_task.get(run.name)):
+                if task_run is not None and task_run.occupies_capacity:
+                    count = count_by_runner.get(task_run.runner_id, 0)
+                    count_by_runner[task_run.runner_id] = count + 1
+        return count_by_runner
+
+    def drop_run(self, run: Run) -> bool:
+        """End one of two runs of a task; the other one goes on.
+
+        Returns:
+            Whether the task has another run. Otherwise nothing is changed.
+        """
+        copy = self.copy_by_task.pop(run.name, None)
+        if copy is None:
+            return False
+        if run is not copy:
+            key = run.name.occurrence, run.name.step
+            self.runs_by_step[key][run.name.index] = copy
+            copy.is_copy = False
+            copy.last_attempt = max(copy.last_attempt, run.last_attempt)
+            copy.checkpoint = max(copy.checkpoint, run.checkpoint)
+        run.discard()
+        return True
+
     def ready_steps(self, unix_now: float) -> list[tuple[int, int]]:
         """Return (occurrence, step index) of each step that may start.
 
@@ -277,8 +389,13 @@
     def mark_task_done(self, run: Run) -> None:
         """Mark a task as done, and with it all other members of a gang."""
         key = run.name.occurrence, run.name.step
-        members = self.runs_by_step[key] if run.step.gang else [run]
+        members = self.runs_by_step[key]
+        if not run.step.gang:
+            members = [members[run.name.index]]
         for member in members:
+            copy = self.copy_by_task.pop(member.name, None)
+            if copy is not None:
+                copy.discard()
             if member.phase is not Phase.DONE:
                 member.finish()
                 self.record_task_done(key)
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import logging
+import operator
 
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
@@ -302,7 +303,8 @@
             ),
         )
         for run in state.runs_occupying_capacity():
-            self.stop_run(run, reason, now)
+            if run.phase is not runs.Phase.STOPPING:
+                self.stop_run(run, reason, now)
         self._drop_job_if_inactive(state)
 
     def _drop_job_if_inactive(self, state: runs.JobState) -> None:
@@ -342,12 +344,73 @@
     def release_run(
         self, run: runs.Run, now: float, not_before: float = 0.0
     ) -> None:
-        """Take a run off its runner; its task waits for another run."""
+        """Take a run off its runner.
+
+        Its task waits for another run, unless it has one beside this run.
+        """
         self._remove_from_runner(run)
-        run.release(now, not_before)
+        attempt = run.attempt
+        if run.job.drop_run(run):
+            self._log_copy_decided(run.name, attempt, "the other goes on")
+        else:
+            run.release(now, not_before)
+            self._end_job_if_exhausted(run, now)
         self.mark_job_changed(run.job)
         self._drop_job_if_inactive(run.job)
 
+    @staticmethod
+    def _log_copy_decided(
+        task: job_models.TaskName, attempt: int, outcome: str
+    ) -> None:
+        catalogue.emit(logger, events.CopyDecided(str(task), attempt, outcome))
+
+    def _end_job_if_exhausted(self, run: runs.Run, now: float) -> None:
+        """End the job of a task that may not start again.
+
+        A task whose attempts are used up goes on while a copy of it runs.
+        """
+        exhausted = len(run.failed_attempts) >= run.job.job.attempts
+        if run.step.long_running or run.step.gang or not exhausted:
+            return
+        if not run.job.status.ended:
+            self.end_job(
+                run.job,
+                runs.JobStatus.FAILED,
+                f"no attempt of task {run.name} is left",
+                now,
+            )
+
+    def task_count_by_runner(
+        self, job: runs.JobState, key: tuple[int, int]
+    ) -> dict[str, int]:
+        """Return how many runs of a step each runner has.
+
+        Copies count, as do runs that are being stopped as superseded.
+        """
+        count_by_runner = job.task_count_by_runner(key)
+        if not job.job.steps[key[1]].max_per_runner:
+            return count_by_runner
+        for runner in self.runner_by_id.values():
+            for task, _ in runner.need_by_orphan:
+                if (task.job_id, task.occurrence, task.step) == (
+                    job.job.id,
+                    *key,
+                ):
+                    count = count_by_runner.get(runner.id, 0)
+                    count_by_runner[runner.id] = count + 1
+        return count_by_runner
+
+    def start_copy(
+        self, run: runs.Run, runner: runner_state.RunnerState
+    ) -> runs.Run:
+        """Assign a second run of a running task to another runner."""
+        copy = run.make_copy(runner.id, run.last_attempt + 1)
+        run.job.copy_by_task[run.name] = copy
+        runner.add_run(copy)
+        self._count_usage(copy, 1)
+        self.mark_job_changed(run.job)
+        return copy
+
     def finish_run(self, run: runs.Run, attempt: int, now: float) -> None:
         """Mark a task as done; its job completes with its last task.
 
@@ -355,13 +418,18 @@
             attempt: attempt that ended so. A later one may still run.
         """
         state = run.job
-        members = [run]
+        members = state.runs_of_task(run.name)
+        if run.name in state.copy_by_task:
+            by_copy = state.copy_by_task[run.name].attempt == attempt
+            self._log_copy_decided(
+                run.name, attempt, "done by copy" if by_copy else "done"
+            )
         if run.step.gang:
             members = state.runs_by_step[run.name.occurrence, run.name.step]
         for member in members:
             if not member.occupies_capacity:
                 continue
-            if member.attempt != attempt and self._maybe_begun(member):
+            if member.attempt != attempt and member.maybe_begun:
                 self._stop_superseded_run(member, now)
             self._remove_from_runner(member)
         state.mark_task_done(run)
@@ -396,7 +464,7 @@
 
         A run whose start command was certainly not sent is released at once.
         """
-        if not self._maybe_begun(run):
+        if not run.maybe_begun:
             self.release_run(run, now)
             return
         if run.serving:
@@ -420,13 +488,6 @@
             ),
         )
 
-    @staticmethod
-    def _maybe_begun(run: runs.Run) -> bool:
-        """Whether the run's start command may have been sent."""
-        if run.phase is not runs.Phase.ASSIGNED:
-            return True
-        return bool(run.inherited or run.sent_at)
-
     def _count_usage(self, run: runs.Run, sign: int) -> None:
         """Add a run's needs to its team's usage, or subtract them."""
         used = self._used_by_team.setdefault(run.job.job.team, [0, 0, 0])
@@ -440,8 +501,13 @@
         if self.config is None:
             return {}
         free: dict[str, job_models.Capacity] = {}
+        orphaned_by_team = self._orphaned_needs_by_team()
         for team in self.config.team_by_name.values():
             used = self._used_by_team.get(team.name, [0, 0, 0])
+            if team.name in orphaned_by_team:
+                used = list(
+                    map(operator.add, used, orphaned_by_team[team.name])
+                )
             limits = (team.cap.cpu, team.cap.memory, team.cap.gpu)
             if any(limits):
                 free[team.name] = job_models.Capacity(
@@ -452,6 +518,22 @@
                 )
         return free
 
+    def _orphaned_needs_by_team(self) -> dict[str, list[int]]:
+        """Return what runs use that are being stopped as superseded."""
+        needs_by_team: dict[str, list[int]] = {}
+        for runner in self.runner_by_id.values():
+            if not runner.need_by_orphan:
+                continue
+            for (task, _), need in runner.need_by_orphan.items():
+                job = self.job_by_id.get(task.job_id)
+                if job is None:
+                    continue
+                needs = needs_by_team.setdefault(job.job.team, [0, 0, 0])
+                needs[0] += need.cpu
+                needs[1] += need.memory
+                needs[2] += need.gpu
+        return needs_by_team
+
 
 # Capacity that stands for no upper limit, in the units of each resource.
 _UNLIMITED = 1 << 40
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -121,10 +121,10 @@
         value = json.dumps(self.config).encode()
         self.platform.store.put("op", "config", value)
 
-    def start(self):
+    def start(self, **limits):
         self.put_config()
         for number in range(self.host_count):
-            self.start_host(f"entry-{number}")
+            self.start_host(f"entry-{number}", **limits)
         self.advance_time(1.0)
 
     def start_host(self, name, *, callback_cost_s=0.0, **limits):
