Schedule a flush of log lines only while lines are buffered

Cause: every process flushed its log lines 20 times a second, also with nothing to write.

Change: the first buffered line schedules the flush; lines that the descriptor doesn't accept schedule the next one.

--- a/src/azurevane/_internal/events/output.py
+++ b/src/azurevane/_internal/events/output.py
@@ -1,6 +1,7 @@
 """Buffered log output to standard output that never blocks the program."""
 
 import collections
+from collections.abc import Callable
 import logging
 import os
 import sys
@@ -24,6 +25,7 @@
 
     Attributes:
         dropped: number of lines dropped because the buffer was full.
+        on_buffered: called after each line that is buffered.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -32,6 +34,16 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._unwritten = b""
         self.dropped = 0
+        self.on_buffered: Callable[[], None] = lambda: None
+
+    def fileno(self) -> int:
+        """Return the descriptor that the lines are written to."""
+        return self._descriptor
+
+    @property
+    def empty(self) -> bool:
+        """Whether all lines have been written."""
+        return not self._unwritten and not self._lines
 
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer the line of a record; drop and count it if full."""
@@ -39,6 +51,7 @@
             self.dropped += 1
             return
         self._lines.append(self.format(record).encode() + b"\n")
+        self.on_buffered()
 
     def flush_lines(self) -> None:
         """Write as many lines as the descriptor accepts without blocking."""
@@ -68,13 +81,36 @@
     return buffer
 
 
-def start_flushing(reactor: Any, buffer: LineBuffer) -> None:
-    """Flush the buffer while the reactor runs and after its shutdown."""
-    os.set_blocking(sys.stdout.fileno(), False)
+class _Flusher:
+    """Flushes a buffer some time after a line was buffered.
+
+    Nothing is scheduled while the buffer is empty, since timers of idle
+    processes cost processor time on every host.
+    """
 
-    def flush() -> None:
-        buffer.flush_lines()
-        reactor.callLater(FLUSH_INTERVAL_S, flush)
+    def __init__(self, reactor: Any, buffer: LineBuffer) -> None:
+        self._reactor = reactor
+        self._buffer = buffer
+        self._scheduled = False
 
-    reactor.callWhenRunning(flush)
+    def schedule(self) -> None:
+        """Flush the buffer after the flush interval, unless that is due."""
+        if not self._scheduled:
+            self._scheduled = True
+            self._reactor.callLater(FLUSH_INTERVAL_S, self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        self._buffer.flush_lines()
+        if not self._buffer.empty:
+            # The descriptor accepts no more now.
+            self.schedule()
+
+
+def start_flushing(reactor: Any, buffer: LineBuffer) -> None:
+    """Flush the buffer while the reactor runs and after its shutdown."""
+    os.set_blocking(buffer.fileno(), False)
+    flusher = _Flusher(reactor, buffer)
+    buffer.on_buffered = flusher.schedule
+    flusher.schedule()
     reactor.addSystemEventTrigger("after", "shutdown", buffer.flush_lines)
