Bound the tasks of a job and the row of its state

A caller's body could ask for any number of tasks: `count` and `repeats` are multiplied, and the leader allocates each task when it reads the job. Numbers beyond what JSON rows hold, bodies that aren't UTF-8 and deeply nested ones were answered with 502 instead of 400, or were accepted and could not be read again.

The row of a job's state grows with its tasks. A row over the store's limit is rejected with the whole transaction, and the leader repeated it for ever, its renewals included: a job of 2,000 tasks deposed each leader in turn (scenario "A job of as many tasks as are possible doesn't stop others", on a stand-in that now rejects rows over 65,536 bytes).

Now a submission has at most 2,000 tasks over all occurrences (400), and at most one for each 32 bytes of the store's row (413); a job whose row would be too large gets 413 instead of 503. Times and amounts have bounds. A state over the row's limit is compressed, and drops its checkpoints if that isn't enough.

--- a/src/azurevane/_internal/callers/job_handler.py
+++ b/src/azurevane/_internal/callers/job_handler.py
@@ -77,6 +77,7 @@
     Args:
         seconds: returns monotonic time.
         unix_time: returns Unix time in seconds.
+        max_row_bytes: largest value of a row that the store accepts.
     """
 
     def __init__(
@@ -85,8 +86,10 @@
         *,
         seconds: Callable[[], float],
         unix_time: Callable[[], float],
+        max_row_bytes: int = records.MAX_ROW_BYTES,
     ) -> None:
         self._client = client
+        self._max_row_bytes = max_row_bytes
         self._seconds = seconds
         self._unix_time = unix_time
         self._config: site.SiteConfig | None = None
@@ -225,11 +228,15 @@
             )
         except exceptions.JobRejected as error:
             raise _RequestRefused(400, str(error)) from error
+        value = records.encode_job(job)
+        max_tasks = self._max_row_bytes // records.MIN_TASK_BYTES
+        if len(value) > self._max_row_bytes or job.task_count > max_tasks:
+            raise _RequestRefused(413, "job too large to be stored")
         version = self._config.version
         row_key = _job_row_key(job.id)
         conflict = await self._write_rows(
             {row_key: 0, _cancel_row_key(job.id): 0},
-            {row_key: records.encode_job(job)},
+            {row_key: value},
         )
         if conflict is not None and not _exists(conflict, row_key):
             raise _RequestRefused(
--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -83,7 +83,10 @@
             self._client, settings.store_address, reactor.seconds
         )
         self.job_handler = job_handler.JobHandler(
-            self._store, seconds=reactor.seconds, unix_time=unix_time
+            self._store,
+            seconds=reactor.seconds,
+            unix_time=unix_time,
+            max_row_bytes=settings.store_row_bytes,
         )
         self._stopping_at: float | None = None
         self._resource = job_resource.JobResource(
--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# Largest number of tasks of a job, over all occurrences. The row of its state
+# has room for so many, and a host holds each of them in memory.
+MAX_TASKS_PER_JOB = 2000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
@@ -110,6 +114,11 @@
     objective_s: float = 0.0
     advised: bool = False
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all occurrences."""
+        return self.occurrences * sum(step.count for step in self.steps)
+
     @property
     def occurrences(self) -> int:
         """Number of times that its steps run."""
--- a/src/azurevane/_internal/platform/job_requests.py
+++ b/src/azurevane/_internal/platform/job_requests.py
@@ -8,6 +8,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.policy import job_order
+from azurevane._internal.utils import json_decoding
 
 # Limit of the platform's protocol.
 MAX_SPEC_BYTES = 4000
@@ -15,6 +16,12 @@
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
+# Values beyond these are no times or amounts that the platform can meet, and
+# their sums and products couldn't be stored.
+_MAX_MS = 1e15
+_MAX_AMOUNT = 1 << 40
+
+
 class _Phase(msgspec.Struct):
     count: int = 0
     cpu: int = 0
@@ -68,7 +75,7 @@
         JobRejected: the body is malformed, or a field is out of range.
     """
     try:
-        submission = msgspec.json.decode(body, type=_Submission)
+        submission = json_decoding.decode(body, _Submission)
     except msgspec.MsgspecError as error:
         raise exceptions.JobRejected(f"job {job_id}: {error}") from error
     if not submission.phases:
@@ -79,8 +86,11 @@
         )
     for index, phase in enumerate(submission.phases):
         _check_phase(job_id, index, phase)
+    times = submission.start_at_ms, submission.interval_ms
+    if max(map(abs, times)) > _MAX_MS:
+        raise exceptions.JobRejected(f"job {job_id}: times are out of range")
     steps = tuple(_decode_step(phase) for phase in submission.phases)
-    return job_models.Job(
+    job = job_models.Job(
         id=job_id,
         queue=queue.name,
         service=queue.service,
@@ -96,6 +106,12 @@
         objective_s=job_order.objective_s(queue, steps),
         advised=queue.advised,
     )
+    if job.task_count > job_models.MAX_TASKS_PER_JOB:
+        raise exceptions.JobRejected(
+            f"job {job_id} has {job.task_count} tasks in all; at most"
+            f" {job_models.MAX_TASKS_PER_JOB} are possible"
+        )
+    return job
 
 
 def _check_phase(job_id: str, index: int, phase: _Phase) -> None:
@@ -106,6 +122,15 @@
         raise exceptions.JobRejected(
             f"{field_path} asks for less than nothing"
         )
+    counts = (phase.cpu, phase.memory, phase.gpu, abs(phase.anti_affinity))
+    if max(*counts, abs(phase.max_unavailable or 0)) > _MAX_AMOUNT:
+        raise exceptions.JobRejected(f"{field_path} has too large a number")
+    if not 0 <= phase.estimate_ms <= _MAX_MS:
+        raise exceptions.JobRejected(
+            f"{field_path}.estimateMs is out of range"
+        )
+    if not 0 <= phase.target_ms <= _MAX_MS:
+        raise exceptions.JobRejected(f"{field_path}.targetMs is out of range")
     for previous in phase.after:
         if not 0 <= previous < index:
             raise exceptions.JobRejected(
@@ -119,7 +144,7 @@
         count=phase.count,
         need=job_models.Capacity(phase.cpu, phase.memory, phase.gpu),
         estimate_s=phase.estimate_ms / 1000,
-        after=tuple(phase.after),
+        after=tuple(sorted(set(phase.after))),
         checkpointing=phase.checkpointing,
         gang=phase.gang,
         same_rack=phase.same_rack,
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -474,7 +474,10 @@
                 records.STATE_TABLE, records.LEADER_PARTITION, state.job.id
             )
             self._row_writer.schedule_write(
-                row_key, functools.partial(records.encode_state, state)
+                row_key,
+                functools.partial(
+                    records.encode_state, state, self._settings.store_row_bytes
+                ),
             )
 
     def store_changes(self) -> "defer.Deferred[None]":
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -1,9 +1,12 @@
 """Encoding of the rows of a job: submission, state and cancellation."""
 
+import zlib
+
 import msgspec
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.scheduler import runs as runs_module
+from azurevane._internal.utils import json_decoding
 
 # Submissions are partitioned by the first digit of the job's id, so that no
 # partition gets more transactions than it can process.
@@ -16,6 +19,15 @@
 # Sorts after every suffix of a key.
 KEY_END = "~"
 _WAVE_PREFIX = "wave/"
+# Largest value of a row where the platform's settings don't say.
+MAX_ROW_BYTES = 65536
+# A row that the store accepts has room for a task in so many bytes, most of
+# them for its checkpoint.
+MIN_TASK_BYTES = 32
+# Fast, as a large state is written each time one of its tasks changes.
+_COMPRESSION_LEVEL = 1
+# About 1 KB for each of the tasks that a job may have.
+_MAX_RECORD_BYTES = 1 << 21
 
 
 class _Task(msgspec.Struct, array_like=True):
@@ -48,10 +60,6 @@
     tasks: list[_Task]
 
 
-_record_decoder = msgspec.json.Decoder(_Record)
-_job_decoder = msgspec.json.Decoder(job_models.Job)
-
-
 def job_partition(job_id: str) -> str:
     """Return the partition that holds a job's submission."""
     return job_id[0].lower()
@@ -65,7 +73,9 @@
 def wave_number(key: str) -> int | None:
     """Return the number of the wave whose progress a row holds, or None."""
     text = key.removeprefix(_WAVE_PREFIX)
-    return int(text) if text != key else None
+    if text == key or not text.isascii() or not text.isdecimal():
+        return None
+    return int(text)
 
 
 def encode_job(job: job_models.Job) -> bytes:
@@ -79,15 +89,41 @@
     Raises:
         msgspec.MsgspecError: the value can't be decoded.
     """
-    return _job_decoder.decode(value)
+    return json_decoding.decode(value, job_models.Job)
 
 
-def encode_state(state: runs_module.JobState) -> bytes:
-    """Return the value of the row of a job's state."""
+def encode_state(
+    state: runs_module.JobState, max_bytes: int = MAX_ROW_BYTES
+) -> bytes:
+    """Return the value of the row of a job's state.
+
+    The store rejects a larger row, and with it all rows of its transaction.
+    So a job of many tasks is compressed, and its tasks lose their checkpoints
+    if that isn't enough.
+    """
     tasks = []
     if not state.status.ended or state.runs_occupying_capacity():
         tasks = [_encode_task(run) for run in state.all_runs() if run.attempt]
-    return msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
+    value = msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
+    if len(value) <= max_bytes:
+        return value
+    value = zlib.compress(value, _COMPRESSION_LEVEL)
+    if len(value) <= max_bytes:
+        return value
+    for task in tasks:
+        task.checkpoint = ""
+    value = msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
+    return zlib.compress(value, _COMPRESSION_LEVEL)
+
+
+def _decode_record(value: bytes) -> _Record:
+    if not value.startswith(b"["):
+        try:
+            # No row is larger, however much smaller it was when stored.
+            value = zlib.decompressobj().decompress(value, _MAX_RECORD_BYTES)
+        except zlib.error as error:
+            raise msgspec.DecodeError(str(error)) from error
+    return json_decoding.decode(value, _Record)
 
 
 def _encode_task(run: runs_module.Run) -> _Task:
@@ -111,7 +147,7 @@
 
 def decode_status(value: bytes) -> runs_module.JobStatus:
     """Return the job's status from the value of its state row."""
-    return runs_module.JobStatus(_record_decoder.decode(value).status)
+    return runs_module.JobStatus(_decode_record(value).status)
 
 
 def restore_state(state: runs_module.JobState, value: bytes) -> None:
@@ -120,7 +156,7 @@
     A run that had been started is marked as inherited, since only its runner
     knows whether it began.
     """
-    record = _record_decoder.decode(value)
+    record = _decode_record(value)
     state.status = runs_module.JobStatus(record.status)
     for task in record.tasks:
         run = state.find_run(
--- a/src/azurevane/_internal/standins/site_store.py
+++ b/src/azurevane/_internal/standins/site_store.py
@@ -21,6 +21,7 @@
 _MAX_READ_ROWS = 500
 # Limit of the entries of a transaction, conditions included.
 _MAX_TRANSACTION_ENTRIES = 100
+MAX_ROW_BYTES = 65536
 
 
 class SiteStore:
@@ -96,6 +97,9 @@
         names = ("expectedRev", "setKeys", "delete")
         if sum(len(body[name]) for name in names) > _MAX_TRANSACTION_ENTRIES:
             return Response(400, {"error": "too many entries"})
+        for entry in body["setKeys"]:
+            if len(base64.b64decode(entry["value"])) > MAX_ROW_BYTES:
+                return Response(400, {"error": "row too large"})
         partitions = {entry["part"] for name in names for entry in body[name]}
         if len(partitions) > 1:
             return Response(400, {"error": "several parts"})
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -41,3 +41,30 @@
     When a runner lists running [["bad", 1, "", 5], ["0000000000000001.0.0.2", 1, "", 100, 0]]
     And ended [[3, "0000000000000001.0.0.1", 1, "unheard", ""], [4, "x", 1, "done", ""]]
     Then 1 running and 0 ended tasks are decoded, up to number 4
+
+  Scenario Outline: A request that can't be stored or run is rejected
+    Then the body <body> is rejected
+
+    Examples:
+      | body                                                            |
+      | {"spec": "\xff", "phases": [{"count": 1}]}                      |
+      | {"phases": [{"count": 1, "x": 20000 nested lists}]}             |
+      | {"phases": [{"count": 2001}]}                                   |
+      | {"phases": [{"count": 1000000000000}]}                          |
+      | {"phases": [{"count": 1}], "repeats": 1000000000000}            |
+      | {"phases": [{"count": 40}, {"count": 1}], "repeats": 50}        |
+      | {"phases": [{"count": 1, "cpu": 1000000000000000000000}]}       |
+      | {"phases": [{"count": 1, "estimateMs": -1}]}                    |
+      | {"phases": [{"count": 1, "estimateMs": 1e300}]}                 |
+      | {"phases": [{"count": 1, "estimateMs": NaN}]}                   |
+      | {"phases": [{"count": 1, "targetMs": 1e300}]}                   |
+      | {"phases": [{"count": 1}], "repeats": 2, "startAtMs": 1e300}    |
+      | {"phases": [{"count": 1}], "repeats": 2, "intervalMs": -1e300}  |
+      | {"phases": [{"count": 1}, {"count": 1, "after": [1]}]}          |
+      | {"phases": [{"count": 1}, {"count": 1, "after": [-1]}]}         |
+      | {"phases": []}                                                  |
+      | {"phases": 1}                                                   |
+      | []                                                              |
+
+  Scenario: Any body is rejected or describes a job that can be stored
+    Then any body is rejected, or its job can be stored and read again
--- a/tests/platform/steps/decoding_steps.py
+++ b/tests/platform/steps/decoding_steps.py
@@ -7,14 +7,22 @@
 from behave import given
 from behave import then
 from behave import when
+import hypothesis
+from hypothesis import strategies
 import msgspec
 
 from azurevane import exceptions
+from azurevane._internal.models import host_settings
 from azurevane._internal.models import site
+from azurevane._internal.platform import advice_calls
+from azurevane._internal.platform import http_client
 from azurevane._internal.platform import job_requests
 from azurevane._internal.platform import node_settings
+from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.platform import runner_rows
+from azurevane._internal.scheduler import leadership
+from azurevane._internal.scheduler import records
 
 _RUNNER_ENTRY = {
     "service": "press",
@@ -173,3 +181,154 @@
     assert len(report.running) == count, report
     assert len(report.ended) == ended, report
     assert report.last_number == number, report
+
+
+@then("the body {body} is rejected")
+def step_body_rejected(context, body):
+    if "nested lists" in body:
+        nested = "[" * 20000 + "]" * 20000
+        body = body.replace("20000 nested lists", nested)
+    # Each character stands for one byte; \\xNN for that byte.
+    value = body.encode().replace(b"\\xff", b"\xff")
+    try:
+        job = job_requests.decode_job(
+            value, job_id="0" * 16, queue=_QUEUE, team="north", now=1.0
+        )
+    except exceptions.JobRejected:
+        return
+    raise AssertionError(job)
+
+
+# Values of any type, also such as no field has.
+_SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(10**20), 10**20)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.sampled_from(("", "done", "0" * 16 + ".0.0.1", "²", "a.b"))
+)
+_VALUES = strategies.recursive(
+    _SCALARS, lambda inner: strategies.lists(inner, max_size=5), max_leaves=8
+)
+
+
+def _fields(*names):
+    """Return JSON objects with any values in some of these fields."""
+    return strategies.dictionaries(
+        strategies.sampled_from(names), _VALUES, max_size=4
+    )
+
+
+_check = hypothesis.settings(
+    max_examples=150,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+@then("any body is rejected, or its job can be stored and read again")
+def step_any_body(context):
+    phase = _fields(
+        "count", "cpu", "memMb", "gpu", "estimateMs", "after", "targetMs"
+    ).map(lambda fields: {"count": 2, **fields})
+    body = _fields("spec", "repeats", "startAtMs", "intervalMs", "phases")
+
+    @_check
+    @hypothesis.given(body, strategies.lists(phase, min_size=1, max_size=3))
+    def check(fields, phases):
+        value = json.dumps({"phases": phases, **fields}).encode()
+        try:
+            job = job_requests.decode_job(
+                value, job_id="0" * 16, queue=_QUEUE, team="north", now=1.0
+            )
+        except exceptions.JobRejected:
+            return
+        assert records.decode_job(records.encode_job(job)) == job, job
+        assert job.task_count <= 2000, job
+
+    check()
+
+
+@then("any bytes as a row of any table are decoded or rejected")
+def step_any_row(context):
+    decoders = (
+        operator_rows.decode_config,
+        operator_rows.decode_wave,
+        records.decode_job,
+        leadership.decode_pending_jobs,
+        lambda value: runner_rows.decode_runner("i-1", value),
+    )
+    entry = _fields(*_RUNNER_ENTRY).map(lambda some: {**_RUNNER_ENTRY, **some})
+    texts = entry.map(lambda value: json.dumps(value).encode())
+
+    @_check
+    @hypothesis.given(strategies.binary(max_size=40) | texts)
+    @hypothesis.example(b"[" * 20000)
+    @hypothesis.example(b'{"service": "\xff"}')
+    def check(value):
+        for decode in decoders:
+            try:
+                decode(value)
+            except msgspec.MsgspecError:
+                continue
+
+    check()
+
+
+@then("any report of a runner is rejected or has values of the right types")
+def step_any_report(context):
+    rows = strategies.lists(_VALUES, max_size=3)
+    task = "0" * 16 + ".0.0.1"
+    running = strategies.tuples(
+        strategies.just(task), _VALUES, _VALUES, _VALUES, _VALUES
+    )
+    ended = strategies.tuples(
+        _VALUES, strategies.just(task), _VALUES, _SCALARS, _VALUES
+    )
+
+    @_check
+    @hypothesis.given(
+        strategies.lists(running, max_size=3) | rows,
+        strategies.lists(ended, max_size=3) | rows,
+    )
+    def check(running, ended):
+        body = {"clockMs": 5, "running": running, "finished": ended}
+        report = runner_calls.decode_report(json.dumps(body).encode())
+        assert type(report.last_number) is int
+        for item in [*report.running, *report.ended]:
+            assert type(item.attempt) is int, item
+            assert type(item.checkpoint) is str, item
+        for item in report.ended:
+            assert type(item.number) is int, item
+        for item in report.running:
+            assert type(item.percent) is int, item
+            assert type(item.load) is float, item
+        if len(report.running) < len(running):
+            assert not report.complete, report
+
+    check()
+
+
+class _OneResponse:
+    """Client that answers each call with the same body."""
+
+    def __init__(self, body):
+        self._body = json.dumps(body).encode()
+
+    async def call(self, *arguments, **options):
+        return http_client.Response(200, self._body)
+
+
+@then("advice {rows} allows i-1 and i-4")
+def step_advice(context, rows):
+    client = _OneResponse({"good": json.loads(rows), "validMs": 5})
+    calls = advice_calls.AdviceCalls(
+        client, host_settings.Address("10.0.0.1", 80)
+    )
+    request = calls.request_advice("step", ["i-1"])
+    try:
+        request.send(None)
+    except StopIteration as stop:
+        assert stop.value.ticket_by_runner == {"i-1": "a", "i-4": "d"}
--- /dev/null
+++ b/tests/scheduler/steps/malformed_steps.py
@@ -0,0 +1,162 @@
+"""Steps about malformed rows and messages."""
+
+import dataclasses
+import json
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import records
+
+_HUGE_JOB = job_models.Job(
+    id="00000000000000c9",
+    queue="fit",
+    service="press",
+    team="north",
+    spec="",
+    steps=(job_models.Step(10**12, job_models.Capacity(1), 1.0),),
+    accepted_at=1e9,
+)
+_ENTRY = {
+    "service": "press",
+    "address": "10.9.9.9:²",
+    "zone": "east",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768},
+    "labels": ["a", "r0-0"],
+    "clockMs": 1000,
+    "born": 12500,
+}
+_VALUE_BY_TEXT = {
+    "a job of 1e12 tasks": records.encode_job(_HUGE_JOB),
+    "an entry with address ²": json.dumps(_ENTRY).encode(),
+}
+
+
+def _value(text):
+    """Return a row's bytes; \\xNN in the text stands for one byte."""
+    if text in _VALUE_BY_TEXT:
+        return _VALUE_BY_TEXT[text]
+    return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
+
+
+@given('row "{key}" of table "{table}" has the value {value}')
+def step_row(context, key, table, value):
+    context.world.platform.store.put(table, key, _value(value))
+    context.world.advance_time(1.0)
+
+
+@when('row "{key}" of table "{table}" gets the value {value} before a job\'s')
+def step_row_before_job(context, key, table, value):
+    world = context.world
+    leader = world.leader_name
+    job_id = "00000000000000c2"
+    # Both rows arrive in one response, the unusable one first.
+    follower = world.host_by_name[leader].leader._site_tables._followers[0]
+    store = world.platform.store
+    waiting, store._waiting_feeds = store._waiting_feeds, []
+    store.put(table, key, _value(value))
+    store._waiting_feeds = waiting
+    assert follower._table == table, follower._table
+    response = world.submit_job(
+        context.queue,
+        job_id,
+        [{"count": 4, "cpu": 1000, "memMb": 100, "estimateMs": 500}],
+    )
+    assert response.status == 200, response
+
+
+@when('the state of job "{job_id}" becomes {value}')
+def step_state_row(context, job_id, value):
+    context.world.platform.store.put(
+        records.STATE_TABLE, job_id, _value(value)
+    )
+
+
+@when("tasks run {seconds:g} s from now on")
+def step_tasks_run(context, seconds):
+    context.world.set_task_plan(seconds)
+
+
+@when("all runners list {row} as {name}")
+def step_list_row(context, row, name):
+    """Add a malformed row to the lists that runners report."""
+    for runner in context.world.platform.runner_by_address.values():
+        _add_row(runner, name, json.loads(row))
+
+
+def _add_row(runner, name, row):
+    list_tasks = runner._list_tasks
+
+    def list_malformed():
+        response = list_tasks()
+        body = {**response.body, name: [row, *response.body[name]]}
+        return dataclasses.replace(response, body=body)
+
+    runner._list_tasks = list_malformed
+
+
+@given("the list of hosts begins with {row}")
+def step_host_list(context, row):
+    platform = context.world.platform
+    handle = platform._handle_hosts_call
+
+    def handle_malformed(request):
+        response = handle(request)
+        if request.path != "/azurevane/machines":
+            return response
+        body = response.body
+        machines = [json.loads(row), *body["machines"]]
+        return dataclasses.replace(
+            response, body={**body, "machines": machines}
+        )
+
+    platform._handle_hosts_call = handle_malformed
+
+
+@given("tasks have checkpoints of {count:d} characters")
+def step_long_checkpoints(context, count):
+    """Let runners report a checkpoint of their own for each task."""
+    context.previous_leader = context.world.leader_name
+    for runner in context.world.platform.runner_by_address.values():
+        _add_checkpoints(runner, count)
+
+
+def _add_checkpoints(runner, count):
+    list_tasks = runner._list_tasks
+
+    def list_with_checkpoints():
+        response = list_tasks()
+        running = [
+            [*row[:2], _noise(row[0], count), *row[3:]]
+            for row in response.body["running"]
+        ]
+        body = {**response.body, "running": running}
+        return dataclasses.replace(response, body=body)
+
+    runner._list_tasks = list_with_checkpoints
+
+
+def _noise(seed, count):
+    """Return text that doesn't become much smaller when compressed."""
+    return random.Random(seed).randbytes(count // 2).hex()
+
+
+def _submit(context, phases):
+    return context.world.submit_job(context.queue, "0" * 15 + "9", phases)
+
+
+@then("a job of {count:d} tasks is answered with {status:d}")
+def step_many_tasks(context, count, status):
+    response = _submit(context, [{"count": count, "cpu": 10, "memMb": 10}])
+    assert response.status == status, response
+
+
+@then("a job of {count:d} steps with long names is answered with {status:d}")
+def step_many_steps(context, count, status):
+    phase = {"count": 1, "cpu": 10, "memMb": 10, "image": "x" * 40}
+    response = _submit(context, [phase] * count)
+    assert response.status == status, response
