Keep one malformed row or message from holding all others

Rows come from runners, operators and older programs. Decoders expected one kind of error, but bytes that aren't UTF-8 and deep nesting raised others, which ended the handling of all rows that were read together:

- An entry of a runner with such bytes, or a wave with a key like `wave/²`, kept each new leader from ever having read the runners: nothing started.
- A job's row, or the state of one job that can't be read, lost all jobs after it in the same response, and each new leader stopped at it.
- A malformed row in a runner's lists made its whole report unusable while its lease was extended: its runs neither ended nor restarted.
A checkpoint that isn't text was stored and then stopped each later leader.
- One malformed row in the list of hosts or in an advice hid all others, so waves and moves stood still.

Now utils/json_decoding raises one kind of error, and each row is judged by itself. A job whose state can't be read isn't started, as its tasks may have run. A report with an undecodable row of a run is incomplete: no run is judged by its absence. What is malformed beside a run's name is left out, so that the run still occupies its runner. A wave with unreadable progress begins anew; the platform doesn't repeat a host's maintenance. A runner's address must be an IPv4 address and a port, since a name would be looked up in a thread.

--- a/src/azurevane/_internal/models/runner_messages.py
+++ b/src/azurevane/_internal/models/runner_messages.py
@@ -96,8 +96,9 @@
             the runner doesn't report it.
         last_number: highest number in the list of ended runs, including
             entries that can't be decoded.
-        all_ends_listed: whether the runner has listed all ended runs that
-            aren't acknowledged; it lists only so many at a time.
+        complete: whether the lists name all runs that run and all ended
+            ones that aren't acknowledged. A runner lists only so many ends
+            at a time, and an entry may be malformed.
     """
 
     clock_s: float
@@ -105,4 +106,4 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     last_number: int
-    all_ends_listed: bool = True
+    complete: bool = True
--- a/src/azurevane/_internal/peers/leader_query.py
+++ b/src/azurevane/_internal/peers/leader_query.py
@@ -12,6 +12,7 @@
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
 from azurevane._internal.platform import http_client
+from azurevane._internal.utils import json_decoding
 
 logger = logging.getLogger(__name__)
 
@@ -96,7 +97,7 @@
     Raises:
         MsgspecError: the body is malformed.
     """
-    query = msgspec.json.decode(body, type=_Question)
+    query = json_decoding.decode(body, _Question)
     return msgspec.json.encode(_Answer(leads(query.token, query.asker)))
 
 
--- a/src/azurevane/_internal/platform/advice_calls.py
+++ b/src/azurevane/_internal/platform/advice_calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+from typing import Any
 
 import msgspec
 
@@ -29,8 +30,8 @@
 
 
 class _Answer(msgspec.Struct):
-    # Pairs of runner id and ticket.
-    good: list[tuple[str, str]] = []
+    # Pairs of runner id and ticket; a malformed one allows no runner.
+    good: list[Any] = []
     valid_ms: float = msgspec.field(name="validMs", default=0.0)
 
 
@@ -68,4 +69,14 @@
         decoded = http_client.decode_response(
             response, _Answer, f"advice on {step_name}"
         )
-        return Advice(dict(decoded.good), decoded.valid_ms / 1000)
+        tickets = dict(
+            row for row in map(_decode_ticket, decoded.good) if row is not None
+        )
+        return Advice(tickets, decoded.valid_ms / 1000)
+
+
+def _decode_ticket(row: Any) -> tuple[str, str] | None:
+    try:
+        return msgspec.convert(row, tuple[str, str])
+    except msgspec.ValidationError:
+        return None
--- a/src/azurevane/_internal/platform/host_calls.py
+++ b/src/azurevane/_internal/platform/host_calls.py
@@ -3,7 +3,9 @@
 The protocol calls a host a machine and its maintenance upkeep.
 """
 
+from collections.abc import Iterator
 import enum
+import logging
 from typing import Any
 from urllib import parse
 
@@ -15,6 +17,9 @@
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import capacity as wire_capacity
 from azurevane._internal.platform import http_client
+from azurevane._internal.utils import json_decoding
+
+logger = logging.getLogger(__name__)
 
 # A response usually takes a few milliseconds; the rest is for times when
 # the platform is slow.
@@ -51,7 +56,8 @@
 
 
 class _Page(msgspec.Struct):
-    machines: list[_Machine]
+    # Decoded one by one, so that a malformed one doesn't hide the others.
+    machines: list[Any]
     next_token: str | None = msgspec.field(name="nextToken", default=None)
 
 
@@ -97,10 +103,15 @@
             page = http_client.decode_response(
                 response, _Page, "listing hosts"
             )
-            hosts.extend(_decode_host(machine) for machine in page.machines)
-            token = page.next_token
+            hosts.extend(_decode_hosts(page.machines))
+            previous, token = token, page.next_token
             if not token:
                 return tuple(hosts)
+            if token == previous:
+                raise exceptions.CallFailed(
+                    "listing hosts: a page refers to itself",
+                    verdict.Verdict.RAN,
+                )
 
     async def move_host(
         self, host: str, pool: str, *, send_before: float
@@ -162,7 +173,7 @@
         "wave": CommandOutcome.NOT_DUE,
     }
     try:
-        reason = msgspec.json.decode(body, type=dict[str, Any]).get("reason")
+        reason = json_decoding.decode(body, dict[str, Any]).get("reason")
     except msgspec.MsgspecError:
         return CommandOutcome.BUSY
     return outcome_by_reason.get(str(reason), CommandOutcome.BUSY)
@@ -176,6 +187,15 @@
 }
 
 
+def _decode_hosts(rows: list[Any]) -> Iterator[site.Host]:
+    for row in rows:
+        try:
+            yield _decode_host(msgspec.convert(row, _Machine))
+        except msgspec.ValidationError as error:
+            # Without its row a host gets no commands.
+            logger.warning("Malformed row in the list of hosts: %s", error)
+
+
 def _decode_host(machine: _Machine) -> site.Host:
     return site.Host(
         name=machine.machine,
--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -12,6 +12,7 @@
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_connections
+from azurevane._internal.utils import json_decoding
 from azurevane._internal.utils import process_lag as process_lag_module
 
 
@@ -41,7 +42,7 @@
             f"{what}: HTTP {response.status}", verdict.Verdict.NOT_RUN
         )
     try:
-        return msgspec.json.decode(response.body, type=body_type)
+        return json_decoding.decode(response.body, body_type)
     except msgspec.MsgspecError as error:
         raise exceptions.CallFailed(
             f"{what}: {error}", verdict.Verdict.RAN
--- a/src/azurevane/_internal/platform/node_settings.py
+++ b/src/azurevane/_internal/platform/node_settings.py
@@ -7,6 +7,7 @@
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
 from azurevane._internal.platform import addresses
+from azurevane._internal.utils import json_decoding
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -70,7 +71,7 @@
             field is missing.
     """
     try:
-        settings = msgspec.json.decode(path.read_bytes(), type=_Settings)
+        settings = json_decoding.decode(path.read_bytes(), _Settings)
     except (OSError, msgspec.MsgspecError) as error:
         raise exceptions.SettingsError(f"{path}: {error}") from error
     return _convert_settings(settings)
--- a/src/azurevane/_internal/platform/operator_rows.py
+++ b/src/azurevane/_internal/platform/operator_rows.py
@@ -3,18 +3,21 @@
 A route of the protocol is a queue here, and a tenant is a team.
 """
 
+import re
 from typing import Any
 
 import msgspec
 
 from azurevane._internal.models import site
 from azurevane._internal.platform import capacity as wire_capacity
+from azurevane._internal.utils import json_decoding
 
 TABLE = "op"
 STATUS_TABLE = "status"
 CONFIG_KEY = "config"
 _ZONE_PREFIX = "evacuate/"
 _WAVE_PREFIX = "wave/"
+_WAVE_NUMBER = re.compile("[0-9]{1,18}")
 
 
 class _Route(msgspec.Struct):
@@ -79,7 +82,7 @@
     Raises:
         msgspec.MsgspecError: the value can't be decoded.
     """
-    config = msgspec.json.decode(value, type=_Config)
+    config = json_decoding.decode(value, _Config)
     return site.SiteConfig(
         version=config.version,
         queue_by_name={
@@ -138,7 +141,9 @@
 def wave_number_from_key(key: str) -> int | None:
     """Return the number of the wave that a row requests, otherwise None."""
     text = key.removeprefix(_WAVE_PREFIX)
-    return int(text) if text != key and text.isdigit() else None
+    if text == key or not _WAVE_NUMBER.fullmatch(text):
+        return None
+    return int(text)
 
 
 def decode_wave(value: bytes) -> site.Wave:
@@ -147,7 +152,7 @@
     Raises:
         msgspec.MsgspecError: the value can't be decoded.
     """
-    wave = msgspec.json.decode(value, type=_Wave)
+    wave = json_decoding.decode(value, _Wave)
     return site.Wave(
         wave.wave, tuple(wave.machines), wave.duration_s, max(wave.cap, 1)
     )
--- a/src/azurevane/_internal/platform/runner_calls.py
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -1,7 +1,7 @@
 """Calls to runners: start, stop and pace tasks, poll for reports."""
 
 import dataclasses
-from typing import Any
+from typing import Any, TypeGuard
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import addresses
 from azurevane._internal.platform import http_client
+from azurevane._internal.utils import json_decoding
 
 # A runner answers within a round trip, which takes at most a few
 # milliseconds. After this time the command's outcome is unknown.
@@ -22,6 +23,11 @@
 # Ended runs that a runner lists at a time; the others follow once these are
 # acknowledged.
 MAX_LISTED_ENDS = 500
+# A longer checkpoint isn't kept, and its task starts anew without it: those of
+# all tasks of a job share the row of its state.
+MAX_CHECKPOINT_CHARS = 200
+# Numbers beyond those that JSON represents exactly are no counts.
+_MAX_NUMBER = 1 << 53
 
 _OUTCOME_BY_REASON = {
     "fence": messages.StartOutcome.FENCED,
@@ -180,7 +186,7 @@
             raise RunnerFenced(
                 f"runner {runner_id} rejected an outdated fencing token"
             )
-        if status != 200 or answer.clock_ms is None:
+        if status != 200 or not _is_time(answer.clock_ms):
             raise exceptions.CallFailed(
                 f"polling runner {runner_id}: HTTP {status}",
                 verdict.Verdict.NOT_RUN,
@@ -236,8 +242,8 @@
             # The text becomes a metric label, so it doesn't change.
             raise RunnerMismatch(f"{address} is no longer runner {runner_id}")
         try:
-            return response.status, msgspec.json.decode(
-                response.body or b"{}", type=_Answer
+            return response.status, json_decoding.decode(
+                response.body or b"{}", _Answer
             )
         except msgspec.MsgspecError as error:
             if response.status in (200, 409):
@@ -254,7 +260,7 @@
     Raises:
         msgspec.MsgspecError: the body can't be decoded.
     """
-    return _build_report(msgspec.json.decode(body, type=_Answer))
+    return _build_report(json_decoding.decode(body, _Answer))
 
 
 def _start_outcome(status: int, answer: _Answer) -> messages.StartOutcome:
@@ -270,47 +276,85 @@
 
 
 def _clock_s(answer: _Answer) -> float | None:
-    return None if answer.clock_ms is None else answer.clock_ms / 1000
+    if answer.clock_ms is None or not _is_time(answer.clock_ms):
+        return None
+    return answer.clock_ms / 1000
+
+
+def _is_time(value: float | None) -> TypeGuard[float]:
+    """Whether a value may be a time in milliseconds."""
+    return value is not None and 0 <= value <= _MAX_NUMBER
 
 
 def _build_report(answer: _Answer) -> messages.RunnerReport:
     assert answer.clock_ms is not None
     ended = [_decode_ended(row) for row in answer.finished]
     numbers = [
-        row[0] for row in answer.finished if row and isinstance(row[0], int)
+        row[0]
+        for row in answer.finished
+        if isinstance(row, list) and row and _is_number(row[0])
     ]
     running = [_decode_running(row) for row in answer.running]
     return messages.RunnerReport(
         clock_s=answer.clock_ms / 1000,
-        started_at=None if answer.born is None else answer.born / 1000,
+        started_at=answer.born / 1000 if _is_time(answer.born) else None,
         running=tuple(row for row in running if row is not None),
         ended=tuple(row for row in ended if row is not None),
         last_number=max(numbers, default=0),
-        all_ends_listed=len(answer.finished) < MAX_LISTED_ENDS,
+        # A row that can't be decoded may be that of any run.
+        complete=len(answer.finished) < MAX_LISTED_ENDS
+        and None not in running,
     )
 
 
+def _is_number(value: Any) -> bool:
+    """Whether a value may be the number of an attempt or an end."""
+    return type(value) is int and 0 <= value <= _MAX_NUMBER
+
+
 def _decode_running(row: Any) -> messages.RunningTask | None:
+    """Return the run of a row; what is malformed beside its name is left out.
+
+    The run occupies its runner in any case.
+    """
     try:
         text, attempt, checkpoint, percent = row[:4]
         task = job_models.TaskName.parse(text)
-    except (AttributeError, TypeError, ValueError):
+    except (AttributeError, LookupError, TypeError, ValueError):
         return None
-    if task is None:
+    if task is None or not _is_number(attempt):
         return None
-    load = row[4] if len(row) > 4 else 0.0
     return messages.RunningTask(
-        task, attempt, checkpoint or "", int(percent), float(load or 0)
+        task,
+        attempt,
+        _usable_checkpoint(checkpoint),
+        int(_decode_amount(percent)),
+        _decode_amount(row[4]) if len(row) > 4 else 0.0,
     )
 
 
+def _decode_amount(value: Any) -> float:
+    if isinstance(value, int | float) and abs(value) <= _MAX_NUMBER:
+        return float(value)
+    return 0.0
+
+
 def _decode_ended(row: Any) -> messages.EndedTask | None:
     try:
         number, text, attempt, reason_text, checkpoint = row
         task = job_models.TaskName.parse(text)
         reason = messages.EndReason(reason_text)
-    except (AttributeError, TypeError, ValueError):
+    except (AttributeError, LookupError, TypeError, ValueError):
         return None
-    if task is None:
+    if task is None or not _is_number(number) or not _is_number(attempt):
         return None
-    return messages.EndedTask(number, task, attempt, reason, checkpoint or "")
+    return messages.EndedTask(
+        number, task, attempt, reason, _usable_checkpoint(checkpoint)
+    )
+
+
+def _usable_checkpoint(text: Any) -> str:
+    """Return a checkpoint that a job's row has room for, otherwise empty."""
+    if not isinstance(text, str) or len(text) > MAX_CHECKPOINT_CHARS:
+        return ""
+    return text
--- a/src/azurevane/_internal/platform/runner_rows.py
+++ b/src/azurevane/_internal/platform/runner_rows.py
@@ -2,10 +2,15 @@
 
 import msgspec
 
+from azurevane import exceptions
 from azurevane._internal.models import site
+from azurevane._internal.platform import addresses
 from azurevane._internal.platform import capacity as wire_capacity
+from azurevane._internal.utils import json_decoding
 
 TABLE = "servers"
+# Times beyond this many milliseconds, about 30,000 years, are no times.
+_MAX_MS = 1e15
 
 
 class _Entry(msgspec.Struct):
@@ -31,11 +36,17 @@
         msgspec.MsgspecError: the value can't be decoded, or a field is
             missing, has the wrong type or an unknown value.
     """
-    entry = msgspec.json.decode(value, type=_Entry)
+    entry = json_decoding.decode(value, _Entry)
     if entry.state not in ("ready", "draining"):
         raise msgspec.ValidationError(f"unknown state {entry.state!r}")
     if entry.capacity.cpu <= 0 or entry.capacity.memory <= 0:
         raise msgspec.ValidationError("capacity has no cpu or no memMb")
+    try:
+        addresses.parse_address(entry.address)
+    except exceptions.SettingsError as error:
+        raise msgspec.ValidationError(str(error)) from error
+    if not 0 <= entry.clock_ms < _MAX_MS or not 0 <= entry.born < _MAX_MS:
+        raise msgspec.ValidationError("clockMs or born is out of range")
     draining = entry.state == "draining"
     remaining_s = (entry.remaining_ms or 0.0) / 1000
     return site.Runner(
--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -12,6 +12,7 @@
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_client
+from azurevane._internal.utils import json_decoding
 from azurevane._internal.utils import latency
 
 # The store usually answers within about 10 ms. A slow store takes about 50
@@ -117,7 +118,12 @@
     row_key = RowKey(row.table, row.part, row.key)
     if row.deleted or row.value is None:
         return Row(row_key, None, 0)
-    return Row(row_key, base64.b64decode(row.value), row.version)
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # Readers of the row report that it can't be decoded; the others hold.
+        value = b""
+    return Row(row_key, value, row.version)
 
 
 class StoreClient:
@@ -310,8 +316,8 @@
         self.last_response_at = self._seconds()
         if response.status in (200, 410, 412):
             try:
-                return response.status, msgspec.json.decode(
-                    response.body or b"{}", type=_Answer
+                return response.status, json_decoding.decode(
+                    response.body or b"{}", _Answer
                 )
             except msgspec.MsgspecError as error:
                 raise exceptions.CallFailed(
--- a/src/azurevane/_internal/scheduler/job_rows.py
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -8,6 +8,8 @@
 from twisted.internet import task as twisted_task
 
 from azurevane import exceptions
+from azurevane._internal.events import catalogue
+from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import job as job_models
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import records
@@ -84,25 +86,47 @@
             else:
                 jobs += self._decode_job(row)
         for job in sorted(jobs, key=lambda job: job.accepted_at):
-            self._scheduler_state.add_job(
-                job,
-                now=now,
-                unix_now=unix_now,
-                stored_state=self._stored_state_by_job.pop(job.id, None),
-            )
+            self._add_job(job, now, unix_now)
         for job_id in cancelled:
             if job_id in self._scheduler_state.job_by_id:
                 self._scheduler_state.cancel_job(job_id, now)
             else:
                 self._cancel_read_at_by_unknown_job.setdefault(job_id, now)
 
+    def _add_job(
+        self, job: job_models.Job, now: float, unix_now: float
+    ) -> None:
+        """Add a job, unless its stored state can't be read.
+
+        Its tasks may have run, so they aren't started then. The stored state
+        is kept, as the job's row may be read again.
+        """
+        try:
+            self._scheduler_state.add_job(
+                job,
+                now=now,
+                unix_now=unix_now,
+                stored_state=self._stored_state_by_job.get(job.id),
+            )
+        except (msgspec.MsgspecError, LookupError, ValueError) as error:
+            self._scheduler_state.forget_job(job.id)
+            catalogue.emit(
+                logger,
+                events.RowUnreadable(records.STATE_TABLE, job.id, repr(error)),
+            )
+            return
+        self._stored_state_by_job.pop(job.id, None)
+
     @staticmethod
     def _decode_job(row: store.Row) -> list[job_models.Job]:
         try:
-            return [records.decode_job(row.value or b"")]
+            job = records.decode_job(row.value or b"")
+            if job.task_count > job_models.MAX_TASKS_PER_JOB:
+                raise msgspec.ValidationError(f"{job.task_count} tasks")
         except msgspec.MsgspecError as error:
             table_follower.log_unreadable_row(row, error)
             return []
+        return [job]
 
     async def delete_ended_jobs(self) -> None:
         """Delete the rows of ended jobs after their retention time."""
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -319,8 +319,8 @@
     ) -> None:
         while not self.stopped:
             if self._site_tables.loaded:
-                manager.waves.set_waves(self._wave_by_number)
                 try:
+                    manager.waves.set_waves(self._wave_by_number)
                     await manager.run_planning_pass()
                 except row_writer_module.NotLeader:
                     return
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -12,6 +12,7 @@
 
 from azurevane._internal.models import host_settings
 from azurevane._internal.scheduler import recent_commands
+from azurevane._internal.utils import json_decoding
 
 # Another host takes over after this long without a renewal.
 LEADER_LEASE_S = 2.2
@@ -221,14 +222,14 @@
             seen_before = self._leader_row_version > 0
             self._leader_row_version = version
             if value is not None:
-                self._leader_row = msgspec.json.decode(value, type=_LeaderRow)
+                self._leader_row = json_decoding.decode(value, _LeaderRow)
         elif key == RENEWAL_KEY:
             if version <= self._renewal_row_version:
                 return False
             seen_before = self._renewal_row_version > 0
             self._renewal_row_version = version
             if value is not None:
-                self._renewal = msgspec.json.decode(value, type=_RenewalRow)
+                self._renewal = json_decoding.decode(value, _RenewalRow)
         self._changed_at = now
         return seen_before
 
@@ -369,4 +370,4 @@
 
     It is None if the leader hasn't read the jobs yet.
     """
-    return msgspec.json.decode(value, type=_RenewalRow).pending_by_queue
+    return json_decoding.decode(value, _RenewalRow).pending_by_queue
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -335,7 +335,7 @@
             if running is not None and running.attempt == run.attempt:
                 self._update_running(run, running, now)
                 self._stop_if_stalled(runner, run, now)
-            elif report.all_ends_listed:
+            elif report.complete:
                 self._handle_unreported_run(run, sent_at, now)
         runner.need_by_orphan.clear()
         for running in runner_state.find_orphaned_runs(runner, report):
--- a/src/azurevane/_internal/scheduler/wave_manager.py
+++ b/src/azurevane/_internal/scheduler/wave_manager.py
@@ -12,8 +12,10 @@
 from azurevane._internal.scheduler import availability
 from azurevane._internal.scheduler import host_commands
 from azurevane._internal.scheduler import host_table
+from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
+from azurevane._internal.utils import json_decoding
 
 logger = logging.getLogger(__name__)
 
@@ -68,7 +70,7 @@
 
     def restore(self, value: bytes) -> None:
         """Restore the progress from the value of a stored row."""
-        stored_value = msgspec.json.decode(value, type=_WaveRecord)
+        stored_value = json_decoding.decode(value, _WaveRecord)
         self.begun_at = stored_value.begun_at
         self.handled_hosts = set(stored_value.done)
         self.completed = stored_value.completed
@@ -113,9 +115,22 @@
             progress = WaveProgress(wave, self._leader.store_now())
             stored_value = self._stored_value_by_number.get(number)
             if stored_value:
-                progress.restore(stored_value)
+                self._restore(progress, stored_value)
             self._progress_by_number[number] = progress
 
+    @staticmethod
+    def _restore(progress: WaveProgress, stored_value: bytes) -> None:
+        try:
+            progress.restore(stored_value)
+        except msgspec.MsgspecError as error:
+            # The wave begins anew: the platform doesn't repeat the
+            # maintenance of a host in a wave.
+            key = records.wave_key(progress.wave.number)
+            catalogue.emit(
+                logger,
+                events.RowUnreadable(records.STATE_TABLE, key, str(error)),
+            )
+
     def plan_commands(self, now: float) -> list[host_commands.HostCommand]:
         """Return the maintenance to begin now, and drain the hosts to follow.
 
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -68,3 +68,27 @@
 
   Scenario: Any body is rejected or describes a job that can be stored
     Then any body is rejected, or its job can be stored and read again
+
+  Scenario: Any row is decoded or rejected
+    Then any bytes as a row of any table are decoded or rejected
+
+  Scenario: Any report of a runner gives runs and ends of the right types
+    Then any report of a runner is rejected or has values of the right types
+
+  Scenario Outline: An address that can't be connected to is rejected
+    Given the row of a runner
+    When its "address" is <value>
+    Then it is rejected
+
+    Examples:
+      | value             |
+      | "10.0.0.1"        |
+      | "10.0.0.1:0"      |
+      | "10.0.0.1:65536"  |
+      | "10.0.0.1:²"      |
+      | "10.0.0.1: 80"    |
+      | "runner.test:80"  |
+      | ":80"             |
+
+  Scenario: Malformed advice on a runner leaves that on the others
+    Then advice [["i-1", "a"], 5, ["i-2"], [3, "c"], ["i-4", "d"]] allows i-1 and i-4
--- a/tests/scheduler/malformed.feature
+++ b/tests/scheduler/malformed.feature
@@ -6,6 +6,100 @@
     Given a site with service "press" on 8 hosts and queue "fit"
     And tasks that run 0.5 s
 
+  Scenario Outline: A leader that reads an unusable row runs jobs
+    Given row "<key>" of table "<table>" has the value <value>
+    When the leader is killed
+    And 6.0 s pass
+    And job "00000000000000c1" of 10 tasks is submitted
+    And 4.0 s pass
+    Then job "00000000000000c1" is "completed"
+    And no task ran twice
+
+    Examples:
+      | table           | key              | value                      |
+      | servers         | i-strange        | \xff\xfe                   |
+      | servers         | i-strange        | {"zone": "\xff"}           |
+      | servers         | i-strange        | an entry with address ²    |
+      | azurevane-jobs  | 00000000000000c9 | {"id": "\xff"}             |
+      | azurevane-jobs  | 00000000000000c9 | a job of 1e12 tasks        |
+      | azurevane-state | wave/²           | [0, [], false]             |
+      | azurevane-state | wave/7           | [0, 5, "\xff"]             |
+      | op              | wave/²           | {}                         |
+      | op              | wave/7           | \xff                       |
+      | op              | config           | {"version": 9, "x": "\xff" |
+
+  Scenario Outline: A leader that follows a table passes over an unusable row
+    When row "<key>" of table "<table>" gets the value <value> before a job's
+    And 4.0 s pass
+    Then job "00000000000000c2" is "completed"
+
+    Examples:
+      | table           | key              | value                 |
+      | azurevane-jobs  | 00000000000000c0 | {"id": "\xff"}        |
+      | azurevane-jobs  | 00000000000000c0 | a job of 1e12 tasks   |
+
+  Scenario Outline: A job with an unreadable state doesn't keep others waiting
+    Its tasks aren't started, as they may have run.
+    Given tasks that run 30 s
+    When job "00000000000000c3" of 4 tasks is submitted
+    And 1.0 s pass
+    And the state of job "00000000000000c3" becomes <value>
+    And the leader is killed
+    And 6.0 s pass
+    And tasks run 0.5 s from now on
+    And job "00000000000000c4" of 10 tasks is submitted
+    And 4.0 s pass
+    Then job "00000000000000c4" is "completed"
+    And each task of job "00000000000000c3" started once
+
+    Examples:
+      | value                                             |
+      | \xff                                              |
+      | ["unheard", []]                                   |
+      | ["running", [[0, 0, 0, 9, 1, "i-0001", [], ""]]]  |
+      | ["running", [[0, 0, 0, 2, 1, "i-0001", [], {}]]]  |
+
+  Scenario Outline: A malformed row in a runner's lists doesn't hold its tasks
+    When job "00000000000000c5" of 20 tasks is submitted
+    And 0.2 s pass
+    And all runners list <row> as <list>
+    And 5.0 s pass
+    And the leader is killed
+    And 6.0 s pass
+    Then job "00000000000000c5" is "completed"
+    And no task ran twice
+
+    Examples:
+      | list     | row                                             |
+      | running  | ["00000000000000c5.0.0.1", 1, "", null]         |
+      | running  | ["00000000000000c5.0.0.1", 1, "", "x", "y"]     |
+      | running  | ["00000000000000c5.0.0.1", 7, {"a": 1}, 5]      |
+      | running  | 5                                               |
+      | finished | 5                                               |
+      | finished | {"0": 1}                                        |
+      | finished | ["9", "00000000000000c5.0.0.1", 1, "done", ""]  |
+      | finished | [1e30, "00000000000000c5.0.0.1", 1, "done", ""] |
+      | finished | [0, "00000000000000c5.0.0.1", 1, "failed", 5]   |
+
+  Scenario: A wave whose stored progress is unreadable completes
+    Given row "wave/1" of table "azurevane-state" has the value [0, 5, "\xff"]
+    When the leader is killed
+    And a wave of 6 hosts within 20 s with 2 down at once is requested
+    And 24.0 s pass
+    Then wave 1 is completed
+
+  Scenario Outline: A malformed row in the list of hosts hides no other
+    Given the list of hosts begins with <row>
+    When a wave of 6 hosts within 20 s with 2 down at once is requested
+    And 20.0 s pass
+    Then wave 1 is completed
+
+    Examples:
+      | row                                              |
+      | 5                                                |
+      | {"machine": 7}                                   |
+      | {"machine": "m", "pool": "press", "state": null} |
+
   Scenario: A job of as many tasks as are possible doesn't stop others
     Its state has to fit into a row, with checkpoints of any length.
     Given tasks that run 4 s
--- a/tests/scheduler/steps/malformed_steps.py
+++ b/tests/scheduler/steps/malformed_steps.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import random
+import resource
 
 from behave import given
 from behave import then
@@ -11,6 +12,7 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.scheduler import records
 
+_MAX_ADDRESS_SPACE = 2 << 30
 _HUGE_JOB = job_models.Job(
     id="00000000000000c9",
     queue="fit",
@@ -43,14 +45,23 @@
     return text.encode("latin-1").decode("unicode_escape").encode("latin-1")
 
 
+def _limit_memory(context):
+    """Let a scenario fail instead of taking the machine's memory."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_AS)
+    resource.setrlimit(resource.RLIMIT_AS, (_MAX_ADDRESS_SPACE, hard))
+    context.add_cleanup(resource.setrlimit, resource.RLIMIT_AS, (soft, hard))
+
+
 @given('row "{key}" of table "{table}" has the value {value}')
 def step_row(context, key, table, value):
+    _limit_memory(context)
     context.world.platform.store.put(table, key, _value(value))
     context.world.advance_time(1.0)
 
 
 @when('row "{key}" of table "{table}" gets the value {value} before a job\'s')
 def step_row_before_job(context, key, table, value):
+    _limit_memory(context)
     world = context.world
     leader = world.leader_name
     job_id = "00000000000000c2"
