Learn run times from the runs that end

Declared run times are off by half or more on some queues, and order, pool sizes, copies and stall detection believed them.

With "learned_run_times" in [scheduling] the leader keeps the ratio of actual to declared time of the latest 64 runs by image, or by queue, with the declared time as prior, and expects the declared time times the median. A job's objective and remaining time follow it. The row that is written when a job ends holds the ratio of each step, so that the next leader has it without a further write.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -426,6 +426,19 @@
     outcome: str
 
 
+@catalogue.event(6072)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunTimeLearned(catalogue.Event):
+    """Expected ratio of actual to declared run time changed by a tenth."""
+
+    tasks: str
+    ratio: float
+    previous_ratio: float
+    spread: float
+    tail_share: float
+    runs: int
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/runner_health.py
+++ b/src/azurevane/_internal/policy/runner_health.py
@@ -24,9 +24,13 @@
 STALL_ESTIMATE_RATIO = 0.1
 
 
-def is_stalled(unchanged_s: float, estimate_s: float) -> bool:
-    """Return whether a task without progress for this long is stalled."""
-    return unchanged_s > max(MIN_STALL_S, STALL_ESTIMATE_RATIO * estimate_s)
+def is_stalled(unchanged_s: float, expected_s: float) -> bool:
+    """Return whether a task without progress for this long is stalled.
+
+    Args:
+        expected_s: its expected run time, in seconds.
+    """
+    return unchanged_s > max(MIN_STALL_S, STALL_ESTIMATE_RATIO * expected_s)
 
 
 class RunnerHealth:
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -212,7 +212,9 @@
             return
         self._recorded_job_ids.add(job.job.id)
         work = sum(
-            step.count * step.need.cpu * step.estimate_s
+            step.count
+            * step.need.cpu
+            * self._scheduler_state.expected_run_s(job.job, step)
             for step in job.job.steps
             if not step.fills
         )
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -122,6 +122,8 @@
         self._planner = planner_module.Planner(
             self.scheduler_state, settings.bounds.runner_stop_s
         )
+        if settings.scheduling.learned_run_times:
+            self.scheduler_state.learn_run_times()
         self._copy_planner: copy_planner.CopyPlanner | None = None
         if settings.scheduling.copies:
             self._copy_planner = copy_planner.CopyPlanner(
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -53,6 +53,9 @@
 class _Record(msgspec.Struct, array_like=True):
     status: str
     tasks: list[_CopiedTask]
+    # Of an ended job, if run times are learned: ratio of actual to declared
+    # run time of each step.
+    run_ratio_by_step: list[float] = []
 
 
 class _EncodedRecord(msgspec.Struct, array_like=True):
@@ -60,6 +63,10 @@
     tasks: list[_Task]
 
 
+class _EncodedEndedRecord(_EncodedRecord, array_like=True):
+    run_ratio_by_step: list[float]
+
+
 def job_partition(job_id: str) -> str:
     """Return the partition that holds a job's submission."""
     return job_id[0].lower()
@@ -104,7 +111,12 @@
     tasks = []
     if not state.status.ended or state.runs_occupying_capacity():
         tasks = [_encode_task(run) for run in state.all_runs() if run.attempt]
-    value = msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
+    record = _EncodedRecord(state.status.value, tasks)
+    if state.run_ratio_by_step:
+        record = _EncodedEndedRecord(
+            state.status.value, tasks, state.run_ratio_by_step
+        )
+    value = msgspec.json.encode(record)
     if len(value) <= max_bytes:
         return value
     value = zlib.compress(value, _COMPRESSION_LEVEL)
@@ -112,8 +124,7 @@
         return value
     for task in tasks:
         task.checkpoint = ""
-    value = msgspec.json.encode(_EncodedRecord(state.status.value, tasks))
-    return zlib.compress(value, _COMPRESSION_LEVEL)
+    return zlib.compress(msgspec.json.encode(record), _COMPRESSION_LEVEL)
 
 
 def _decode_record(value: bytes) -> _Record:
@@ -158,6 +169,7 @@
     """
     record = _decode_record(value)
     state.status = runs_module.JobStatus(record.status)
+    state.run_ratio_by_step = record.run_ratio_by_step
     for task in record.tasks:
         run = state.find_run(
             job_models.TaskName(
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -67,7 +67,7 @@
         self._update_health(runner, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
             if current:
-                self._record_run_time(run, now)
+                self._record_run_time(run, runner, now)
             self._handle_done(run, ended.attempt, current=current, now=now)
             return
         if current:
@@ -79,11 +79,19 @@
         if ended.reason is messages.EndReason.FAILED:
             self._record_failure(run, ended.attempt, now)
 
-    @staticmethod
-    def _record_run_time(run: runs.Run, now: float) -> None:
-        """Record the run time for copies of the other tasks of the step."""
+    def _record_run_time(
+        self, run: runs.Run, runner: runner_state.RunnerState, now: float
+    ) -> None:
+        """Record the run time for other tasks of the step or the image."""
         run_s = run.whole_run_s(now)
-        if not run.step.speculative or run_s is None:
+        run_times = self._scheduler_state.run_times
+        if run_s is None or run.job.status.ended:
+            return
+        if run_times is not None:
+            counts = run_times.record_run(run, runner, run_s)
+        else:
+            counts = run.step.speculative
+        if not counts:
             return
         key = run.name.occurrence, run.name.step
         run.job.run_s_by_step.setdefault(key, []).append(
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -398,7 +398,10 @@
         if run.phase is not _Phase.RUNNING or exempt:
             return
         unchanged_s = now - run.progress_at
-        if not runner_health.is_stalled(unchanged_s, run.step.estimate_s):
+        expected_s = self._scheduler_state.expected_run_s(
+            run.job.job, run.step
+        )
+        if not runner_health.is_stalled(unchanged_s, expected_s):
             return
         run.failed_on.add(runner.id)
         self._scheduler_state.stop_run(run, "no progress", now)
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -1,6 +1,6 @@
 """State of jobs and of the runs of their tasks."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import enum
 
 from azurevane._internal.models import job as job_models
@@ -246,7 +246,10 @@
         copy_by_task: second run of each task that has two.
         speculative: whether copies of some of its tasks may run.
         run_s_by_step: runners and run times of ended tasks of the steps
-            whose tasks may be copied, by (occurrence, step index).
+            whose tasks may be copied, or all if run times are learned, by
+            (occurrence, step index).
+        run_ratio_by_step: ratio of actual to declared run time of each step
+            of an ended job, 0 where it isn't known; empty if none is.
         unfinished_by_step: number of tasks not done, by the same key.
     """
 
@@ -257,8 +260,11 @@
         now: float,
         arrived_at: float,
         objective_at: float,
+        expected_run_s: Callable[[job_models.Step], float] | None = None,
     ) -> None:
         self.job = job
+        self._expected_run_s = expected_run_s
+        self.run_ratio_by_step: list[float] = []
         self.status = JobStatus.QUEUED
         self.arrived_at = arrived_at
         self.objective_at = objective_at
@@ -301,11 +307,18 @@
                 bool(self.unfinished_by_step[0, index])
                 for index in range(len(self.job.steps))
             ]
+            run_s = None
+            if self._expected_run_s is not None:
+                run_s = [self._expected_run_s(step) for step in self.job.steps]
             self._remaining_s = job_order.critical_path_s(
-                self.job.steps, unfinished
+                self.job.steps, unfinished, run_s
             )
         return self._remaining_s
 
+    def forget_remaining_time(self) -> None:
+        """Let the remaining time be computed anew."""
+        self._remaining_s = None
+
     def record_task_done(self, key: tuple[int, int]) -> None:
         """Count a task of an (occurrence, step index) as done."""
         self.unfinished_by_step[key] -= 1
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import functools
 import logging
 import operator
 
@@ -13,6 +14,7 @@
 from azurevane._internal.policy import job_order
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import records
+from azurevane._internal.scheduler import run_time_learner
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 
@@ -48,6 +50,7 @@
             the previous leader published.
         restart_lease_by_runner: until when a runner may hold a lease that it
             got before its restart was known to a previous leader.
+        run_times: learned run times, or None if the declared ones are used.
         restart_noticed: whether a restart was noticed that the renewal row
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
@@ -78,6 +81,7 @@
         self.published_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
+        self.run_times: run_time_learner.RunTimeLearner | None = None
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed_job_by_id: dict[str, runs.JobState] = {}
@@ -193,12 +197,15 @@
             job,
             now=now,
             arrived_at=arrived_at,
-            objective_at=arrived_at + job.objective_s,
+            objective_at=arrived_at + self._objective_s(job),
+            expected_run_s=functools.partial(self.expected_run_s, job),
         )
         self.job_by_id[job.id] = state
         state.beyond_share = self._count_against_share(job, arrived_at)
         if stored_state is not None:
             records.restore_state(state, stored_state)
+            if self.run_times is not None:
+                self.run_times.restore_job(job, state.run_ratio_by_step)
         if state.status.ended:
             # The end time isn't stored, so the retention of the job's rows
             # starts again now.
@@ -223,6 +230,20 @@
             ),
         )
 
+    def _objective_s(self, job: job_models.Job) -> float:
+        """Return the time in which a job should end, in seconds.
+
+        It depends on the job's actual work, which the host that accepted the
+        job knew only as declared.
+        """
+        queue = None
+        if self.config is not None:
+            queue = self.config.queue_by_name.get(job.queue)
+        if self.run_times is None or queue is None:
+            return job.objective_s
+        run_s = [self.expected_run_s(job, step) for step in job.steps]
+        return job_order.objective_s(queue, job.steps, run_s)
+
     def _count_against_share(
         self, job: job_models.Job, arrived_at: float
     ) -> bool:
@@ -266,7 +287,19 @@
 
         The time is that of a whole run on a sound runner near its data.
         """
-        return step.estimate_s
+        if self.run_times is None:
+            return step.estimate_s
+        return self.run_times.expected_run_s(job, step)
+
+    def learn_run_times(self) -> None:
+        """Learn run times from ended runs instead of the declared ones."""
+        self.run_times = run_time_learner.RunTimeLearner(
+            self._forget_remaining_times
+        )
+
+    def _forget_remaining_times(self) -> None:
+        for job in self.live_job_by_id.values():
+            job.forget_remaining_time()
 
     def forget_job(self, job_id: str) -> None:
         """Remove a job whose rows were deleted."""
@@ -290,6 +323,10 @@
         """Set a job's final status and stop its remaining runs."""
         state.status = status
         state.ended_at = now
+        if self.run_times is not None:
+            ratios = run_time_learner.ratio_by_step(state)
+            state.run_ratio_by_step = ratios
+        state.run_s_by_step.clear()
         self.mark_job_changed(state)
         catalogue.emit(
             logger,
