Learn the speeds of runners and place tasks by them

Runners were alike to the planner unless they failed or stood still: one at a sixth of the speed got as much work as a sound one.

With "learned_run_times" the leader compares what runs and ends on a runner with the expected run times: the median over the steps of the last 10 s. Beyond 1.5 times the usual time a runner gets only tasks of jobs that still end in time there, beyond 3 none, unless most of its pool is as slow; after 10 s without tasks it is tried again. One runner counts for at most eight of the 64 runs that an expected run time is based on.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -439,6 +439,17 @@
     runs: int
 
 
+@catalogue.event(6073)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerSpeedChanged(catalogue.Event):
+    """Runner turned so slow that it gets no tasks, or no longer is."""
+
+    runner: str
+    slowness: float
+    very_slow: bool
+    steps: int
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/copies.py
+++ b/src/azurevane/_internal/policy/copies.py
@@ -12,6 +12,8 @@
 import enum
 import statistics
 
+from azurevane._internal.policy import run_progress
+
 # Known run times of other tasks of the step that count for more than the
 # expected run time. Two suffice, since tasks of a step differ by less than
 # SLOW_RATIO.
@@ -26,57 +28,10 @@
 MIN_GAIN_RATIO = 0.25
 # Time between the decision and the beginning of a run, in seconds.
 START_DELAY_S = 0.1
-# A run's rate of progress is known after this long, in seconds. Progress is
-# in hundredths, and runs are slower in their first moments.
-MIN_OBSERVED_S = 0.2
-# The same for a run that was first seen under way: it may have been
-# restoring its checkpoint.
-MIN_OBSERVED_RESUMED_S = 1.0
 # Copies of one run after which no further one is started.
 MAX_COPIES = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunProgress:
-    """What is known of a run; times are monotonic seconds.
-
-    Attributes:
-        observed_from: since when its progress is known.
-        first_percent: progress at that time.
-        progress_at: when the last change of its progress was reported.
-        percent: progress then.
-    """
-
-    runner_id: str
-    observed_from: float
-    first_percent: int
-    progress_at: float
-    percent: int
-
-    @property
-    def rate(self) -> float | None:
-        """Highest progress in a second that the reports allow, or None."""
-        observed_s = self.progress_at - self.observed_from
-        resumed = self.first_percent > 0
-        if observed_s < (
-            MIN_OBSERVED_RESUMED_S if resumed else MIN_OBSERVED_S
-        ):
-            return None
-        return (self.percent + 1 - self.first_percent) / 100 / observed_s
-
-    def foretold_end(self) -> float | None:
-        """Return when the run ends if it goes on at its rate, or None."""
-        rate = self.rate
-        if rate is None:
-            return None
-        return self.progress_at + (100 - self.percent) / 100 / rate
-
-    def foretold_run_s(self) -> float | None:
-        """Return the time that a whole run takes at its rate, or None."""
-        rate = self.rate
-        return None if rate is None else 1 / rate
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TypicalRun:
     """Run time of a task elsewhere, and beyond which multiple one is slow."""
@@ -135,7 +90,10 @@
 
 
 def decide_copy(
-    run: RunProgress, typical: TypicalRun, last_useful_at: float, now: float
+    run: run_progress.RunProgress,
+    typical: TypicalRun,
+    last_useful_at: float,
+    now: float,
 ) -> CopyDecision | None:
     """Return the copy that a run should get, or None.
 
--- a/src/azurevane/_internal/policy/run_times.py
+++ b/src/azurevane/_internal/policy/run_times.py
@@ -4,7 +4,8 @@
 tasks of the same image behave alike. What is learned is the ratio of actual
 to declared time, so that tasks of different sizes count together. It is
 robust against runs in the tail, on slow runners or observed late, as long as
-these are under half of the runs. A window forgets what no longer holds.
+these are under half of the runs, and no runner gives more than an eighth of
+them. A window forgets what no longer holds.
 """
 
 import bisect
@@ -15,6 +16,8 @@
 # Latest runs of an image that count. The median of 20 runs whose times
 # differ by half is within a quarter of the true one.
 WINDOW_RUNS = 64
+# Runs of one runner that count at once, as it may be slow.
+MAX_RUNS_PER_RUNNER = 8
 # Images and queues of which run times are kept; those without a run for the
 # longest time are forgotten first.
 MAX_KEYS = 256
@@ -49,21 +52,36 @@
 class _Window:
     """Ratios of the latest runs, by age and sorted."""
 
-    __slots__ = ("_by_age", "_estimate", "_sorted")
+    __slots__ = ("_by_age", "_count_by_runner", "_estimate", "_sorted")
 
     def __init__(self) -> None:
-        self._by_age: collections.deque[float] = collections.deque()
+        self._by_age: collections.deque[tuple[str, float]] = (
+            collections.deque()
+        )
+        self._count_by_runner: collections.Counter[str] = collections.Counter()
         self._sorted: list[float] = []
         self._estimate: RunTimeEstimate | None = None
 
-    def add(self, ratio: float) -> None:
-        if len(self._by_age) == WINDOW_RUNS:
-            oldest = self._by_age.popleft()
-            del self._sorted[bisect.bisect_left(self._sorted, oldest)]
-        self._by_age.append(ratio)
+    def add(self, runner_id: str, ratio: float) -> None:
+        if self._count_by_runner[runner_id] == MAX_RUNS_PER_RUNNER:
+            self._remove(
+                next(run for run in self._by_age if run[0] == runner_id)
+            )
+        elif len(self._by_age) == WINDOW_RUNS:
+            self._remove(self._by_age[0])
+        self._by_age.append((runner_id, ratio))
+        self._count_by_runner[runner_id] += 1
         bisect.insort(self._sorted, ratio)
         self._estimate = None
 
+    def _remove(self, run: tuple[str, float]) -> None:
+        runner_id, ratio = run
+        self._by_age.remove(run)
+        del self._sorted[bisect.bisect_left(self._sorted, ratio)]
+        self._count_by_runner[runner_id] -= 1
+        if not self._count_by_runner[runner_id]:
+            del self._count_by_runner[runner_id]
+
     def estimate(self) -> RunTimeEstimate:
         if self._estimate is None:
             self._estimate = self._compute()
@@ -89,14 +107,17 @@
     def __init__(self) -> None:
         self._window_by_key: dict[str, _Window] = {}
 
-    def record(self, key: str, declared_s: float, run_s: float) -> None:
-        """Count a run that ended after its whole work on a sound runner."""
+    def record(
+        self, key: str, runner_id: str, declared_s: float, run_s: float
+    ) -> None:
+        """Count a run that ended after its whole work."""
         if not declared_s:
             return
         # The keys are kept in the order of their latest run.
         window = self._window_by_key.pop(key, None) or _Window()
         self._window_by_key[key] = window
-        window.add(min(max(run_s / declared_s, MIN_RATIO), MAX_RATIO))
+        ratio = min(max(run_s / declared_s, MIN_RATIO), MAX_RATIO)
+        window.add(runner_id, ratio)
         if len(self._window_by_key) > MAX_KEYS:
             del self._window_by_key[next(iter(self._window_by_key))]
 
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -2,7 +2,8 @@
 
 Designed for bursts of many short tasks beside a few long-running ones.
 Short tasks are packed onto few runners, so that the hosts of the other
-runners can leave the pool. Long-running tasks are spread over runners and
+runners can leave the pool, but not onto slow ones, unless the job still ends
+in time there. Long-running tasks are spread over runners and
 racks.
 """
 
@@ -11,16 +12,22 @@
 import math
 
 from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import runner_speeds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerCapacity:
-    """Free capacity of a runner that may start tasks."""
+    """Free capacity of a runner that may start tasks.
+
+    Attributes:
+        slowness: multiple of the usual time that tasks take there.
+    """
 
     runner_id: str
     rack: str
     labels: frozenset[str]
     free: job_models.Capacity
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +45,8 @@
         avoided_runners_by_index: by task index, IDs of runners on which
             the task isn't started while the step has any other candidate,
             even a full one. The caller drops them after some time.
+        bearable_slowness: slowness of a runner with which the job still
+            meets its objective.
     """
 
     job_id: str
@@ -51,6 +60,7 @@
     avoided_runners_by_index: dict[int, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
+    bearable_slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -284,7 +294,7 @@
                 )
             else:
                 remote = bool(step.data_rack) and runner.rack != step.data_rack
-                rank = (remote, balance.cpu)
+                rank = (remote, _slowness(runner, request), balance.cpu)
             if best is None or rank < best_rank:
                 best, best_rank = balance, rank
         if best is None and avoided:
@@ -300,6 +310,12 @@
     return placements
 
 
+def _slowness(runner: RunnerCapacity, request: StepRequest) -> float:
+    """Return the slowness of a runner that matters to a request's job."""
+    bearable = max(request.bearable_slowness, runner_speeds.SLOW)
+    return runner.slowness if runner.slowness > bearable else 1.0
+
+
 def _count_by_rack(
     candidates: list[_RunnerBalance], count_by_runner: dict[str, int]
 ) -> dict[str, int]:
--- a/src/azurevane/_internal/scheduler/copy_planner.py
+++ b/src/azurevane/_internal/scheduler/copy_planner.py
@@ -78,7 +78,7 @@
                 continue
             expected_s = self._scheduler_state.expected_run_s(job.job, step)
             progress_by_task = {
-                run.name: _progress(run)
+                run.name: run.progress()
                 for run in step_runs
                 if run.phase is runs.Phase.RUNNING and run.acknowledged_at
             }
@@ -153,7 +153,10 @@
         for candidates in racks:
             placements = task_placement.place_tasks(
                 [request],
-                [planner_module.capacity_of(runner) for runner in candidates],
+                [
+                    planner_module.capacity_of(runner, now)
+                    for runner in candidates
+                ],
                 free_by_team,
                 1,
             )
@@ -218,20 +221,6 @@
     )
 
 
-def _progress(run: runs.Run) -> copies.RunProgress:
-    observed_from, first_percent = run.measured_from or (
-        run.acknowledged_at,
-        0,
-    )
-    return copies.RunProgress(
-        run.runner_id,
-        observed_from,
-        first_percent,
-        run.progress_at or observed_from,
-        run.percent,
-    )
-
-
 def _last_useful_at(job: runs.JobState, occurrence: int) -> float:
     """Return after which time the end of an occurrence is of no use."""
     due_s = max(job.job.due_at(occurrence) - job.job.accepted_at, 0.0)
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -7,6 +7,7 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.policy import job_order
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import runner_state
@@ -110,7 +111,7 @@
         """Start runs of one service; return how many."""
         if not runners:
             return 0
-        capacities = [capacity_of(runner) for runner in runners]
+        capacities = [capacity_of(runner, now) for runner in runners]
         placements = task_placement.place_tasks(
             self._step_requests(jobs, capacities, now, unix_now),
             capacities,
@@ -151,6 +152,7 @@
                 runner
                 for runner in usable
                 if now >= runner.health.paused_until
+                and runner.speed.slowness(now) <= runner_speeds.VERY_SLOW
             ]
             if 2 * len(healthy) >= len(usable):
                 # Otherwise most runners are unhealthy, so the jobs rather
@@ -225,6 +227,7 @@
             waiting_indexes=waiting,
             task_count_by_runner=count_by_runner,
             allowed_runners=allowed,
+            bearable_slowness=job.bearable_slowness(now),
             avoided_runners_by_index={
                 index: frozenset(step_runs[index].failed_on)
                 for index in waiting
@@ -252,6 +255,7 @@
                 job, key
             ),
             allowed_runners=allowed,
+            bearable_slowness=job.bearable_slowness(now),
         )
 
     def _allowed_runners(
@@ -336,7 +340,7 @@
 
 
 def capacity_of(
-    runner: runner_state.RunnerState,
+    runner: runner_state.RunnerState, now: float
 ) -> task_placement.RunnerCapacity:
     """Return a runner as the placement of tasks sees it."""
     return task_placement.RunnerCapacity(
@@ -344,6 +348,7 @@
         runner.entry.rack,
         runner.entry.labels,
         runner.free_capacity(),
+        runner.speed.slowness(now),
     )
 
 
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -88,7 +88,7 @@
         if run_s is None or run.job.status.ended:
             return
         if run_times is not None:
-            counts = run_times.record_run(run, runner, run_s)
+            counts = run_times.record_run(run, runner, run_s, now)
         else:
             counts = run.step.speculative
         if not counts:
--- a/src/azurevane/_internal/scheduler/run_time_learner.py
+++ b/src/azurevane/_internal/scheduler/run_time_learner.py
@@ -12,11 +12,17 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import run_times
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 
 logger = logging.getLogger(__name__)
 
+# Runs of an image or a queue after which its run times show how fast a runner
+# is.
+MIN_RUNS = 8
+# Interval at which the progress of a runner's tasks is counted, in seconds.
+OBSERVATION_INTERVAL_S = 0.5
 # Change of a ratio after which the remaining times of jobs are computed anew.
 # Smaller ones hardly change an order.
 MIN_CHANGE_RATIO = 0.1
@@ -49,38 +55,87 @@
         return self._table.estimate(_key(job, step))
 
     def record_run(
-        self, run: runs.Run, runner: runner_state.RunnerState, run_s: float
+        self,
+        run: runs.Run,
+        runner: runner_state.RunnerState,
+        run_s: float,
+        now: float,
     ) -> bool:
         """Count a run that ended after its whole work.
 
         Returns:
-            Whether it counts. Gangs wait for their members, and tasks far
-            from their data or of reduced speed take longer.
+            Whether it counts.
         """
         step = run.step
-        remote = step.data_rack and step.data_rack != runner.entry.rack
-        if remote or step.gang or step.long_running or run.pace < 100:
+        if not _is_comparable(run, runner):
             return False
-        self._record(run.job.job, step, step.estimate_s, run_s)
+        self._record_slowness(run, runner, run_s, now)
+        self._record(run.job.job, step, runner.id, step.estimate_s, run_s)
         return True
 
+    def observe_runner(
+        self, runner: runner_state.RunnerState, now: float
+    ) -> None:
+        """Count the progress of a runner's tasks for its speed."""
+        if now - runner.speed_observed_at < OBSERVATION_INTERVAL_S:
+            return
+        runner.speed_observed_at = now
+        for run in runner.run_by_task.values():
+            if (
+                run.phase is not runs.Phase.RUNNING
+                or not run.acknowledged_at
+                or not _is_comparable(run, runner)
+            ):
+                continue
+            foretold_s = run.progress().foretold_run_s()
+            if foretold_s is not None:
+                self._record_slowness(run, runner, foretold_s, now)
+
+    def _record_slowness(
+        self,
+        run: runs.Run,
+        runner: runner_state.RunnerState,
+        run_s: float,
+        now: float,
+    ) -> None:
+        job = run.job.job
+        expected_s = self.expected_run_s(job, run.step)
+        if not expected_s or self.estimate(job, run.step).runs < MIN_RUNS:
+            return
+        was_very_slow = runner.speed.slowness(now) > runner_speeds.VERY_SLOW
+        step = run.name.job_id, run.name.occurrence, run.name.step
+        runner.speed.record(step, run.name.index, run_s / expected_s, now)
+        slowness = runner.speed.slowness(now)
+        if (slowness > runner_speeds.VERY_SLOW) != was_very_slow:
+            catalogue.emit(
+                logger,
+                events.RunnerSpeedChanged(
+                    runner.id,
+                    round(slowness, 2),
+                    not was_very_slow,
+                    runner.speed.observed_steps(),
+                ),
+            )
+
     def restore_job(
         self, job: job_models.Job, ratio_by_step: Sequence[float]
     ) -> None:
         """Count the runs of an ended job of which a row tells."""
         for step, ratio in zip(job.steps, ratio_by_step, strict=False):
             if ratio:
-                self._record(job, step, 1.0, ratio)
+                # The runners aren't known; each job had several.
+                self._record(job, step, job.id, 1.0, ratio)
 
     def _record(
         self,
         job: job_models.Job,
         step: job_models.Step,
+        runner_id: str,
         declared_s: float,
         run_s: float,
     ) -> None:
         key = _key(job, step)
-        self._table.record(key, declared_s, run_s)
+        self._table.record(key, runner_id, declared_s, run_s)
         estimate = self._table.estimate(key)
         ratio = estimate.median
         used = self._ratio_by_key.get(key, 1.0)
@@ -102,6 +157,18 @@
             self._on_changed()
 
 
+def _is_comparable(run: runs.Run, runner: runner_state.RunnerState) -> bool:
+    """Whether a run takes as long as others of its step do elsewhere.
+
+    Gangs wait for their members, and tasks far from their data or of reduced
+    speed take longer.
+    """
+    step = run.step
+    remote = step.data_rack and step.data_rack != runner.entry.rack
+    exempt = step.gang or step.long_running or step.fills
+    return not (remote or exempt or run.pace < 100)
+
+
 def _key(job: job_models.Job, step: job_models.Step) -> str:
     return f"image {step.image}" if step.image else f"queue {job.queue}"
 
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -337,6 +337,8 @@
                 self._stop_if_stalled(runner, run, now)
             elif report.complete:
                 self._handle_unreported_run(run, sent_at, now)
+        if self._scheduler_state.run_times is not None:
+            self._scheduler_state.run_times.observe_runner(runner, now)
         runner.need_by_orphan.clear()
         for running in runner_state.find_orphaned_runs(runner, report):
             self._stop_orphaned_run(runner, running)
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -7,6 +7,7 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
 from azurevane._internal.policy import runner_health
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.scheduler import runs as runs_module
 
 # Length of the lease that covers all runs on a runner. A shorter lease
@@ -77,6 +78,8 @@
             that aren't assigned to it, by (task, attempt).
         not_before: earliest time of the next start.
         health: record of failures and stalls of the runner's tasks.
+        speed: how slowly its tasks run, if run times are learned.
+        speed_observed_at: when the progress of its runs was last counted.
         last_contact_at: when the runner last responded.
         unreachable: whether the last call to the runner failed.
         expiry_published: whether the next leader may rely on the published
@@ -106,6 +109,8 @@
         ] = {}
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
+        self.speed = runner_speeds.RunnerSpeed()
+        self.speed_observed_at = 0.0
         self.last_contact_at = now
         self.unreachable = False
         self.expiry_published = False
@@ -310,6 +315,7 @@
         self.keep_lease_until(now + longest_lease_s(self._lease_max_s))
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
+        self.speed = runner_speeds.RunnerSpeed()
         self.unreachable = False
         self.drain_deadline = None
 
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -5,6 +5,7 @@
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import job_order
+from azurevane._internal.policy import run_progress
 
 
 class Phase(enum.IntEnum):
@@ -215,6 +216,20 @@
             return None
         return now - self.acknowledged_at
 
+    def progress(self) -> run_progress.RunProgress:
+        """Return what is known of the progress of a run that has begun."""
+        observed_from, first_percent = self.measured_from or (
+            self.acknowledged_at,
+            0,
+        )
+        return run_progress.RunProgress(
+            self.runner_id,
+            observed_from,
+            first_percent,
+            self.progress_at or observed_from,
+            self.percent,
+        )
+
     def record_progress(self, percent: int, now: float) -> None:
         """Record the progress that the runner reports.
 
@@ -315,6 +330,12 @@
             )
         return self._remaining_s
 
+    def bearable_slowness(self, now: float) -> float:
+        """Return with which slowness of a runner the job ends in time."""
+        margin = 1 + job_order.ESTIMATE_MARGIN_RATIO
+        remaining_s = margin * self.remaining_s
+        return (self.objective_at - now) / remaining_s if remaining_s else 1.0
+
     def forget_remaining_time(self) -> None:
         """Let the remaining time be computed anew."""
         self._remaining_s = None
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -61,6 +61,7 @@
             answer.
         response_delay_s: responses to commands arrive this much later, also
             after a crash.
+        slowness: multiple of the planned time that tasks take.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
         crashed: whether the process has ended.
     """
@@ -117,6 +118,7 @@
         self.unreachable_from: set[str] = set()
         self.command_delay_s = 0.0
         self.response_delay_s = 0.0
+        self.slowness = 1.0
         self.fails_all_tasks = False
         self._stalled_since: float | None = None
         self.reject_status: int | None = None
@@ -201,7 +203,7 @@
             name,
             attempt,
             body.get("checkpoint", ""),
-            now + plan.run_s,
+            now + plan.run_s * self.slowness,
             now,
             plan.need,
             plan.outcome,
@@ -209,7 +211,10 @@
         self.task_by_name[name] = task
         if self._stalled_since is None:
             task.timer = self._reactor.callLater(
-                plan.run_s, self._end_task, task, plan.outcome
+                plan.run_s * self.slowness,
+                self._end_task,
+                task,
+                plan.outcome,
             )
         self._record("start", self.id, name, attempt)
         self._extend_leases(body["expiresMs"])
--- a/tests/policy/steps/copies_steps.py
+++ b/tests/policy/steps/copies_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 
 from azurevane._internal.policy import copies
+from azurevane._internal.policy import run_progress
 
 NOW = 1000.0
 # Load model: time between two looks at the running tasks, and between two
@@ -15,7 +16,9 @@
 
 
 def _progress(ran_s, percent, *, resumed_at=0, runner="a"):
-    return copies.RunProgress(runner, NOW - ran_s, resumed_at, NOW, percent)
+    return run_progress.RunProgress(
+        runner, NOW - ran_s, resumed_at, NOW, percent
+    )
 
 
 @given(
@@ -30,7 +33,7 @@
 @given("a run that has run {ran:g} s and has reported no progress")
 def step_silent_run(context, ran):
     step_run(context, ran, 0)
-    context.run = copies.RunProgress("a", NOW - ran, 0, NOW - ran, 0)
+    context.run = run_progress.RunProgress("a", NOW - ran, 0, NOW - ran, 0)
 
 
 @given(
@@ -128,7 +131,7 @@
     def _progress(self, index, now):
         reported_at = now - now % REPORT_S
         percent = int(100 * reported_at / self.whole_s[index])
-        return copies.RunProgress(
+        return run_progress.RunProgress(
             f"runner {index}", 0.0, 0, reported_at, percent
         )
 
--- a/tests/policy/steps/run_time_steps.py
+++ b/tests/policy/steps/run_time_steps.py
@@ -23,11 +23,16 @@
     return context.run_time_table
 
 
-def _record(context, ratio):
+def _record(context, ratio, runner=""):
     table = _table(context)
     declared_s = context.rng.uniform(0.2, 5.0)
     spread = context.rng.lognormvariate(0.0, SPREAD)
-    table.record(KEY, declared_s, declared_s * ratio * spread)
+    table.record(
+        KEY,
+        runner or f"runner {context.rng.randrange(10)}",
+        declared_s,
+        declared_s * ratio * spread,
+    )
 
 
 @when("{count:d} runs take about {ratio:g} times the declared time")
@@ -50,10 +55,16 @@
         _record(context, context.ratio * own_factor)
 
 
+@when("{count:d} runs on one runner take {slowness:g} times as long")
+def step_slow_runner(context, count, slowness):
+    for _ in range(count):
+        _record(context, context.ratio * slowness, "slow runner")
+
+
 @when("each of {count:d} images ends one run")
 def step_images(context, count):
     for number in range(count):
-        _table(context).record(f"image {number}", 1.0, 2.0)
+        _table(context).record(f"image {number}", "i-1", 1.0, 2.0)
 
 
 @then("the expected ratio is {ratio:g} after {runs:d} runs")
@@ -166,7 +177,9 @@
     context.learned_s = _work_in_time(
         context,
         lambda job: job.declared_s * table.estimate(job.queue).median,
-        lambda job: table.record(job.queue, job.declared_s, job.run_s),
+        lambda job: table.record(
+            job.queue, str(id(job)), job.declared_s, job.run_s
+        ),
     )
     declared_s = _work_in_time(
         context, lambda job: job.declared_s, lambda job: None
--- a/tests/scheduler/run_times.feature
+++ b/tests/scheduler/run_times.feature
@@ -42,3 +42,28 @@
     When 4 jobs of 8 tasks declared at 0.5 s run to their end
     Then tasks declared at 0.5 s are expected to run between 0.5 and 0.5 s
     And the rows of ended jobs hold their status only
+
+  Scenario: A runner at a sixth of the speed gets few tasks
+    Given tasks that run 0.5 s
+    And 1 runner works at a sixth of the speed
+    When 80 jobs of 8 tasks declared at 0.5 s are submitted over 8.0 s
+    Then only that runner is very slow
+    When 4.0 s pass
+    Then all of these jobs are "completed"
+    And the slow runner got under 0.15 of the starts
+
+  Scenario: A runner that is no longer slow gets tasks again
+    Given tasks that run 0.5 s
+    And 1 runner works at a sixth of the speed
+    When 60 jobs of 8 tasks declared at 0.5 s are submitted over 6.0 s
+    And the slow runner works at full speed again
+    And 14.0 s pass
+    And 60 jobs of 8 tasks declared at 0.5 s are submitted over 6.0 s
+    Then the slow runner got a task in the last 6.0 s
+
+  Scenario: When all runners are slow none of them is left out
+    Given tasks that run 0.5 s
+    And all runners work at a sixth of the speed
+    When 20 jobs of 8 tasks declared at 0.5 s are submitted over 8.0 s
+    And 12.0 s pass
+    Then all of these jobs are "completed"
--- a/tests/scheduler/steps/run_time_steps.py
+++ b/tests/scheduler/steps/run_time_steps.py
@@ -6,6 +6,7 @@
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import scheduling_settings
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import runs
 from support import site_world
@@ -162,3 +163,85 @@
             records.STATE_TABLE, records.LEADER_PARTITION, job_id
         )
         assert value == b'["completed",[]]', value
+
+
+def _runners(context):
+    return list(context.world.platform.runner_by_address.values())
+
+
+@given("1 runner works at a sixth of the speed")
+def step_slow_runner(context):
+    context.slow_runner = _runners(context)[0]
+    context.slow_runner.slowness = 6.0
+
+
+@given("all runners work at a sixth of the speed")
+def step_all_slow(context):
+    for runner in _runners(context):
+        runner.slowness = 6.0
+
+
+@when("the slow runner works at full speed again")
+def step_sound_again(context):
+    context.slow_runner.slowness = 1.0
+
+
+@when(
+    "{count:d} jobs of {tasks:d} tasks declared at {declared:g} s are"
+    " submitted over {seconds:g} s"
+)
+def step_stream(context, count, tasks, declared, seconds):
+    phase = {
+        "count": tasks,
+        "cpu": 1000,
+        "memMb": 500,
+        "estimateMs": round(declared * 1000),
+    }
+    if "stream_ids" not in context:
+        context.stream_ids = []
+    first = len(context.stream_ids)
+    for number in range(first, first + count):
+        job_id = f"{number + 0xF000:016x}"
+        context.stream_ids.append(job_id)
+        response = context.world.submit_job(context.queue, job_id, [phase])
+        assert response.status == 200, response
+        context.world.advance_time(seconds / count)
+
+
+@then('all of these jobs are "{state}"')
+def step_stream_state(context, state):
+    states = {
+        context.world.job_state(context.queue, job_id)
+        for job_id in context.stream_ids
+    }
+    assert states == {state}, states
+
+
+@then("the slow runner got under {share:g} of the starts")
+def step_slow_share(context, share):
+    starts = context.world.task_starts()
+    there = sum(entry[2] == context.slow_runner.id for entry in starts)
+    assert 0 < there < share * len(starts), (there, len(starts))
+
+
+@then("only that runner is very slow")
+def step_logged(context):
+    state = _leader_state(context)
+    slow = [
+        runner.id
+        for runner in state.runner_by_id.values()
+        if runner.speed.slowness(context.world.clock.seconds())
+        > runner_speeds.VERY_SLOW
+    ]
+    assert slow == [context.slow_runner.id], slow
+
+
+@then("the slow runner got a task in the last {seconds:g} s")
+def step_used_again(context, seconds):
+    since = context.world.clock.seconds() - seconds
+    starts = [
+        entry
+        for entry in context.world.task_starts()
+        if entry[2] == context.slow_runner.id and entry[0] >= since
+    ]
+    assert starts, "no start"
