Keep the leader's renewal row within the size that the store accepts

A trial with 3,000 runners and 44 hosts showed why: more than a thousand idle hosts were commanded at once, each is announced in the renewal row, the store rejected the row (HTTP 400) and every leader in turn gave up. The platform would have rejected most of the commands anyway. Expiry times and leases of restarted runners in the same row were as unbounded.

Change: commands are limited to the platform's rate and to a share of the row, the others are planned anew. Expiry times are told for as many runners as fit, the earliest first; of the others the next leader assumes the latest lease, as of any runner that isn't named. Too many leases of restarted runners are told as one time for all. The list of hosts is read for at most a tenth of the time.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -12,6 +12,7 @@
 from azurevane._internal.models import site
 from azurevane._internal.platform import host_calls
 from azurevane._internal.scheduler import background
+from azurevane._internal.scheduler import host_command_limit
 from azurevane._internal.scheduler import host_commands
 from azurevane._internal.scheduler import host_table
 from azurevane._internal.scheduler import move_manager
@@ -27,6 +28,9 @@
 HOST_PLANNING_INTERVAL_S = 0.25
 # The platform's list of hosts is read again after this time.
 HOST_LIST_INTERVAL_S = 0.5
+# Reading the list takes at most this share of the time, so that the list of a
+# large fleet leaves room on the link for runners and the store.
+HOST_LIST_TIME_SHARE = 0.1
 # A host gets no other command for this long after one wasn't accepted.
 COMMAND_RETRY_PAUSE_S = 1.0
 
@@ -62,6 +66,7 @@
         maintenance_s: how long the maintenance of a host takes.
         known_commands: recent commands of previous leaders; those of this
             one are added for later leaders.
+        command_limit: bounds the commands that are sent.
     """
 
     def __init__(
@@ -72,13 +77,15 @@
         move_s: float,
         maintenance_s: float,
         known_commands: recent_commands.RecentCommands,
+        command_limit: host_command_limit.HostCommandLimit,
     ) -> None:
         self._leader = leader
         self._calls = calls
         self._move_s = move_s
         self._maintenance_s = maintenance_s
         self.recent_commands = known_commands
-        self._listed_at = float("-inf")
+        self._command_limit = command_limit
+        self._list_due_at = float("-inf")
         self._table = host_table.HostTable(
             leader.scheduler_state, leader.runner_events
         )
@@ -98,14 +105,19 @@
         The commands are sent only after they are stored with a renewal, for
         later leaders.
         """
-        if self._leader.now() - self._listed_at >= HOST_LIST_INTERVAL_S:
+        asked_at = self._leader.now()
+        if asked_at >= self._list_due_at:
             try:
                 hosts = await self._calls.list_hosts()
             except exceptions.CallFailed as failure:
                 logger.info("Reading the list of hosts failed: %s", failure)
                 return
-            self._listed_at = self._leader.now()
-            self._table.update_hosts(hosts, self._listed_at)
+            listed_at = self._leader.now()
+            took_s = listed_at - asked_at
+            self._list_due_at = listed_at + max(
+                HOST_LIST_INTERVAL_S, took_s / HOST_LIST_TIME_SHARE
+            )
+            self._table.update_hosts(hosts, listed_at)
         if (
             not self._leader.may_send_commands()
             or not self._table.host_by_name
@@ -113,7 +125,13 @@
             return
         now = self._leader.now()
         self._table.update_idle_runners(now)
-        commands = self._plan_commands(now)
+        planned = self._plan_commands(now)
+        self.recent_commands.unexpired(self._leader.store_clock.earliest(now))
+        commands = self._command_limit.admit(
+            planned, self.recent_commands.announced_bytes(), now
+        )
+        # The others are planned anew.
+        self._release_hosts(planned[len(commands) :])
         self._leader.request_planning()
         if not commands:
             return
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -23,6 +23,7 @@
 from azurevane._internal.scheduler import command_sender
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import copy_planner
+from azurevane._internal.scheduler import host_command_limit
 from azurevane._internal.scheduler import host_manager
 from azurevane._internal.scheduler import job_rows
 from azurevane._internal.scheduler import leadership
@@ -114,7 +115,10 @@
             lease_max_s=settings.bounds.runner_lease_max_s,
         )
         self._renewals = renewals.Renewals(
-            token, self.scheduler_state, previous_extend_until
+            token,
+            self.scheduler_state,
+            previous_extend_until,
+            settings.store_row_bytes,
         )
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
@@ -202,6 +206,11 @@
                 bounds.host_lease_s,
                 previous.command_by_host,
             ),
+            command_limit=host_command_limit.HostCommandLimit(
+                settings.host_orders_per_s,
+                settings.store_row_bytes,
+                settings.host_name,
+            ),
         )
 
     # Time, and whether this host still leads.
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -95,6 +95,8 @@
         restart_lease_by_runner: until when, by the store's clock, a lease may
             last that a runner got before its restart was known. It may be
             longer than those that leaders grant.
+        restart_leases_until: the same for any runner, where there are too
+            many to name them; 0 if there are none.
     """
 
     may_extend_leases: bool
@@ -102,6 +104,7 @@
     command_by_host: dict[str, recent_commands.RecentCommand]
     expiry_by_runner: dict[str, float]
     restart_lease_by_runner: dict[str, float]
+    restart_leases_until: float = 0.0
 
 
 def takeover_delay_s(processors: float, link_mbps: float) -> float:
@@ -163,6 +166,8 @@
     restart_lease_by_runner: dict[str, float] = msgspec.field(
         default_factory=dict
     )
+    # The same for any runner, where there are too many to name them.
+    restart_leases_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -310,6 +315,7 @@
             command_by_host=self._renewal.command_by_host,
             expiry_by_runner=self._renewal.expiry_by_runner,
             restart_lease_by_runner=self._renewal.restart_lease_by_runner,
+            restart_leases_until=self._renewal.restart_leases_until,
         )
         renewal = _RenewalRow(
             token,
@@ -320,6 +326,7 @@
             extends_leases=previous.may_extend_leases,
             extends_leases_until=previous.extends_leases_until,
             restart_lease_by_runner=previous.restart_lease_by_runner,
+            restart_leases_until=previous.restart_leases_until,
         )
         return Takeover(
             self._leader_row_version,
@@ -341,6 +348,7 @@
     *,
     extends_leases_until: float = 0.0,
     restart_lease_by_runner: dict[str, float] | None = None,
+    restart_leases_until: float = 0.0,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
 
@@ -351,6 +359,7 @@
             in seconds of the store's clock.
         restart_lease_by_runner: until when restarted runners may hold leases
             of before their restart was known, by the same clock.
+        restart_leases_until: the same for any runner; 0 if there are none.
     """
     return msgspec.json.encode(
         _RenewalRow(
@@ -361,6 +370,7 @@
             command_by_host,
             extends_leases_until=extends_leases_until,
             restart_lease_by_runner=restart_lease_by_runner or {},
+            restart_leases_until=restart_leases_until,
         )
     )
 
--- a/src/azurevane/_internal/scheduler/recent_commands.py
+++ b/src/azurevane/_internal/scheduler/recent_commands.py
@@ -10,6 +10,9 @@
 
 import msgspec
 
+# Bytes of an announced command besides the names of its host and sender.
+_COMMAND_OVERHEAD_BYTES = 32
+
 # A command must be sent within this time of the write that confirmed the
 # leadership.
 MAX_COMMAND_DELAY_S = 0.7
@@ -62,6 +65,13 @@
         command = RecentCommand(sent_until, self._holder)
         self._command_by_host.update(dict.fromkeys(hosts, command))
 
+    def announced_bytes(self) -> int:
+        """Return the most bytes that the commands take in a row."""
+        return sum(
+            announcement_bytes(host, command.holder)
+            for host, command in self._command_by_host.items()
+        )
+
     def unexpired(self, store_now: float) -> dict[str, RecentCommand]:
         """Drop commands whose lease has passed; return the others by host."""
         self._command_by_host = {
@@ -84,3 +94,8 @@
 
     def _available_at(self, command: RecentCommand) -> float:
         return command.sent_until + self._host_lease_s + LEASE_MARGIN_S
+
+
+def announcement_bytes(host: str, holder: str) -> int:
+    """Return the most bytes that a command takes in a row."""
+    return len(host.encode()) + len(holder.encode()) + _COMMAND_OVERHEAD_BYTES
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -4,6 +4,8 @@
 from the encoding of a renewal until one without it is stored.
 """
 
+from collections.abc import Mapping
+
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import runner_state
@@ -16,6 +18,12 @@
 EXTEND_WITHOUT_STORE_S = 4.0
 # The same for a leader that has released its row and got no response yet.
 EXTEND_AFTER_RELEASE_S = 1.0
+# Parts of the row that expiry times and the leases of restarted runners may
+# take. The store rejects a larger row, and the leader would lose its lead.
+EXPIRY_ROW_SHARE = 0.25
+RESTART_ROW_SHARE = 0.2
+# Bytes of an entry besides the runner's id.
+_ENTRY_OVERHEAD_BYTES = 28
 
 
 def find_previous_extend_until(
@@ -65,6 +73,9 @@
         state.restart_lease_by_runner[runner_id] = min(
             clock.certainly_passed_at(until_s), latest
         )
+    state.restart_leases_until = min(
+        clock.certainly_passed_at(previous.restart_leases_until), latest
+    )
     # The takeover has kept them in the renewal row.
     state.publish_expiries(previous.expiry_by_runner)
     return state
@@ -76,6 +87,7 @@
     Args:
         previous_extend_until: until when previous leaders may be extending
             leases, in monotonic seconds.
+        row_bytes: largest value of a row that the store accepts.
     """
 
     def __init__(
@@ -83,8 +95,11 @@
         token: int,
         scheduler_state: state_module.SchedulerState,
         previous_extend_until: float,
+        row_bytes: int,
     ) -> None:
         self._token = token
+        self._max_expiry_bytes = row_bytes * EXPIRY_ROW_SHARE
+        self._max_restart_bytes = row_bytes * RESTART_ROW_SHARE
         self._scheduler_state = scheduler_state
         self._previous_extend_until = previous_extend_until
         self._count = 0
@@ -108,14 +123,23 @@
         state.restart_noticed = False
         # This also keeps what previous leaders published of runners that this
         # one hasn't reached, so that their tasks don't wait for another lease
-        # if the leader changes again.
+        # if the leader changes again. Of the runners without an entry it
+        # assumes that their leases were extended as late as possible.
+        lease_ends = state.lease_ends_to_publish(now, all_read=all_read)
         self._written_expiries = {
             runner_id: clock.latest(expires_at)
-            for runner_id, expires_at in state.lease_ends_to_publish(
-                now, all_read=all_read
+            for runner_id, expires_at in _first_that_fit(
+                lease_ends, self._max_expiry_bytes
             ).items()
         }
         state.publish_expiries(self._written_expiries)
+        restart_leases = state.restart_leases(now)
+        restart_leases_until = state.restart_leases_until
+        if _entries_bytes(restart_leases) > self._max_restart_bytes:
+            restart_leases_until = max(
+                restart_leases_until, *restart_leases.values()
+            )
+            restart_leases = {}
         return leadership.encode_renewal(
             self._token,
             self._count,
@@ -125,8 +149,13 @@
             extends_leases_until=clock.latest(self._previous_extend_until),
             restart_lease_by_runner={
                 runner_id: clock.latest(until)
-                for runner_id, until in state.restart_leases(now).items()
+                for runner_id, until in restart_leases.items()
             },
+            restart_leases_until=(
+                clock.latest(restart_leases_until)
+                if restart_leases_until > now
+                else 0.0
+            ),
         )
 
     def handle_stored(self) -> None:
@@ -146,3 +175,30 @@
         return leadership.encode_released_row(
             self._token, clock.latest(latest)
         )
+
+
+def _entry_bytes(runner_id: str) -> int:
+    return len(runner_id.encode()) + _ENTRY_OVERHEAD_BYTES
+
+
+def _entries_bytes(time_by_runner: Mapping[str, float]) -> int:
+    """Return the most bytes that an entry for each runner takes."""
+    return sum(map(_entry_bytes, time_by_runner))
+
+
+def _first_that_fit(
+    time_by_runner: Mapping[str, float], max_bytes: float
+) -> dict[str, float]:
+    """Return the entries with the earliest times that fit into a row."""
+    if _entries_bytes(time_by_runner) <= max_bytes:
+        return dict(time_by_runner)
+    fitting: dict[str, float] = {}
+    left_bytes = max_bytes
+    for runner_id, at in sorted(
+        time_by_runner.items(), key=lambda item: item[1]
+    ):
+        left_bytes -= _entry_bytes(runner_id)
+        if left_bytes < 0:
+            break
+        fitting[runner_id] = at
+    return fitting
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -78,6 +78,7 @@
         ):
             if entry.id in until_by_runner:
                 runner.keep_lease_until(until_by_runner[entry.id])
+        runner.keep_lease_until(self._scheduler_state.restart_leases_until)
         runner.expiry_published = (
             entry.id in self._scheduler_state.published_runners
         )
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -50,6 +50,8 @@
             the previous leader published.
         restart_lease_by_runner: until when a runner may hold a lease that it
             got before its restart was known to a previous leader.
+        restart_leases_until: the same for any runner, where there were too
+            many to name them.
         run_times: learned run times, or None if the declared ones are used.
         restart_noticed: whether a restart was noticed that the renewal row
             doesn't tell of yet.
@@ -77,6 +79,7 @@
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
         self.restart_lease_by_runner: dict[str, float] = {}
+        self.restart_leases_until = 0.0
         self.restart_noticed = False
         self.published_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
@@ -96,6 +99,7 @@
                 runner_id, self.unreached_until
             ),
             self.restart_lease_by_runner.get(runner_id, 0.0),
+            self.restart_leases_until,
         )
 
     def lease_ends_to_publish(
--- a/src/azurevane/_internal/standins/site_store.py
+++ b/src/azurevane/_internal/standins/site_store.py
@@ -34,6 +34,7 @@
         compacted_version: changes up to this version are dropped.
         down_partitions: partitions whose rows can be neither read nor
             written; the change feed still reports their changes.
+        max_row_bytes: largest value of a row.
         on_partitions_listed: called once after the next list of partitions.
     """
 
@@ -45,6 +46,7 @@
         self.version = 0
         self.compacted_version = 0
         self.transactions = 0
+        self.max_row_bytes = MAX_ROW_BYTES
         self.down_partitions: set[str] = set()
         self.on_partitions_listed: Callable[[], None] | None = None
 
@@ -98,7 +100,7 @@
         if sum(len(body[name]) for name in names) > _MAX_TRANSACTION_ENTRIES:
             return Response(400, {"error": "too many entries"})
         for entry in body["setKeys"]:
-            if len(base64.b64decode(entry["value"])) > MAX_ROW_BYTES:
+            if len(base64.b64decode(entry["value"])) > self.max_row_bytes:
                 return Response(400, {"error": "row too large"})
         partitions = {entry["part"] for name in names for entry in body[name]}
         if len(partitions) > 1:
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -139,7 +139,7 @@
             host_orders_per_s=64.0,
             host_lists_per_s=64.0,
             advisor_address=None,
-            store_row_bytes=65536,
+            store_row_bytes=self.platform.store.max_row_bytes,
             bounds=BOUNDS,
             hosts_listen=address,
             **limits,
