Let no unexpected error end a loop of the host

An error that nobody had foreseen in one step ended what depended on it, for the rest of the term or of the process:

- Periodic calls end with an exception.
One in the leader's tick ended its renewals, so that it was replaced; one in a candidate's tick kept the host from ever taking over again.
- One job that can't be planned (a stored row with a dependency that the job doesn't have) failed each planning pass, and no job was started any more; stops and writes of the pass were left out as well.
- An error while rows were written lost all rows of that flush, and what waited for them (starts, acknowledgements of ends) waited for ever.
- A failed callback of a table's follower lost the rest of the changed rows.
- A start that failed unexpectedly left its task assigned for ever.
- A leader's row that can't be read was followed by a takeover with the token of an older row, which another leader may have had.

Each step of a tick is now called by itself and its error logged. After a failed planning pass each job is tried alone; one that fails is set aside until the leader changes (6092) and its runs go on. The row writer keeps rows and waiting flushes and tries again; without a stored renewal another host takes over. A follower reads its table anew. A host doesn't take over while the newest leader's row or renewal can't be read, since token or leases would be unknown.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -460,6 +460,15 @@
     traceback: str
 
 
+@catalogue.event(6092, logging.ERROR)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSetAside(catalogue.Event):
+    """Job that can't be planned is left out until the leader changes."""
+
+    job_id: str
+    error: str
+
+
 @catalogue.event(6091, logging.WARNING)
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinesDropped(catalogue.Event):
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+import msgspec
 from twisted.internet import task as twisted_task
 
 from azurevane import exceptions
@@ -128,7 +129,11 @@
         now = self._reactor.seconds()
         for row in rows:
             key, value = row.row_key.key, row.value
-            is_new = self._view.update_row(key, value, row.version, now)
+            try:
+                is_new = self._view.update_row(key, value, row.version, now)
+            except msgspec.MsgspecError as error:
+                table_follower.log_unreadable_row(row, error)
+                continue
             # Counts of unknown age must not be shown as new ones.
             if is_new and key == leadership.RENEWAL_KEY and value is not None:
                 pending_by_queue = leadership.decode_pending_jobs(value)
@@ -144,6 +149,10 @@
         )
 
     def _tick(self) -> None:
+        # An error would end the periodic calls.
+        background.run_step("follow the leader", self._check_leader)
+
+    def _check_leader(self) -> None:
         if self._taking_over or self.leader is not None or self._resigned:
             return
         now = self._reactor.seconds()
@@ -229,11 +238,7 @@
         finally:
             self._taking_over = False
         if isinstance(outcome, store.Conflict):
-            now = self._reactor.seconds()
-            for row in outcome.row_by_row_key.values():
-                self._view.update_row(
-                    row.row_key.key, row.value, row.version, now
-                )
+            self._handle_rows(list(outcome.row_by_row_key.values()))
             return
         previous = takeover.previous
         catalogue.emit(
--- a/src/azurevane/_internal/scheduler/job_rows.py
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -12,6 +12,7 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import job as job_models
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import row_writer as row_writer_module
 from azurevane._internal.scheduler import scheduler_state as state_module
@@ -156,7 +157,10 @@
             for job_id in ended[:MAX_DELETES_PER_INTERVAL]:
                 if self._stopped or not self._may_send_commands():
                     break
-                await self._delete_job_rows(job_id)
+                try:
+                    await self._delete_job_rows(job_id)
+                except Exception as error:
+                    background.log_step_failure("delete rows", error)
 
     async def _delete_job_rows(self, job_id: str) -> None:
         partition = records.job_partition(job_id)
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -449,8 +449,10 @@
         self._planning_call = None
         if self.stopped:
             return
-        if self._site_tables.loaded and self.may_send_commands():
-            self._plan()
+        may_plan = self._site_tables.loaded and self.may_send_commands()
+        if may_plan and not background.run_step("plan", self._plan):
+            self._planner.set_aside_failing_jobs(self.now(), self._unix_time())
+            self.scheduler_state.request_full_plan()
         if self.scheduler_state.restart_noticed:
             # The next leader is to know of the runner's lease.
             self._renew()
@@ -501,8 +503,18 @@
     def _tick(self) -> None:
         now = self.now()
         if now - self._renewed_at >= leadership.RENEWAL_INTERVAL_S:
-            self._renew()
-        self._start_limiter.update(now)
+            background.run_step("renew", self._renew)
+        background.run_step(
+            "limit starts", lambda: self._start_limiter.update(now)
+        )
+        background.run_step(
+            "release runs", lambda: self._release_silent_runs(now)
+        )
+        background.run_step("update links", self._command_sender.update_links)
+        self.scheduler_state.request_full_plan()
+        self.request_planning()
+
+    def _release_silent_runs(self, now: float) -> None:
         self.runner_events.release_unregistered_runs(now)
         for runner_id, state in list(
             self.scheduler_state.runner_by_id.items()
@@ -510,9 +522,6 @@
             if state.unreachable:
                 self.runner_events.handle_runner_silent(runner_id, now)
         self._drop_removed_runners()
-        self._command_sender.update_links()
-        self.scheduler_state.request_full_plan()
-        self.request_planning()
 
     def _drop_removed_runners(self) -> None:
         for runner_id, state in list(
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from typing import TypeVar
 
 import msgspec
 
@@ -40,6 +41,8 @@
 # this old and the store rejects its writes or hasn't answered for as long.
 YIELD_AFTER_S = 0.8
 
+_RowT = TypeVar("_RowT")
+
 TABLE = "azurevane-leader"
 LEADER_KEY = "owner"
 RENEWAL_KEY = "alive"
@@ -210,6 +213,9 @@
         self._renewal = _RenewalRow(0, 0)
         self._changed_at = now
         self._view_confirmed_at: float | None = None
+        # Rows of which the newest value can't be read. Without the token or
+        # the leases that they tell of, a takeover would be unsafe.
+        self._unreadable_keys: set[str] = set()
 
     def update_row(
         self, key: str, value: bytes | None, version: int, now: float
@@ -219,25 +225,37 @@
         Returns:
             Whether it has changed since this host first saw it, so that its
             value is new.
+
+        Raises:
+            msgspec.MsgspecError: the value can't be decoded. Until it changes
+                again, this host doesn't take over.
         """
         seen_before = False
+        if value is None:
+            self._unreadable_keys.discard(key)
         if key == LEADER_KEY:
             if version <= self._leader_row_version and value is not None:
                 return False
             seen_before = self._leader_row_version > 0
             self._leader_row_version = version
             if value is not None:
-                self._leader_row = json_decoding.decode(value, _LeaderRow)
+                self._leader_row = self._decode(key, value, _LeaderRow)
         elif key == RENEWAL_KEY:
             if version <= self._renewal_row_version:
                 return False
             seen_before = self._renewal_row_version > 0
             self._renewal_row_version = version
             if value is not None:
-                self._renewal = json_decoding.decode(value, _RenewalRow)
+                self._renewal = self._decode(key, value, _RenewalRow)
         self._changed_at = now
         return seen_before
 
+    def _decode(self, key: str, value: bytes, row_type: type[_RowT]) -> _RowT:
+        self._unreadable_keys.add(key)
+        row = json_decoding.decode(value, row_type)
+        self._unreadable_keys.discard(key)
+        return row
+
     def record_view(self, now: float) -> None:
         """Record that the view matches the store's rows at this time."""
         if (
@@ -283,7 +301,7 @@
     def takeover_due(self, now: float) -> Takeover | None:
         """Return the takeover to attempt now, if any."""
         silent_s = self._silent_s(now)
-        if silent_s is None:
+        if silent_s is None or self._unreadable_keys:
             return None
         if self._leader_row.holder == self._host_name:
             # The row was written by a previous incarnation of this host.
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -86,6 +86,23 @@
                 self._scheduler_state.request_service_plan(service)
         return left_over
 
+    def set_aside_failing_jobs(self, now: float, unix_now: float) -> None:
+        """Plan no job any more that can't be planned by itself.
+
+        One such job would keep all others from being planned. Its runs go on.
+        """
+        for job in list(self._scheduler_state.live_job_by_id.values()):
+            try:
+                order = job_order.order_key(_order_input(job), now)
+                sorted((order, order))
+                for occurrence, index in job.ready_steps(unix_now):
+                    self._step_request(job, occurrence, index, now)
+            except Exception as error:
+                del self._scheduler_state.live_job_by_id[job.job.id]
+                catalogue.emit(
+                    logger, events.JobSetAside(job.job.id, repr(error))
+                )
+
     def _waiting_jobs(self) -> dict[str, list[runs.JobState]]:
         """Return the jobs with waiting tasks of the services to plan."""
         services = self._scheduler_state.take_services_to_plan()
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -15,6 +15,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import background
 
 logger = logging.getLogger(__name__)
 
@@ -137,7 +138,16 @@
             while self._waiting_flushes and not self.closed:
                 waiting, self._waiting_flushes = self._waiting_flushes, []
                 dirty, self._dirty = self._dirty, {}
-                stored = await self._write_all(dirty)
+                try:
+                    stored = await self._write_all(dirty)
+                except Exception as error:
+                    # Nothing may count as stored that isn't. Unless a renewal
+                    # can be stored, another host takes over.
+                    background.log_step_failure("write rows", error)
+                    self._dirty = {**dirty, **self._dirty}
+                    self._waiting_flushes = waiting + self._waiting_flushes
+                    await self._sleep(MAX_RETRY_DELAY_S)
+                    continue
                 if not stored:
                     self._waiting_flushes = waiting + self._waiting_flushes
                     break
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -351,12 +351,17 @@
         run.sent_at = leader.now()
         incarnation = runner.started_at
         lease_until_s = runner.extend_lease(run.sent_at, self._lease_s)
-        result = await self._calls.start_task(
-            self._runner_id,
-            runner.entry.address,
-            command.message,
-            lease_until_s,
-        )
+        try:
+            result = await self._calls.start_task(
+                self._runner_id,
+                runner.entry.address,
+                command.message,
+                lease_until_s,
+            )
+        except Exception as error:
+            # Without an outcome the task would wait for ever.
+            background.log_step_failure("start", error)
+            result = runner_calls.StartResult(messages.StartOutcome.UNKNOWN)
         now = leader.now()
         if (
             result.clock_s is not None
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -19,6 +19,9 @@
 # hosts don't all return to the store at the same time.
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.5
+# Longest pause after an unexpected error, which may come again each time that
+# the table is read.
+MAX_UNEXPECTED_DELAY_S = 5.0
 
 
 class TableFollower:
@@ -74,6 +77,7 @@
     async def run(self) -> None:
         """Follow the table until stopped."""
         retry_delay_s = INITIAL_RETRY_DELAY_S
+        unexpected_delay_s = MAX_RETRY_DELAY_S
         while not self._stopped:
             sent_at = self._reactor.seconds()
             try:
@@ -98,8 +102,13 @@
                         traceback.format_exc(),
                     ),
                 )
+                # The rows that were passed on may have been applied in part.
+                self._version = None
                 await twisted_task.deferLater(
-                    self._reactor, MAX_RETRY_DELAY_S, lambda: None
+                    self._reactor, unexpected_delay_s, lambda: None
+                )
+                unexpected_delay_s = min(
+                    unexpected_delay_s * 2, MAX_UNEXPECTED_DELAY_S
                 )
                 continue
             retry_delay_s = INITIAL_RETRY_DELAY_S
