Bound the memory of callers' bodies on azurevane-host

The bodies of callers' requests were kept without a limit, and those in chunks or over 100,000 bytes in temporary files. Hosts have no disk: such files count as memory, and 64 MB of them in all are possible. The limit of the configuration was checked after the whole body was read. A form's body was parsed into a second copy. A Host or Authorization header that isn't UTF-8 was answered with 500.

Bodies now stay in memory up to 1 MB; one over the limit is read to its end, so that the caller gets its 413, up to 8 MB, and then the connection is closed.

--- a/src/azurevane/_internal/callers/job_resource.py
+++ b/src/azurevane/_internal/callers/job_resource.py
@@ -10,6 +10,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from azurevane._internal.callers import bounded_request
 from azurevane._internal.callers import job_handler
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
@@ -42,9 +43,9 @@
         """Pass a request to the handler and write its response later."""
         job_request = job_handler.JobRequest(
             method=request.method.decode("latin-1"),
-            host_name=(request.getHeader("host") or ""),
+            host_name=_header(request, b"host") or "",
             path=request.path.decode("latin-1"),
-            authorization=request.getHeader("authorization"),
+            authorization=_header(request, b"authorization"),
             body=request.content.read(),
         )
         self.in_flight += 1
@@ -91,6 +92,12 @@
         request.finish()
 
 
+def _header(request: Any, name: bytes) -> str | None:
+    """Return a header's value, whatever bytes it has."""
+    value = request.getHeader(name)
+    return None if value is None else value.decode("latin-1")
+
+
 class ReadinessResource(resource.Resource):
     """Answers the load balancer's readiness check."""
 
@@ -111,7 +118,13 @@
     """Twisted site without an access log; requests are logged as events."""
 
     def __init__(self, root: resource.Resource, idle_s: float) -> None:
-        super().__init__(root, timeout=idle_s)
+        super().__init__(
+            root,
+            requestFactory=bounded_request.BoundedRequest,
+            # Bodies are JSON, whatever their type says.
+            parsePOSTFormSubmission=False,
+            timeout=idle_s,
+        )
 
     def log(self, request: Any) -> None:
         """Do nothing: requests are logged as events."""
