Bound the size of a peer's response

The HTTP client kept a response of any size, so a runner, the advisor or another peer could take a host's memory. A response over 4 MB, four times the store's largest page, now ends its call as may-have-run and its connection.

--- a/src/azurevane/_internal/platform/http_connections.py
+++ b/src/azurevane/_internal/platform/http_connections.py
@@ -19,6 +19,13 @@
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 CLOSE_IDLE_INTERVAL_S = 5.0
 MAX_IDLE_CONNECTIONS_PER_PEER = 4
+# Above a page of the store, the largest response, which takes 1 MB. A peer
+# that sends more must not take this host's memory.
+MAX_RESPONSE_BYTES = 4 << 20
+
+
+class ResponseTooLarge(Exception):
+    """Reason of an exchange whose response is larger than any should be."""
 
 
 class SentTooLate(Exception):
@@ -96,6 +103,7 @@
         self._exchange: Exchange | None = exchange
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._framed = False
         self._headers_complete = False
         self._message_complete = False
@@ -166,6 +174,7 @@
     def on_message_begin(self) -> None:
         """Begin a response."""
         self._body = []
+        self._body_bytes = 0
         self._framed = False
         self._headers_complete = False
         self._message_complete = False
@@ -181,6 +190,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Keep a part of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseTooLarge
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/tests/platform/http_client.feature
+++ b/tests/platform/http_client.feature
@@ -63,6 +63,7 @@
       | a body that ends with the connection | returns /1      |
       | a body that is cut off          | fails as may-have-run |
       | bytes that aren't HTTP          | fails as may-have-run |
+      | a body of 5 MB                  | fails as may-have-run |
       | status 503                      | returns status 503   |
 
   Scenario: An idle connection that the peer closed isn't used again
--- a/tests/support/raw_peer.py
+++ b/tests/support/raw_peer.py
@@ -1,5 +1,6 @@
 """A peer that answers HTTP requests from a thread, in scripted ways."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -81,6 +82,12 @@
     connection.close()
 
 
+def _send_large(connection, size):
+    # The client closes the connection before it has read everything.
+    with contextlib.suppress(OSError):
+        connection.sendall(response("x" * size))
+
+
 def _end(connection, data):
     connection.sendall(data)
     connection.shutdown(socket.SHUT_RDWR)
@@ -100,6 +107,9 @@
     "bytes that aren't HTTP": lambda peer, connection, path: (
         connection.sendall(b"\x00\x01 not a response\r\n\r\n")
     ),
+    "a body of 5 MB": lambda peer, connection, path: _send_large(
+        connection, 5 << 20
+    ),
     "status 503": lambda peer, connection, path: connection.sendall(
         response("", "503 Service Unavailable")
     ),
