End a stopping host within its grace time in any case

A host that was told to stop waited 2.8 s whatever its grace time is, so one of 3 s or less left no time to exit; and an error in the hand-over kept it from ever ending (it would have been killed). The end is now scheduled before anything else is done, and leaving the rotation is cut short where the grace time asks for it. With 6 s nothing changes: 2.8 s, at most 5 s with requests in flight.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -47,6 +47,8 @@
 # Time to read requests that were in transit when the host stopped
 # listening.
 LAST_REQUESTS_WAIT_S = 0.3
+# Interval at which a host that stops looks whether requests are left.
+IDLE_CHECK_INTERVAL_S = 0.05
 # Part of the grace period that is reserved for the exit of the process.
 STOP_MARGIN_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 15.0
@@ -247,6 +249,12 @@
             return
         self._on_stopped = on_stopped
         self._stopping_at = self._reactor.seconds()
+        # First of all, so that nothing that fails or waits below keeps the
+        # host from ending in time.
+        left_s = self._settings.bounds.stop_grace_s - STOP_MARGIN_S
+        self._reactor.callLater(max(left_s, 0.0), self._end)
+        leave_s = min(LEAVE_ROTATION_S, left_s - LAST_REQUESTS_WAIT_S)
+        self._reactor.callLater(max(leave_s, 0.0), self._stop_listening)
         catalogue.emit(
             logger,
             program_events.ProgramStopping(
@@ -254,22 +262,22 @@
             ),
         )
         self.candidate.resign()
-        self._reactor.callLater(LEAVE_ROTATION_S, self._stop_listening)
 
     def _stop_listening(self) -> None:
-        if self._callers_port is not None:
-            self._callers_port.stopListening()
         # Requests that have arrived on open connections are still answered.
         self._reactor.callLater(LAST_REQUESTS_WAIT_S, self._end_if_idle)
+        if self._callers_port is not None:
+            self._callers_port.stopListening()
 
     def _end_if_idle(self) -> None:
-        assert self._stopping_at is not None
-        grace_s = self._settings.bounds.stop_grace_s - STOP_MARGIN_S
-        late = self._reactor.seconds() - self._stopping_at >= grace_s
-        if self._resource.in_flight and not late:
-            self._reactor.callLater(0.05, self._end_if_idle)
+        if self._resource.in_flight:
+            self._reactor.callLater(IDLE_CHECK_INTERVAL_S, self._end_if_idle)
             return
-        self._on_stopped()
+        self._end()
+
+    def _end(self) -> None:
+        on_stopped, self._on_stopped = self._on_stopped, lambda: None
+        on_stopped()
 
     def reload(self, settings: host_settings.HostSettings) -> None:
         """Replace the settings by new ones."""
