Start nothing before the operators' rows were read, and keep keys withdrawn

Two ways in which what operators had taken away came back into use:

- A host that takes over reads jobs and runners through its leader, and the operators' rows by itself.
If the latter came later (a lost response takes 4 s), the new leader planned without them: tasks started in a zone that was out, and teams had no limits.
A leader now starts nothing before its host has read them.
- A configuration with one malformed tenant or route was ignored as a whole, so keys that it withdraws stayed in use for as long as the row stayed.
Malformed entries are now left out and the others are in force; the key of a malformed tenant isn't accepted.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -104,6 +104,7 @@
             on_pending_jobs=self.job_handler.set_pending,
             on_leading=self._update_leader,
         )
+        self._operator_rows_read = False
         self._zones_out: frozenset[str] = frozenset()
         self._wave_by_number: dict[int, site.Wave] = {}
         self._operator_rows_follower: table_follower.TableFollower | None = (
@@ -173,6 +174,7 @@
     def _replace_operator_rows(self, rows: Sequence[store.Row]) -> None:
         self._zones_out = frozenset()
         self._wave_by_number = {}
+        self._operator_rows_read = True
         self._apply_operator_rows(rows)
 
     def _apply_operator_rows(self, rows: Sequence[store.Row]) -> None:
@@ -223,7 +225,7 @@
             )
 
     def _update_leader(self) -> None:
-        if self.leader is not None:
+        if self.leader is not None and self._operator_rows_read:
             self.leader.set_operator_data(
                 self.job_handler.config,
                 self._zones_out,
--- a/src/azurevane/_internal/platform/operator_rows.py
+++ b/src/azurevane/_internal/platform/operator_rows.py
@@ -3,8 +3,9 @@
 A route of the protocol is a queue here, and a tenant is a team.
 """
 
+import logging
 import re
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -12,6 +13,10 @@
 from azurevane._internal.platform import capacity as wire_capacity
 from azurevane._internal.utils import json_decoding
 
+logger = logging.getLogger(__name__)
+
+_RowT = TypeVar("_RowT")
+
 TABLE = "op"
 STATUS_TABLE = "status"
 CONFIG_KEY = "config"
@@ -62,9 +67,11 @@
 
 class _Config(msgspec.Struct):
     version: int
-    routes: list[_Route]
-    services: list[_Service] = []
-    tenants: list[_Tenant] = []
+    # Routes, services and tenants are decoded one by one: a malformed one is
+    # left out, while the others are in force and withdrawn keys are not.
+    routes: list[Any]
+    services: list[Any] = []
+    tenants: list[Any] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -76,23 +83,37 @@
     cap: int = 1
 
 
+def _convert_each(rows: list[Any], row_type: type[_RowT]) -> list[_RowT]:
+    converted = []
+    for row in rows:
+        try:
+            converted.append(msgspec.convert(row, row_type))
+        except msgspec.ValidationError as error:
+            logger.warning("Malformed entry in the configuration: %s", error)
+    return converted
+
+
 def decode_config(value: bytes) -> site.SiteConfig:
     """Return the configuration of a row's value.
 
+    Routes, services and tenants that are malformed are left out.
+
     Raises:
         msgspec.MsgspecError: the value can't be decoded.
     """
     config = json_decoding.decode(value, _Config)
+    tenants = _convert_each(config.tenants, _Tenant)
     return site.SiteConfig(
         version=config.version,
         queue_by_name={
-            route.name: _decode_queue(route) for route in config.routes
+            route.name: _decode_queue(route)
+            for route in _convert_each(config.routes, _Route)
         },
         service_by_name={
             service.name: site.Service(
                 service.name, service.standby, service.constraints
             )
-            for service in config.services
+            for service in _convert_each(config.services, _Service)
         },
         team_by_name={
             tenant.name: site.Team(
@@ -101,12 +122,10 @@
                 tenant.weight,
                 tenant.cap.decode(),
             )
-            for tenant in config.tenants
+            for tenant in tenants
         },
         team_by_key={
-            key: tenant.name
-            for tenant in config.tenants
-            for key in tenant.api_keys
+            key: tenant.name for tenant in tenants for key in tenant.api_keys
         },
         limits=site.RequestLimits(
             header_bytes=config.limits.header_bytes,
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -178,6 +178,7 @@
         self._ticker: Any = None
         self._renewed_at = taken_over_at
         self._wave_by_number: dict[int, site.Wave] = {}
+        self._operator_data_known = False
         # Set once the release of the row may have been sent.
         self._released_extend_until: float | None = None
         self._planning_call: Any = None
@@ -387,7 +388,12 @@
         zones_out: frozenset[str],
         wave_by_number: dict[int, site.Wave],
     ) -> None:
-        """Update the operators' configuration, zones taken out and waves."""
+        """Update the operators' configuration, zones taken out and waves.
+
+        Nothing is started before the first call, since zones may be out and
+        teams have limits.
+        """
+        self._operator_data_known = True
         self.scheduler_state.config = config
         self.scheduler_state.zones_out = zones_out
         self._wave_by_number = wave_by_number
@@ -449,7 +455,11 @@
         self._planning_call = None
         if self.stopped:
             return
-        may_plan = self._site_tables.loaded and self.may_send_commands()
+        may_plan = (
+            self._site_tables.loaded
+            and self._operator_data_known
+            and self.may_send_commands()
+        )
         if may_plan and not background.run_step("plan", self._plan):
             self._planner.set_aside_failing_jobs(self.now(), self._unix_time())
             self.scheduler_state.request_full_plan()
