Settle more submissions of unknown outcome, and send fewer of them

A submission whose write gets no response is answered with 504, since the write may take effect later.

- While the latest write got no response in time and the store has answered nothing since, no other write is sent: 503, not run, come back.
- A write that the store rejects after an attempt of unknown outcome is repeated within the same 1.8 s instead of being given up at once: a short outage after a lost response ends in 200.
- After a call's timeout the idle connections to that peer from before it are closed.
Connections can go silent for good while new ones work; each repeat of a write took the next silent one.

What can't be settled: a store that stays silent to the host. The write may be carried out seconds later, so neither "run" nor "not run" is true, and a row that would keep it from taking effect can't be written either.

--- a/src/azurevane/_internal/callers/job_handler.py
+++ b/src/azurevane/_internal/callers/job_handler.py
@@ -1,6 +1,6 @@
 """Handles callers' requests about jobs by using the platform's store."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 import dataclasses
 import logging
 from typing import Any
@@ -23,6 +23,9 @@
 # Limit for all attempts at a write. The least patient callers wait for about
 # three seconds.
 WRITE_TIMEOUT_S = 1.8
+# Pause before a write is repeated that the store has rejected after an earlier
+# attempt got no response.
+SETTLE_RETRY_DELAY_S = 0.1
 # The store counts as unavailable without a response for this long, because
 # the operators' rows are read more often than that.
 STORE_SILENCE_LIMIT_S = 1.7
@@ -77,6 +80,7 @@
     Args:
         seconds: returns monotonic time.
         unix_time: returns Unix time in seconds.
+        sleep: waits a number of seconds.
         max_row_bytes: largest value of a row that the store accepts.
     """
 
@@ -86,9 +90,11 @@
         *,
         seconds: Callable[[], float],
         unix_time: Callable[[], float],
+        sleep: Callable[[float], Awaitable[None]],
         max_row_bytes: int = records.MAX_ROW_BYTES,
     ) -> None:
         self._client = client
+        self._sleep = sleep
         self._max_row_bytes = max_row_bytes
         self._seconds = seconds
         self._unix_time = unix_time
@@ -98,6 +104,8 @@
         self._pending_by_queue: dict[str, int] = {}
         self._pending_updated_at = float("-inf")
         self._store_reads_failing = False
+        # When the latest write was sent that got no response in time.
+        self._unanswered_write_sent_at = float("-inf")
 
     @property
     def config(self) -> site.SiteConfig | None:
@@ -264,9 +272,15 @@
         Returns:
             The version conflict, if some of the rows exist already.
         """
+        if self._client.last_response_at < self._unanswered_write_sent_at:
+            # The outcome of another write would be unknown as well.
+            raise _RequestRefused(
+                503, "store doesn't respond", STORE_UNAVAILABLE_RETRY_S
+            )
         deadline = self._seconds() + WRITE_TIMEOUT_S
         unknown_failure = ""
         while (remaining_s := deadline - self._seconds()) > 0:
+            sent_at = self._seconds()
             try:
                 outcome = await self._client.transact(
                     expected_by_row_key,
@@ -280,9 +294,14 @@
                         raise _RequestRefused(
                             503, str(failure), STORE_UNAVAILABLE_RETRY_S
                         ) from failure
-                    break
+                    # A later attempt may still show what became of the
+                    # earlier one.
+                    await self._sleep(SETTLE_RETRY_DELAY_S)
+                    continue
                 # Repeating the write shows whether this one took effect.
                 unknown_failure = str(failure)
+                if failure.timed_out:
+                    self._unanswered_write_sent_at = sent_at
         raise _RequestRefused(
             504, unknown_failure, None, verdict.Verdict.MAY_HAVE_RUN
         )
--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -31,6 +31,7 @@
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import candidate
 from azurevane._internal.scheduler import leader as leader_module
+from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import table_follower
 from azurevane._internal.settings import scheduling
 from azurevane._internal.utils import process_lag
@@ -88,6 +89,7 @@
             self._store,
             seconds=reactor.seconds,
             unix_time=unix_time,
+            sleep=runner_link.make_sleep(reactor),
             max_row_bytes=settings.store_row_bytes,
         )
         self._stopping_at: float | None = None
--- a/src/azurevane/_internal/platform/http_connections.py
+++ b/src/azurevane/_internal/platform/http_connections.py
@@ -95,6 +95,7 @@
 
     Attributes:
         idle_since: when the last exchange ended.
+        sent_at: when the last request was sent.
         closed: whether the connection was lost or is being aborted.
     """
 
@@ -109,6 +110,7 @@
         self._message_complete = False
         self._keep_alive = False
         self.idle_since = 0.0
+        self.sent_at = 0.0
         self.closed = False
 
     def send(self, exchange: Exchange) -> None:
@@ -121,6 +123,7 @@
             self._fail(SentTooLate())
             return
         exchange.sent = True
+        self.sent_at = self._peer.seconds()
         self.transport.write(exchange.request)
 
     def close(self) -> None:
@@ -252,6 +255,10 @@
         """Whether nothing is open, in progress or waiting."""
         return not (self._idle or self._in_progress or self._waiting)
 
+    def seconds(self) -> float:
+        """Return the monotonic time in seconds."""
+        return float(self._reactor.seconds())
+
     def may_send(self, exchange: Exchange) -> bool:
         """Whether the deadline for sending a request hasn't passed."""
         deadline = exchange.send_before
@@ -286,9 +293,21 @@
             # Its response may still arrive and must not be taken for that
             # of a later request.
             connection.close()
+            self._close_idle_since_before(connection)
         self.end_exchange(exchange, connection)
         exchange.fail(reason)
 
+    def _close_idle_since_before(self, silent: _Connection) -> None:
+        """Close the idle connections that may be silent like this one.
+
+        Open connections may go silent for good while new ones work, and each
+        call that uses one of them would wait for its whole timeout.
+        """
+        for connection in list(self._idle):
+            if connection.idle_since <= silent.sent_at:
+                self._idle.remove(connection)
+                connection.close()
+
     def end_exchange(
         self, exchange: Exchange, connection: _Connection | None
     ) -> None:
--- a/tests/platform/http_client.feature
+++ b/tests/platform/http_client.feature
@@ -71,3 +71,11 @@
     When the paths /1, /2 and /3 are called 0.2 s apart
     Then each call returns its own path
     And the peer accepted 3 connections
+
+  Scenario: After a timeout no connection of before is used
+    Open connections may go silent for good while new ones work.
+    Given a peer that answers each request with its path
+    When 3 calls are sent at once
+    And its open connections go silent
+    And /1 is called with a timeout of 0.3 s and then /2
+    Then the call of /1 fails and that of /2 returns /2
--- a/tests/platform/steps/http_client_steps.py
+++ b/tests/platform/steps/http_client_steps.py
@@ -288,3 +288,28 @@
     verdicts = sorted(item.verdict.value for _, item in context.results)
     expected = ["may-have-run"] * may_have_run + ["not-run"] * not_run
     assert verdicts == expected, verdicts
+
+
+@when("{count:d} calls are sent at once")
+def step_calls_at_once(context, count):
+    paths = [f"/first-{number}" for number in range(count)]
+    reactor_thread.call(lambda: _call_all(context, paths))
+    context.results.clear()
+
+
+@when("its open connections go silent")
+def step_connections_silent(context):
+    silent = list(context.peer._open)
+
+    def answer(peer, connection, path):
+        if connection not in silent:
+            raw_peer.answer_path(peer, connection, path)
+
+    context.peer.answer = answer
+
+
+@then("the call of /1 fails and that of /2 returns /2")
+def step_second_call_works(context):
+    (_, first), (_, second) = context.results
+    assert isinstance(first, exceptions.CallFailed), first
+    assert getattr(second, "body", None) == b"/2", second
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -37,3 +37,20 @@
     When the store stops responding
     And 1.9 s pass
     Then a submission is refused with 503 at once, as not run
+
+  Scenario: A submission of unknown outcome is settled after a short outage
+    When the store loses its next 1 responses
+    And it then rejects all calls for 0.8 s
+    Then a submission is answered with 200 within 1.3 s
+
+  Scenario: No write is sent while another gets no response
+    The caller may send its request to another host at once.
+    When the store stops responding
+    And a submission is sent and 0.4 s pass
+    Then a submission is refused with 503 at once, as not run
+    And the submission that was sent is answered with 504
+
+  Scenario: One lost response doesn't make a host refuse submissions
+    When the store loses its next 1 responses
+    And a submission is sent and 0.3 s pass
+    Then every host accepts a job
