Learn whether copies are faster at all

A copy of a run on a sound runner is now started only while a quarter of the copies of that image or queue ends first, with one trial every 10 s otherwise; runs on slow runners get copies in any case. Reported progress goes before the running time. Copies and restarted tasks no longer count for run times and speeds, as they are of long tasks; a runner's speed goes by its latest six steps, and a runner that is slow among others doesn't count for run times.

Load model: tails of the runner's making are replaced as before, tails of the task's own work cost under 0.01 more core-seconds. tests/policy and tests/scheduler pass.

--- a/src/azurevane/_internal/policy/copies.py
+++ b/src/azurevane/_internal/policy/copies.py
@@ -4,12 +4,14 @@
 as the others, so that one task decides when the job ends. A copy costs what
 the slower of the two runs has used, so it needs evidence: progress that
 foretells a late end or, where progress isn't reported, a running time far
-beyond that of the other tasks of the step.
+beyond that of the other tasks of the step. Whether copies of an image's tasks
+win at all is learned from their outcomes.
 """
 
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 import statistics
 
 from azurevane._internal.policy import run_progress
@@ -28,6 +30,18 @@
 MIN_GAIN_RATIO = 0.25
 # Time between the decision and the beginning of a run, in seconds.
 START_DELAY_S = 0.1
+# Share of copies that must have won for more to start, and the outcomes that
+# are assumed before. Five lost copies in a row stop further ones.
+MIN_WON_SHARE = 0.25
+PRIOR_WON = 2.0
+PRIOR_LOST = 2.0
+# Each outcome counts this much less than the next one.
+OUTCOME_DECAY = 0.95
+# While copies are useless, one is tried at this interval, in seconds, as
+# tasks may become slow for another reason.
+TRIAL_INTERVAL_S = 10.0
+# Images and queues of which outcomes are kept.
+MAX_KEYS = 256
 # Copies of one run after which no further one is started.
 MAX_COPIES = 2
 
@@ -106,7 +120,7 @@
     running_s = now - run.observed_from
     slow_after_s = typical.slow_ratio * typical.run_s
     foretold_end = run.foretold_end()
-    if foretold_end is None or foretold_end < now:
+    if foretold_end is None:
         if running_s <= slow_after_s:
             return None
         return CopyDecision(CopyReason.RUNNING_TIME, running_s, None, typical)
@@ -117,3 +131,59 @@
     if not slow or gain_s < MIN_GAIN_RATIO * typical.run_s:
         return None
     return CopyDecision(CopyReason.PROGRESS, running_s, remaining_s, typical)
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """Outcomes of the copies of tasks that behave alike.
+
+    Attributes:
+        pending: copies that had no outcome yet.
+    """
+
+    won: float = 0.0
+    lost: float = 0.0
+    pending: int = 0
+    latest_trial_at: float = -math.inf
+
+
+class CopyOutcomes:
+    """Learns whether a fresh run on another runner is faster at all.
+
+    A task may take long because of its runner, or because of its own work. In
+    the latter case copies are useless, and only their outcomes show it.
+    """
+
+    def __init__(self) -> None:
+        self._record_by_key: dict[str, _Record] = {}
+
+    def record(self, key: str, *, won: bool) -> None:
+        """Count a copy that ended first, or that ran a whole run in vain."""
+        # The keys are kept in the order of their latest outcome.
+        record = self._record_by_key.pop(key, None) or _Record()
+        self._record_by_key[key] = record
+        if len(self._record_by_key) > MAX_KEYS:
+            del self._record_by_key[next(iter(self._record_by_key))]
+        record.won = OUTCOME_DECAY * record.won + won
+        record.pending = max(record.pending - 1, 0)
+        record.lost = OUTCOME_DECAY * record.lost + (not won)
+
+    def may_start(self, key: str, now: float) -> bool:
+        """Whether a copy of a task on a sound runner may start now."""
+        record = self._record_by_key.get(key)
+        if record is None:
+            return True
+        won = record.won + PRIOR_WON
+        all_copies = won + record.lost + PRIOR_LOST + record.pending
+        if won / all_copies >= MIN_WON_SHARE:
+            return True
+        return now >= record.latest_trial_at + TRIAL_INTERVAL_S
+
+    def record_start(self, key: str, now: float) -> None:
+        """Count the start of such a copy."""
+        record = self._record_by_key.setdefault(key, _Record())
+        if now >= record.latest_trial_at + TRIAL_INTERVAL_S:
+            # Copies that were dropped have no outcome.
+            record.pending = 0
+        record.latest_trial_at = now
+        record.pending += 1
--- a/src/azurevane/_internal/policy/runner_speeds.py
+++ b/src/azurevane/_internal/policy/runner_speeds.py
@@ -21,8 +21,9 @@
 SLOW = 1.5
 # Beyond this slowness a runner gets no tasks.
 VERY_SLOW = 3.0
-# Latest steps that count. A runner has few at once.
-MAX_STEPS = 32
+# Latest steps that count. Few of them show soon that a runner has turned slow;
+# steps with running tasks stay among the latest.
+MAX_STEPS = 6
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/azurevane/_internal/scheduler/copy_planner.py
+++ b/src/azurevane/_internal/scheduler/copy_planner.py
@@ -9,6 +9,7 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.policy import copies
 from azurevane._internal.policy import job_order
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import planner as planner_module
@@ -35,6 +36,7 @@
     ) -> None:
         self._scheduler_state = scheduler_state
         self._planner = planner
+        self._outcomes = scheduler_state.copy_outcomes
         self._checked_at = 0.0
 
     def plan(self, now: float, unix_now: float) -> None:
@@ -62,10 +64,19 @@
             for run, decision in wanted:
                 if started >= MAX_COPIES_PER_PASS:
                     return
+                if not self._still_wanted(run, now):
+                    continue
                 started += self._start_copy(
                     run, decision, runners.get(service, []), now
                 )
 
+    def _still_wanted(self, run: runs.Run, now: float) -> bool:
+        """Whether a copy is wanted beside those that this pass started."""
+        behaviour = run.job.job.behaviour_key(run.step)
+        return self._runs_slowly(
+            run.runner_id, now
+        ) or self._outcomes.may_start(behaviour, now)
+
     def _wanted_copies(
         self, job: runs.JobState, now: float
     ) -> Iterator[tuple[runs.Run, copies.CopyDecision]]:
@@ -97,6 +108,13 @@
                 if decision is not None:
                     yield run, decision
 
+    def _runs_slowly(self, runner_id: str, now: float) -> bool:
+        """Whether tasks on a runner are slow because of the runner."""
+        runner = self._scheduler_state.runner_by_id.get(runner_id)
+        if runner is None:
+            return False
+        return runner.speed.slowness(now) > runner_speeds.SLOW
+
     def _has_waiting_tasks(
         self, service: str, now: float, unix_now: float
     ) -> bool:
@@ -174,6 +192,11 @@
     ) -> None:
         runner = self._scheduler_state.runner_by_id[placement.runner_id]
         copy = self._scheduler_state.start_copy(run, runner)
+        if not self._runs_slowly(run.runner_id, now):
+            # Its outcome shows whether a fresh run is faster at all.
+            copy.fresh_run_s = decision.typical.run_s
+            behaviour = run.job.job.behaviour_key(run.step)
+            self._outcomes.record_start(behaviour, now)
         message = messages.StartTask(
             copy.name,
             copy.attempt,
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -88,7 +88,15 @@
         if run_s is None or run.job.status.ended:
             return
         if run_times is not None:
-            counts = run_times.record_run(run, runner, run_s, now)
+            counts = run_times.record_run(
+                run,
+                runner,
+                run_s,
+                now,
+                slow_among_others=self._scheduler_state.is_slow_among_others(
+                    runner, now
+                ),
+            )
         else:
             counts = run.step.speculative
         if not counts:
--- a/src/azurevane/_internal/scheduler/run_time_learner.py
+++ b/src/azurevane/_internal/scheduler/run_time_learner.py
@@ -45,14 +45,14 @@
         self, job: job_models.Job, step: job_models.Step
     ) -> float:
         """Return the expected run time of a step's task, in seconds."""
-        ratio = self._ratio_by_key.get(_key(job, step), 1.0)
+        ratio = self._ratio_by_key.get(job.behaviour_key(step), 1.0)
         return step.estimate_s * ratio
 
     def estimate(
         self, job: job_models.Job, step: job_models.Step
     ) -> run_times.RunTimeEstimate:
         """Return what is known of the run times of a step's tasks."""
-        return self._table.estimate(_key(job, step))
+        return self._table.estimate(job.behaviour_key(step))
 
     def record_run(
         self,
@@ -60,9 +60,14 @@
         runner: runner_state.RunnerState,
         run_s: float,
         now: float,
+        *,
+        slow_among_others: bool,
     ) -> bool:
         """Count a run that ended after its whole work.
 
+        Args:
+            slow_among_others: whether its runner is slow and most aren't.
+
         Returns:
             Whether it counts.
         """
@@ -70,6 +75,8 @@
         if not _is_comparable(run, runner):
             return False
         self._record_slowness(run, runner, run_s, now)
+        if slow_among_others:
+            return False
         self._record(run.job.job, step, runner.id, step.estimate_s, run_s)
         return True
 
@@ -134,7 +141,7 @@
         declared_s: float,
         run_s: float,
     ) -> None:
-        key = _key(job, step)
+        key = job.behaviour_key(step)
         self._table.record(key, runner_id, declared_s, run_s)
         estimate = self._table.estimate(key)
         ratio = estimate.median
@@ -160,17 +167,13 @@
 def _is_comparable(run: runs.Run, runner: runner_state.RunnerState) -> bool:
     """Whether a run takes as long as others of its step do elsewhere.
 
-    Gangs wait for their members, and tasks far from their data or of reduced
-    speed take longer.
+    Gangs wait for their members, tasks far from their data or of reduced
+    speed take longer, and copies are made of tasks that are long.
     """
     step = run.step
     remote = step.data_rack and step.data_rack != runner.entry.rack
     exempt = step.gang or step.long_running or step.fills
-    return not (remote or exempt or run.pace < 100)
-
-
-def _key(job: job_models.Job, step: job_models.Step) -> str:
-    return f"image {step.image}" if step.image else f"queue {job.queue}"
+    return not (remote or exempt or run.pace < 100 or run.attempt > 1)
 
 
 def ratio_by_step(state: runs.JobState) -> list[float]:
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -49,6 +49,8 @@
         runner_id: runner of the current run, empty while there is none.
         last_attempt: highest number of any attempt of the task. It exceeds
             ``attempt`` once a copy was started beside the run.
+        fresh_run_s: typical run time that a copy on a sound runner is
+            expected to need, 0 for other runs.
         is_copy: whether the run was started beside another one of its task.
         failed_attempts: numbers of the attempts that failed.
         failed_on: ids of the runners on which the task failed or stalled,
@@ -79,6 +81,7 @@
         "checkpoint",
         "failed_attempts",
         "failed_on",
+        "fresh_run_s",
         "inherited",
         "is_copy",
         "job",
@@ -114,6 +117,7 @@
         self.attempt = 0
         self.last_attempt = 0
         self.is_copy = False
+        self.fresh_run_s = 0.0
         self.runner_id = ""
         self.failed_attempts: set[int] = set()
         self.failed_on: set[str] = set()
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -11,7 +11,9 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
+from azurevane._internal.policy import copies
 from azurevane._internal.policy import job_order
+from azurevane._internal.policy import runner_speeds
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import run_time_learner
@@ -53,6 +55,7 @@
         restart_leases_until: the same for any runner, where there were too
             many to name them.
         run_times: learned run times, or None if the declared ones are used.
+        copy_outcomes: whether copies of tasks were faster.
         restart_noticed: whether a restart was noticed that the renewal row
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
@@ -85,6 +88,7 @@
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
         self.run_times: run_time_learner.RunTimeLearner | None = None
+        self.copy_outcomes = copies.CopyOutcomes()
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed_job_by_id: dict[str, runs.JobState] = {}
@@ -295,6 +299,19 @@
             return step.estimate_s
         return self.run_times.expected_run_s(job, step)
 
+    def is_slow_among_others(
+        self, runner: runner_state.RunnerState, now: float
+    ) -> bool:
+        """Whether a runner is slow while most of its service's aren't."""
+        if runner.speed.slowness(now) <= runner_speeds.SLOW:
+            return False
+        slow = [
+            other.speed.slowness(now) > runner_speeds.SLOW
+            for other in self.runner_by_id.values()
+            if other.entry.service == runner.entry.service
+        ]
+        return 2 * sum(slow) < len(slow)
+
     def learn_run_times(self) -> None:
         """Learn run times from ended runs instead of the declared ones."""
         self.run_times = run_time_learner.RunTimeLearner(
@@ -405,6 +422,15 @@
     ) -> None:
         catalogue.emit(logger, events.CopyDecided(str(task), attempt, outcome))
 
+    def _record_copy_outcome(
+        self, copy: runs.Run, won: bool, now: float
+    ) -> None:
+        """Count whether a copy was faster, if it shows that."""
+        ran_s = now - copy.acknowledged_at if copy.acknowledged_at else 0.0
+        if copy.fresh_run_s and (won or ran_s >= copy.fresh_run_s):
+            key = copy.job.job.behaviour_key(copy.step)
+            self.copy_outcomes.record(key, won=won)
+
     def _end_job_if_exhausted(self, run: runs.Run, now: float) -> None:
         """End the job of a task that may not start again.
 
@@ -461,7 +487,9 @@
         state = run.job
         members = state.runs_of_task(run.name)
         if run.name in state.copy_by_task:
-            by_copy = state.copy_by_task[run.name].attempt == attempt
+            copy = state.copy_by_task[run.name]
+            by_copy = copy.attempt == attempt
+            self._record_copy_outcome(copy, by_copy, now)
             self._log_copy_decided(
                 run.name, attempt, "done by copy" if by_copy else "done"
             )
--- a/tests/policy/copies.feature
+++ b/tests/policy/copies.feature
@@ -57,3 +57,18 @@
     And with copies at least 0.95 of those that do when all tails are known before
     And copies use fewer core-seconds than the tails that they replace
     And under 0.02 of the jobs without a task in the tail are copied
+
+  Scenario: Copies that never end first are soon left out
+    When 5 copies have run a whole run in vain
+    Then no further copy may start
+    And after 10.0 s one may
+
+  Scenario: Copies that end first in one of three cases go on
+    When 1 copy in 3 of 60 copies ended first
+    Then a further copy may start
+
+  Scenario: Tasks that are long wherever they run cost few copies
+    Guards against copies of tasks whose own work is large.
+    Given 800 jobs of 8 tasks of which 3 in 100 have 7 times the work
+    Then under 0.03 of the jobs get a copy
+    And copies use at most 0.01 more core-seconds
--- a/tests/policy/steps/copies_steps.py
+++ b/tests/policy/steps/copies_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from azurevane._internal.policy import copies
 from azurevane._internal.policy import run_progress
@@ -13,6 +14,8 @@
 # reports of a runner.
 CHECK_S = 0.1
 REPORT_S = 0.3
+ARRIVAL_INTERVAL_S = 0.1
+KEY = "queue fit"
 
 
 def _progress(ran_s, percent, *, resumed_at=0, runner="a"):
@@ -94,7 +97,7 @@
 class _ModelJob:
     """A job whose tasks all start at 0 s, each on a runner of its own."""
 
-    def __init__(self, rng, tasks):
+    def __init__(self, rng, tasks, *, own_work=False):
         base_s = rng.lognormvariate(-0.3, 0.5)
         self.whole_s = [
             base_s * rng.uniform(0.7, 1.3) * (7.0 if tail else 1.0)
@@ -104,11 +107,13 @@
             base_s * rng.uniform(0.7, 1.3) * (7.0 if tail else 1.0)
             for tail in (rng.random() < 0.03 for _ in range(tasks))
         ]
+        if own_work:
+            self.fresh_s = self.whole_s
         self.has_tail = max(self.whole_s) > 4 * base_s
         self.expected_s = base_s * rng.uniform(0.8, 1.2)
         self.objective_s = 1.6 * base_s * 1.3 + 0.6
 
-    def run(self):
+    def run(self, outcomes, arrived_at):
         """Return end, core-seconds and number of copies with copies."""
         ends = list(self.whole_s)
         copied_at = {}
@@ -118,11 +123,18 @@
             for index in range(len(ends)):
                 if index in copied_at or ends[index] <= now:
                     continue
+                if not outcomes.may_start(KEY, arrived_at + now):
+                    break
                 if self._decide(index, now) is not None:
+                    outcomes.record_start(KEY, arrived_at + now)
                     copied_at[index] = now
                     begun_at = now + copies.START_DELAY_S
                     copy_end = begun_at + self.fresh_s[index]
                     ends[index] = min(ends[index], copy_end)
+        for index, at in copied_at.items():
+            won = ends[index] < self.whole_s[index]
+            if won or ends[index] - at > self.expected_s:
+                outcomes.record(KEY, won=won)
         used_s = sum(ends) + sum(
             max(ends[index] - at, 0.0) for index, at in copied_at.items()
         )
@@ -159,9 +171,24 @@
     "{count:d} jobs of {tasks:d} tasks of which 3 in 100 run 7 times as long"
 )
 def step_load(context, count, tasks):
+    _run_load(context, count, tasks)
+
+
+@given(
+    "{count:d} jobs of {tasks:d} tasks of which 3 in 100 have 7 times the work"
+)
+def step_own_work(context, count, tasks):
+    _run_load(context, count, tasks, own_work=True)
+
+
+def _run_load(context, count, tasks, *, own_work=False):
     rng = random.Random(11)
-    jobs = [_ModelJob(rng, tasks) for _ in range(count)]
-    context.results = [(job, *job.run()) for job in jobs]
+    jobs = [_ModelJob(rng, tasks, own_work=own_work) for _ in range(count)]
+    outcomes = copies.CopyOutcomes()
+    context.results = [
+        (job, *job.run(outcomes, NOW + number * ARRIVAL_INTERVAL_S))
+        for number, job in enumerate(jobs)
+    ]
 
 
 @then("without copies under {share:g} of them meet their objective")
@@ -198,3 +225,50 @@
     ]
     copied = sum(count > 0 for count in counts)
     assert copied < share * len(counts), (copied, len(counts))
+
+
+@when("{count:d} copies have run a whole run in vain")
+def step_lost(context, count):
+    context.outcomes = copies.CopyOutcomes()
+    for _ in range(count):
+        assert context.outcomes.may_start(KEY, NOW)
+        context.outcomes.record_start(KEY, NOW)
+        context.outcomes.record(KEY, won=False)
+
+
+@when("1 copy in 3 of {count:d} copies ended first")
+def step_some_won(context, count):
+    context.outcomes = copies.CopyOutcomes()
+    for number in range(count):
+        context.outcomes.record_start(KEY, NOW)
+        context.outcomes.record(KEY, won=number % 3 == 0)
+
+
+@then("a further copy may start")
+def step_may_start(context):
+    assert context.outcomes.may_start(KEY, NOW)
+
+
+@then("no further copy may start")
+def step_may_not_start(context):
+    assert not context.outcomes.may_start(KEY, NOW)
+
+
+@then("after {seconds:g} s one may")
+def step_trial(context, seconds):
+    assert context.outcomes.may_start(KEY, NOW + seconds)
+    context.outcomes.record_start(KEY, NOW + seconds)
+    assert not context.outcomes.may_start(KEY, NOW + seconds)
+
+
+@then("under {share:g} of the jobs get a copy")
+def step_few_copies(context, share):
+    copied = sum(count > 0 for _, _, _, count in context.results)
+    assert 0 < copied < share * len(context.results), copied
+
+
+@then("copies use at most {share:g} more core-seconds")
+def step_small_cost(context, share):
+    without_s = sum(sum(job.whole_s) for job, *_ in context.results)
+    used_s = sum(used_s for _, _, used_s, _ in context.results)
+    assert used_s <= (1 + share) * without_s, (used_s, without_s)
--- a/tests/scheduler/copies.feature
+++ b/tests/scheduler/copies.feature
@@ -219,3 +219,18 @@
     And 14.0 s pass
     Then the job is "completed"
     And each start of task 0 had a higher attempt than those before
+
+  Scenario: Tasks that are long on every runner are soon copied no more
+    Given tasks that run 1.0 s, but task 0 of each job runs 4.0 s
+    When 20 speculative jobs of 8 tasks are submitted over 8.0 s
+    And 5.0 s pass
+    Then at most 10 copies were started
+    And each of these jobs is "completed"
+
+  Scenario: Tasks on a slow runner are copied all the same
+    Given a site with queue "fit" on 6 hosts that starts copies and learns run times
+    And tasks that run 1.0 s, but task 0 of each job runs 4.0 s
+    When 20 speculative jobs of 8 tasks are submitted over 8.0 s
+    And a runner works at a sixth of the speed from now on
+    And 20 speculative jobs of 8 tasks are submitted over 8.0 s
+    Then at least 4 copies of tasks on that runner ended first
--- a/tests/scheduler/steps/copy_steps.py
+++ b/tests/scheduler/steps/copy_steps.py
@@ -21,11 +21,23 @@
     " tasks"
 )
 def step_site(context, queue, count):
+    _make_site(context, queue, count, copies=True)
+
+
+@given(
+    'a site with queue "{queue}" on {count:d} hosts that starts copies and'
+    " learns run times"
+)
+def step_learning_site(context, queue, count):
+    _make_site(context, queue, count, copies=True, learned_run_times=True)
+
+
+def _make_site(context, queue, count, **flags):
     world = site_world.SiteWorld()
     world.add_service("press")
     world.add_queue(queue, "press")
     world.add_machines(count, "press")
-    world.start(scheduling=scheduling_settings.SchedulingSettings(copies=True))
+    world.start(scheduling=scheduling_settings.SchedulingSettings(**flags))
     context.world, context.queue = world, queue
 
 
@@ -277,3 +289,70 @@
     }
     seen = {entry[2:] for entry in record if entry[1].startswith("seen")}
     assert ended and ended <= seen, ended - seen
+
+
+@given("tasks that run {seconds:g} s, but task 0 of each job runs {slow:g} s")
+def step_long_tasks(context, seconds, slow):
+    context.stream_ids = []
+    context.world.platform.plan_task = lambda task, attempt: (
+        site_runner.TaskPlan(slow if task.endswith(".0") else seconds)
+    )
+
+
+@when(
+    "{count:d} speculative jobs of {tasks:d} tasks are submitted over"
+    " {seconds:g} s"
+)
+def step_stream(context, count, tasks, seconds):
+    phase = {
+        "count": tasks,
+        "cpu": 1000,
+        "memMb": 500,
+        "estimateMs": 1000,
+        "speculative": True,
+    }
+    first = len(context.stream_ids)
+    for number in range(first, first + count):
+        job_id = f"{number + 0xC000:016x}"
+        context.stream_ids.append(job_id)
+        response = context.world.submit_job(context.queue, job_id, [phase])
+        assert response.status == 200, response
+        context.world.advance_time(seconds / count)
+
+
+@when("a runner works at a sixth of the speed from now on")
+def step_slow_runner(context):
+    starts = context.world.task_starts()
+    runners = context.world.platform.runner_by_address.values()
+    context.slow_runner = next(
+        runner for runner in runners if runner.id == starts[-1][2]
+    )
+    context.slow_runner.slowness = 6.0
+
+
+@then("at most {count:d} copies were started")
+def step_few_copies(context, count):
+    copied = [e for e in context.world.task_starts() if e[4] > 1]
+    assert 0 < len(copied) <= count, len(copied)
+
+
+@then('each of these jobs is "{state}"')
+def step_stream_states(context, state):
+    states = {
+        context.world.job_state(context.queue, job_id)
+        for job_id in context.stream_ids
+    }
+    assert states == {state}, states
+
+
+@then("at least {count:d} copies of tasks on that runner ended first")
+def step_copies_won(context, count):
+    record = context.world.platform.record
+    there = {
+        entry[3]
+        for entry in record
+        if entry[1] == "start"
+        and entry[2:] == (context.slow_runner.id, entry[3], 1)
+    }
+    won = [e for e in record if e[1] == "done" and e[4] > 1 and e[3] in there]
+    assert len(won) >= count, len(won)
