Order jobs under scarcity by what their teams have had

Only jobs that a team sent beyond its weight in jobs a second were lowered. What a team's runs held was in no state, so a team within its rate that sends large jobs crowded out the others under scarcity.

The leader keeps an account of each team: what its runs held of processor, memory and accelerators over all pools, averaged with decaying weight. While more waits in a service than fits, the time left to a job that can still end in time is multiplied by a factor from its team's weighted dominant share. Time classes, priorities, begun jobs and work beyond the rate come first as before. The renewal carries the accounts to the next leader, which without them begins with what runs. Off unless fair_shares is set.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -41,6 +41,7 @@
     runner: str
     free_cpu: int
     waited_s: float
+    share_factor: float = 1.0
 
 
 @catalogue.event(6004)
@@ -450,6 +451,29 @@
     steps: int
 
 
+@catalogue.event(6080)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamsCompete(catalogue.Event):
+    """More waits for a service than fits; shares of teams order its jobs."""
+
+    service: str
+    waiting_cpu: int
+    free_cpu: int
+    waiting_memory: int
+    free_memory: int
+    teams: int
+    highest_factors: str
+    account_age_s: float
+
+
+@catalogue.event(6081)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamsCompeteNoMore(catalogue.Event):
+    """All that waits for a service fits again."""
+
+    service: str
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/job_order.py
+++ b/src/azurevane/_internal/policy/job_order.py
@@ -7,6 +7,8 @@
 run times are declared too short, jobs that may meet it, late jobs, and
 finally jobs that are too late to be of use. Within each class, jobs that
 have begun come first, so that few are partly done, and then the most urgent.
+While teams compete for too little capacity, the time left to a job of a team
+that has had more than its share counts as longer (``fair_shares``).
 
 Designed for bursts that exceed the capacity of a pool. Under such a load,
 ordering by urgency alone starts each job at the last moment and makes most
@@ -23,6 +25,10 @@
 ESTIMATE_MARGIN_RATIO = 0.25
 # A job is of no use once it takes this multiple of its objective.
 USELESS_AFTER_OBJECTIVES = 3.0
+# Added to the time left to each job before it is multiplied by its team's
+# factor, so that the factor also tells apart jobs that must start now. About
+# the least time in which a runner is freed for one of them under load.
+SHARE_SLACK_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +44,8 @@
         begun: whether any of its tasks was ever started.
         objective_at: time by which the job should have ended.
         remaining_s: run time of the longest chain of unfinished steps.
+        share_factor: factor on the time left, above 1 for a team that has
+            had more than its share of the capacity under scarcity.
     """
 
     priority: int
@@ -47,6 +55,7 @@
     arrived_at: float
     objective_at: float
     remaining_s: float
+    share_factor: float = 1.0
 
 
 def order_key(job: JobOrderInput, now: float) -> tuple[float, ...]:
@@ -60,7 +69,9 @@
         job.priority,
         deadline_class,
         not job.begun,
-        job.arrived_at if late else start_by,
+        job.arrived_at
+        if late
+        else (start_by - now + SHARE_SLACK_S) * job.share_factor,
     )
 
 
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -35,6 +35,7 @@
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import share_order
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
 from azurevane._internal.scheduler import store_clock
@@ -124,7 +125,11 @@
             self.scheduler_state
         )
         self._planner = planner_module.Planner(
-            self.scheduler_state, settings.bounds.runner_stop_s
+            self.scheduler_state,
+            settings.bounds.runner_stop_s,
+            share_order.ShareOrder(self.scheduler_state)
+            if settings.scheduling.fair_shares
+            else None,
         )
         if settings.scheduling.learned_run_times:
             self.scheduler_state.learn_run_times()
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -1,6 +1,7 @@
 """Planning pass: assigns waiting tasks to runners."""
 
 from collections.abc import Collection, Sequence
+import itertools
 import logging
 
 from azurevane._internal.events import catalogue
@@ -13,6 +14,7 @@
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
+from azurevane._internal.scheduler import share_order as share_order_module
 
 logger = logging.getLogger(__name__)
 
@@ -30,16 +32,21 @@
 
     Args:
         runner_stop_s: time that a run may take to save its state and stop.
+        share_order: how the shares of teams change the order, if they do.
     """
 
     def __init__(
         self,
         scheduler_state: state_module.SchedulerState,
         runner_stop_s: float,
+        share_order: share_order_module.ShareOrder | None = None,
     ) -> None:
+        self._share_order = share_order
         self._scheduler_state = scheduler_state
         self._runner_stop_s = runner_stop_s
         self._passes = 0
+        # Factors on the time left of the service that is planned.
+        self._factor_by_team: dict[str, float] = {}
         # Attempt number and checkpoint shared by the members of a gang.
         self._gang_attempt_by_step: dict[
             tuple[str, int, int], tuple[int, str]
@@ -58,6 +65,8 @@
         Returns:
             The number of services left over.
         """
+        if self._share_order is not None:
+            self._share_order.advance_accounts(now)
         self._stop_draining_runs(now)
         self._gang_attempt_by_step.clear()
         waiting_by_service = self._waiting_jobs()
@@ -201,19 +210,54 @@
         """
         most_cpu = max(capacity.free.cpu for capacity in capacities)
         most_memory = max(capacity.free.memory for capacity in capacities)
-        jobs.sort(key=lambda job: job_order.order_key(_order_input(job), now))
-        requests = []
+        requests_by_job: dict[str, list[task_placement.StepRequest]] = {}
+        all_fit = True
         for job in jobs:
+            requests = requests_by_job[job.job.id] = []
             for occurrence, index in job.ready_steps(unix_now):
                 step = job.job.steps[index]
                 cpu = 0 if step.fills else step.need.cpu
                 fits = cpu <= most_cpu and step.need.memory <= most_memory
+                if not fits:
+                    all_fit = False
                 if not fits and not job.job.advised:
                     continue
                 request = self._step_request(job, occurrence, index, now)
                 if request is not None:
                     requests.append(request)
-        return requests
+        waiting = [job for job in jobs if requests_by_job[job.job.id]]
+        self._sort_jobs(waiting, requests_by_job, capacities, all_fit, now)
+        return [
+            request
+            for job in waiting
+            for request in requests_by_job[job.job.id]
+        ]
+
+    def _sort_jobs(
+        self,
+        jobs: list[runs.JobState],
+        requests_by_job: dict[str, list[task_placement.StepRequest]],
+        capacities: Sequence[task_placement.RunnerCapacity],
+        all_fit: bool,
+        now: float,
+    ) -> None:
+        self._factor_by_team = {}
+        if self._share_order is not None and jobs:
+            self._factor_by_team = self._share_order.factors(
+                self._scheduler_state.service_of(jobs[0].job),
+                itertools.chain.from_iterable(requests_by_job.values()),
+                capacities,
+                all_fit,
+                now,
+            )
+        jobs.sort(
+            key=lambda job: job_order.order_key(
+                _order_input(job, self._share_factor(job)), now
+            )
+        )
+
+    def _share_factor(self, job: runs.JobState) -> float:
+        return self._factor_by_team.get(job.job.team, 1.0)
 
     def _step_request(
         self, job: runs.JobState, occurrence: int, index: int, now: float
@@ -328,6 +372,7 @@
                 runner.id,
                 free_cpu,
                 round(now - job.arrived_at, 3),
+                round(self._share_factor(job), 2),
             ),
         )
 
@@ -369,7 +414,9 @@
     )
 
 
-def _order_input(job: runs.JobState) -> job_order.JobOrderInput:
+def _order_input(
+    job: runs.JobState, share_factor: float
+) -> job_order.JobOrderInput:
     return job_order.JobOrderInput(
         priority=job.job.priority,
         beyond_share=job.beyond_share,
@@ -378,4 +425,5 @@
         arrived_at=job.arrived_at,
         objective_at=job.objective_at,
         remaining_s=job.remaining_s,
+        share_factor=share_factor,
     )
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -76,6 +76,7 @@
     state.restart_leases_until = min(
         clock.certainly_passed_at(previous.restart_leases_until), latest
     )
+    state.usage.restore(previous.account_by_team)
     # The takeover has kept them in the renewal row.
     state.publish_expiries(previous.expiry_by_runner)
     return state
@@ -156,6 +157,7 @@
                 if restart_leases_until > now
                 else 0.0
             ),
+            account_by_team=state.usage.stored_accounts(),
         )
 
     def handle_stored(self) -> None:
