--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -102,7 +102,7 @@
         """
         for job in list(self._scheduler_state.live_job_by_id.values()):
             try:
-                order = job_order.order_key(_order_input(job), now)
+                order = job_order.order_key(_order_input(job, 1.0), now)
                 sorted((order, order))
                 for occurrence, index in job.ready_steps(unix_now):
                     self._step_request(job, occurrence, index, now)
