Find the begin of a busy period from the first jobs

The work that arrives was averaged over a window as long as a job's critical path, so the estimate rose no faster than the window passed, while a host that is fetched comes about two seconds later. The rate is now the mean since its last change, which short windows show; the CPU that it calls for is that at the time at which a host ordered now takes tasks. Waiting tasks of jobs that can't end in time count only as far as to end them within 3 s.

--- /dev/null
+++ b/src/azurevane/_internal/policy/arrival_rate.py
@@ -0,0 +1,117 @@
+"""Estimates the rate of arrivals of a service whose demand changes suddenly.
+
+A queue's demand may rise from next to nothing to its highest within a moment,
+and hosts that are fetched arrive a move later. An average over a fixed window
+shows the new rate only when the window has passed. Here the estimate is the
+mean since the last change of the rate, and a change is found by comparing the
+jobs of several short windows with what the estimate lets expect.
+"""
+
+import collections
+import math
+
+# A change is searched for in windows of these lengths: the short ones show a
+# strong change at once, the long ones a weak change of a low rate.
+WINDOWS_S = (0.2, 0.4, 0.8, 1.6)
+# A window shows a change if the bound on its probability without one, here
+# e to the power of minus this, is below 1 in 100.
+MIN_SURPRISE = 4.6
+# Fewer jobs than this show no rise, whatever the rate was before.
+MIN_JOBS = 3
+# Rate in jobs a second below which a change costs less than a move.
+LEAST_RATE = 0.5
+# The mean is taken over no shorter time, as it is too uncertain then.
+MIN_SPAN_S = 0.2
+# The mean forgets what lies further back, so that it follows slow changes.
+MAX_SPAN_S = 10.0
+# Weight of the newest job in the mean work of jobs, once there are as many.
+WORK_WEIGHT = 0.05
+
+
+class ArrivalRate:
+    """Rate and mean work of a service's jobs; times are in seconds.
+
+    Attributes:
+        changed_at: since when jobs have arrived at the present rate.
+        mean_work: mean work of a job, in thousandths of a core-second.
+        mean_path_s: mean run time of a job's longest chain of steps.
+    """
+
+    def __init__(self) -> None:
+        self.changed_at = float("-inf")
+        self.mean_work = 0.0
+        self.mean_path_s = 0.0
+        self._jobs = 0
+        # Jobs since the last change, as far as they count towards the mean.
+        self._count = 0.0
+        self._recent: collections.deque[float] = collections.deque()
+
+    def count_job(self, at: float, work: float, path_s: float) -> None:
+        """Count a job that arrived at a time, with its work and length."""
+        self._jobs += 1
+        self._count += 1.0
+        weight = max(1.0 / self._jobs, WORK_WEIGHT)
+        self.mean_work += weight * (work - self.mean_work)
+        self.mean_path_s += weight * (path_s - self.mean_path_s)
+        if self._recent and at < self._recent[-1]:
+            # Hosts store jobs side by side, so some are read out of order.
+            self._recent = collections.deque(sorted([*self._recent, at]))
+        else:
+            self._recent.append(at)
+
+    def update(self, now: float) -> float:
+        """Look for a change of the rate; return the rate in jobs a second."""
+        while self._recent and self._recent[0] < now - WINDOWS_S[-1]:
+            self._recent.popleft()
+        rate = self._mean_rate(now)
+        for window_s in WINDOWS_S:
+            if self._find_change(window_s, rate, now):
+                rate = self._mean_rate(now)
+                break
+        return rate
+
+    def arriving_cpu(self, now: float, lead_s: float) -> float:
+        """Return the CPU that arriving jobs keep busy a while from now.
+
+        Jobs begin with their first step and keep as much busy as their whole
+        work calls for only when they have arrived for as long as they run.
+        """
+        cpu = self.update(now) * self.mean_work
+        arriving_s = max(now + lead_s - self.changed_at, 0.0)
+        if arriving_s >= self.mean_path_s:
+            return cpu
+        return cpu * arriving_s / self.mean_path_s
+
+    def _mean_rate(self, now: float) -> float:
+        span_s = now - self.changed_at
+        if span_s > MAX_SPAN_S:
+            self._count *= MAX_SPAN_S / span_s
+            self.changed_at = now - MAX_SPAN_S
+            span_s = MAX_SPAN_S
+        return self._count / max(span_s, MIN_SPAN_S)
+
+    def _find_change(self, window_s: float, rate: float, now: float) -> bool:
+        start = now - window_s
+        jobs = [at for at in self._recent if at >= start]
+        expected = max(rate, LEAST_RATE) * window_s
+        if len(jobs) > expected:
+            if len(jobs) < MIN_JOBS or start < self.changed_at:
+                return False
+            if _surprise(len(jobs), expected) < MIN_SURPRISE:
+                return False
+            # The first job only marks the beginning.
+            self.changed_at, self._count = jobs[0], len(jobs) - 1.0
+            return True
+        if start < self.changed_at or rate < LEAST_RATE:
+            return False
+        if _surprise(len(jobs), rate * window_s) < MIN_SURPRISE:
+            return False
+        self.changed_at, self._count = start, float(len(jobs))
+        return True
+
+
+def _surprise(count: int, expected: float) -> float:
+    """Return minus the logarithm of Chernoff's bound for a Poisson count."""
+    if not count:
+        return expected
+    return count * math.log(count / expected) - count + expected
--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -15,6 +15,9 @@
 MIN_IDLE_BEFORE_MOVE_S = 1.15
 # Every pool keeps this many hosts, so that it survives the loss of one.
 MIN_HOSTS_PER_POOL = 2
+# Jobs don't arrive evenly: room for this multiple of their mean work keeps
+# them from waiting, at the cost of a few hosts more.
+ARRIVAL_MARGIN = 1.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,10 +29,11 @@
         ready_hosts: hosts that take tasks.
         incoming_hosts: hosts that are moving into the pool.
         busy_cpu: CPU used by tasks.
-        waiting_cpu: CPU needed by tasks that wait for capacity.
+        waiting_cpu: CPU needed by tasks that wait for capacity; of jobs that
+            can't end in time, only as much as ends them after a while.
         long_running_cpu: part of ``busy_cpu`` that long-running tasks use.
         arriving_cpu: CPU kept busy by jobs if they continue to arrive at
-            the recent rate.
+            the present rate.
         min_hosts: hosts that the long-running tasks need.
         missing_label_count: labels that waiting tasks need and that only
             hosts outside the pool have.
@@ -107,7 +111,7 @@
     if not pool.host_cpu:
         return minimum
     current_cpu = pool.busy_cpu + pool.waiting_cpu
-    expected_cpu = pool.long_running_cpu + pool.arriving_cpu
+    expected_cpu = pool.long_running_cpu + ARRIVAL_MARGIN * pool.arriving_cpu
     enough = max(
         math.ceil(max(current_cpu, expected_cpu) / pool.host_cpu), minimum
     )
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -1,43 +1,53 @@
 """Demand of each pool, as input for the sizing of pools."""
 
-import collections
 from collections.abc import Iterator
 import dataclasses
 
 from azurevane._internal.models import site
+from azurevane._internal.policy import arrival_rate
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
 
-# Arriving work is averaged over a window as long as a job's critical path,
-# smoothed over jobs, within these bounds. The window is short compared to a
-# burst, and long compared to the time between two jobs in a burst.
-MIN_WINDOW_S = 1.0
-MAX_WINDOW_S = 5.0
-# Weight of the newest job in the smoothed length of critical paths.
-CRITICAL_PATH_WEIGHT = 0.1
+# Tasks of jobs that can't end in time any more are spread over this time, as
+# hosts fetched for all of them at once would come too late to be of use.
+LATE_WORK_SPREAD_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
 class _WaitingWork:
     """CPU of a service's waiting tasks, in total and of the largest one."""
 
-    cpu: int = 0
+    cpu: float = 0.0
     largest_cpu: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _RunnerTotals:
+    """Runners of a service and the CPU of their tasks."""
+
+    ready: int = 0
+    busy_cpu: int = 0
+    long_running_cpu: int = 0
+    host_cpu: int = 0
+    most_room_cpu: int = 0
+
+
 class DemandMeter:
-    """Measures the demand of services; times are monotonic seconds."""
+    """Measures the demand of services; times are monotonic seconds.
+
+    Args:
+        lead_s: time from the command to move a host until it takes tasks.
+    """
 
-    def __init__(self, scheduler_state: state_module.SchedulerState) -> None:
+    def __init__(
+        self, scheduler_state: state_module.SchedulerState, lead_s: float
+    ) -> None:
         self._scheduler_state = scheduler_state
-        # Time of each arrival, and its work in thousandths of a core-second.
-        self._arrivals_by_service: dict[
-            str, collections.deque[tuple[float, float]]
-        ] = {}
-        self._critical_path_by_service: dict[str, float] = {}
+        self._lead_s = lead_s
+        self._arrivals_by_service: dict[str, arrival_rate.ArrivalRate] = {}
         self._recorded_job_ids: set[str] = set()
 
     def measure(
@@ -56,6 +66,7 @@
             return []
         waiting_by_service, min_hosts_by_service = self._measure_waiting(now)
         missing_labels_by_service = self._missing_labels(hosts)
+        totals_by_service = self._runner_totals()
         demands = []
         for service in config.service_by_name.values():
             if service.standby:
@@ -63,6 +74,7 @@
             demands.append(
                 self._pool_demand(
                     service.name,
+                    totals_by_service.get(service.name, _RunnerTotals()),
                     waiting_by_service.get(service.name, _WaitingWork()),
                     min_hosts_by_service.get(service.name, 0),
                     incoming_by_pool.get(service.name, 0),
@@ -113,24 +125,17 @@
             for service, labels in labels_by_service.items()
         }
 
-    def _pool_demand(
-        self,
-        service: str,
-        waiting: _WaitingWork,
-        min_hosts: int,
-        incoming_hosts: int,
-        missing_label_count: int,
-        hosts: list[site.Host],
-        now: float,
-    ) -> pool_sizing.PoolDemand:
-        ready, busy_cpu, long_running_cpu, host_cpu = 0, 0, 0, 0
-        most_room_cpu = 0
+    def _runner_totals(self) -> dict[str, _RunnerTotals]:
+        totals_by_service: dict[str, _RunnerTotals] = {}
+        draining = self._scheduler_state.draining_runners
         for runner in self._scheduler_state.runner_by_id.values():
-            if runner.entry.service != service:
-                continue
-            busy_cpu += runner.entry.capacity.cpu - runner.free_capacity().cpu
+            entry = runner.entry
+            totals = totals_by_service.setdefault(
+                entry.service, _RunnerTotals()
+            )
+            totals.busy_cpu += entry.capacity.cpu - runner.free_capacity().cpu
             # Copies use capacity that is there; no host is fetched for them.
-            busy_cpu -= sum(
+            totals.busy_cpu -= sum(
                 run.step.need.cpu
                 for run in runner.run_by_task.values()
                 if run.is_copy
@@ -140,45 +145,51 @@
                 for run in runner.run_by_task.values()
                 if run.step.long_running and not run.step.fills
             )
-            long_running_cpu += long_running_here
-            usable = runner.listed and not runner.entry.draining
-            if (
-                usable
-                and runner.id not in self._scheduler_state.draining_runners
-            ):
-                ready += 1
-                capacity_cpu = runner.entry.capacity.cpu
-                host_cpu = max(host_cpu, capacity_cpu)
-                room_cpu = capacity_cpu - long_running_here
-                most_room_cpu = max(most_room_cpu, room_cpu)
+            totals.long_running_cpu += long_running_here
+            usable = runner.listed and not entry.draining
+            if usable and runner.id not in draining:
+                totals.ready += 1
+                totals.host_cpu = max(totals.host_cpu, entry.capacity.cpu)
+                totals.most_room_cpu = max(
+                    totals.most_room_cpu,
+                    entry.capacity.cpu - long_running_here,
+                )
+        return totals_by_service
+
+    def _pool_demand(
+        self,
+        service: str,
+        totals: _RunnerTotals,
+        waiting: _WaitingWork,
+        min_hosts: int,
+        incoming_hosts: int,
+        missing_label_count: int,
+        hosts: list[site.Host],
+        now: float,
+    ) -> pool_sizing.PoolDemand:
+        host_cpu = totals.host_cpu
         if not host_cpu:
             host_cpu = max((host.capacity.cpu for host in hosts), default=0)
+        arrivals = self._arrivals_by_service.get(service)
+        arriving_cpu = 0.0
+        if arrivals is not None:
+            arriving_cpu = arrivals.arriving_cpu(now, self._lead_s)
         return pool_sizing.PoolDemand(
             name=service,
             host_cpu=host_cpu,
-            ready_hosts=ready,
+            ready_hosts=totals.ready,
             incoming_hosts=incoming_hosts,
-            busy_cpu=busy_cpu,
-            waiting_cpu=waiting.cpu,
-            long_running_cpu=long_running_cpu,
-            arriving_cpu=self._arriving_cpu(service, now),
+            busy_cpu=totals.busy_cpu,
+            waiting_cpu=round(waiting.cpu),
+            long_running_cpu=totals.long_running_cpu,
+            arriving_cpu=arriving_cpu,
             min_hosts=min_hosts,
             missing_label_count=missing_label_count,
-            task_blocked=most_room_cpu < waiting.largest_cpu <= host_cpu,
+            task_blocked=(
+                totals.most_room_cpu < waiting.largest_cpu <= host_cpu
+            ),
         )
 
-    def _arriving_cpu(self, service: str, now: float) -> float:
-        arrivals = self._arrivals_by_service.get(service)
-        if arrivals is None:
-            return 0.0
-        critical_path_s = self._critical_path_by_service.get(
-            service, MIN_WINDOW_S
-        )
-        window_s = min(max(critical_path_s, MIN_WINDOW_S), MAX_WINDOW_S)
-        while arrivals and arrivals[0][0] < now - window_s:
-            arrivals.popleft()
-        return sum(work for _, work in arrivals) / window_s
-
     def _measure_waiting(
         self, now: float
     ) -> tuple[dict[str, _WaitingWork], dict[str, int]]:
@@ -199,9 +210,7 @@
             if not job.waiting_count:
                 continue
             waiting = waiting_by_service.setdefault(service, _WaitingWork())
-            for cpu in _waiting_cpus(job, now):
-                waiting.cpu += cpu
-                waiting.largest_cpu = max(waiting.largest_cpu, cpu)
+            self._add_waiting(job, waiting, now)
         self._recorded_job_ids.intersection_update(
             self._scheduler_state.live_job_by_id
         )
@@ -219,20 +228,34 @@
             if not step.fills
         )
         arrivals = self._arrivals_by_service.setdefault(
-            service, collections.deque()
-        )
-        arrivals.append((job.arrived_at, work))
-        critical_path_s = job_order.critical_path_s(job.job.steps)
-        smoothed_s = self._critical_path_by_service.get(
-            service, critical_path_s
+            service, arrival_rate.ArrivalRate()
         )
-        self._critical_path_by_service[service] = (
-            smoothed_s + CRITICAL_PATH_WEIGHT * (critical_path_s - smoothed_s)
+        arrivals.count_job(
+            job.arrived_at, work, job_order.critical_path_s(job.job.steps)
         )
 
-
-def _waiting_cpus(job: runs.JobState, now: float) -> Iterator[int]:
-    for key in job.ready_steps(float("inf")):
-        for run in job.runs_by_step[key]:
-            if run.phase is runs.Phase.WAITING and run.not_before <= now:
-                yield 0 if run.step.fills else run.step.need.cpu
+    def _add_waiting(
+        self, job: runs.JobState, waiting: _WaitingWork, now: float
+    ) -> None:
+        in_time = (
+            job.long_running
+            or bool(job.job.repeats)
+            or now <= job.objective_at - job.remaining_s
+        )
+        for key in job.ready_steps(float("inf")):
+            step = job.job.steps[key[1]]
+            if step.fills:
+                continue
+            count = sum(
+                run.phase is runs.Phase.WAITING and run.not_before <= now
+                for run in job.runs_by_step[key]
+            )
+            if not count:
+                continue
+            cpu = step.need.cpu
+            waiting.largest_cpu = max(waiting.largest_cpu, cpu)
+            share = 1.0
+            if not in_time:
+                run_s = self._scheduler_state.expected_run_s(job.job, step)
+                share = min(run_s / LATE_WORK_SPREAD_S, 1.0)
+            waiting.cpu += count * cpu * share
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -96,7 +96,7 @@
             leader, leader.scheduler_state, self._table
         )
         self._moves = move_manager.MoveManager(
-            leader.scheduler_state, self._table
+            leader.scheduler_state, self._table, move_s
         )
 
     async def run_planning_pass(self) -> None:
--- a/src/azurevane/_internal/scheduler/move_manager.py
+++ b/src/azurevane/_internal/scheduler/move_manager.py
@@ -12,18 +12,29 @@
 
 logger = logging.getLogger(__name__)
 
+# A host that was moved takes tasks this long after the move: its runner
+# registers, and the leader reaches it for the first time.
+REGISTRATION_S = 0.3
+
 
 class MoveManager:
-    """Chooses the hosts that move now and those to drain for a later move."""
+    """Chooses the hosts that move now and those to drain for a later move.
+
+    Args:
+        move_s: how long the move of a host takes.
+    """
 
     def __init__(
         self,
         scheduler_state: state_module.SchedulerState,
         table: host_table.HostTable,
+        move_s: float,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._table = table
-        self._demand = demand.DemandMeter(scheduler_state)
+        self._demand = demand.DemandMeter(
+            scheduler_state, move_s + REGISTRATION_S
+        )
         self._sizes_by_pool: dict[str, tuple[int, int, int]] = {}
         # Names of hosts that drain for a move.
         self._draining_for_move: set[str] = set()
