Size pools by memory and accelerators as well

Pools were sized by processors alone. Where long-running tasks use up a host's memory, their pool counted the processors left there as room that no other task can use, and got one host more in each pass only once a task fitted nowhere. Loads, rooms and hosts are vectors now, and a fit of tasks of the mean need decides beside the bound of each resource.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -363,9 +363,12 @@
     wanted: int
     ready: int
     coming: int
+    long_running_hosts: int
     busy_cpu: int
     waiting_cpu: int
     arriving_cpu: int
+    used_memory: int
+    arriving_memory: int
 
 
 @catalogue.event(6053)
--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -29,6 +29,20 @@
             and self.gpu >= need.gpu
         )
 
+    def __add__(self, other: "Capacity") -> "Capacity":
+        return Capacity(
+            self.cpu + other.cpu,
+            self.memory + other.memory,
+            self.gpu + other.gpu,
+        )
+
+    def __sub__(self, other: "Capacity") -> "Capacity":
+        return Capacity(
+            self.cpu - other.cpu,
+            self.memory - other.memory,
+            self.gpu - other.gpu,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
--- a/src/azurevane/_internal/policy/arrival_rate.py
+++ b/src/azurevane/_internal/policy/arrival_rate.py
@@ -33,25 +33,31 @@
 
     Attributes:
         changed_at: since when jobs have arrived at the present rate.
-        mean_work: mean work of a job, in thousandths of a core-second.
+        mean_work: mean work of a job: capacity of each kind, multiplied by
+            the time for which it is used.
         mean_path_s: mean run time of a job's longest chain of steps.
     """
 
     def __init__(self) -> None:
         self.changed_at = float("-inf")
-        self.mean_work = 0.0
+        self.mean_work: tuple[float, ...] = ()
         self.mean_path_s = 0.0
         self._jobs = 0
         # Jobs since the last change, as far as they count towards the mean.
         self._count = 0.0
         self._recent: collections.deque[float] = collections.deque()
 
-    def count_job(self, at: float, work: float, path_s: float) -> None:
+    def count_job(
+        self, at: float, work: tuple[float, ...], path_s: float
+    ) -> None:
         """Count a job that arrived at a time, with its work and length."""
         self._jobs += 1
         self._count += 1.0
         weight = max(1.0 / self._jobs, WORK_WEIGHT)
-        self.mean_work += weight * (work - self.mean_work)
+        self.mean_work = tuple(
+            mean + weight * (part - mean)
+            for mean, part in zip(self.mean_work or work, work, strict=True)
+        )
         self.mean_path_s += weight * (path_s - self.mean_path_s)
         if self._recent and at < self._recent[-1]:
             # Hosts store jobs side by side, so some are read out of order.
@@ -70,17 +76,17 @@
                 break
         return rate
 
-    def arriving_cpu(self, now: float, lead_s: float) -> float:
-        """Return the CPU that arriving jobs keep busy a while from now.
+    def arriving(self, now: float, lead_s: float) -> tuple[float, ...]:
+        """Return the capacity that arriving jobs use a while from now.
 
-        Jobs begin with their first step and keep as much busy as their whole
-        work calls for only when they have arrived for as long as they run.
+        Jobs begin with their first step and use as much as their whole work
+        calls for only when they have arrived for as long as they run.
         """
-        cpu = self.update(now) * self.mean_work
+        rate = self.update(now)
         arriving_s = max(now + lead_s - self.changed_at, 0.0)
-        if arriving_s >= self.mean_path_s:
-            return cpu
-        return cpu * arriving_s / self.mean_path_s
+        if arriving_s < self.mean_path_s:
+            rate *= arriving_s / self.mean_path_s
+        return tuple(rate * part for part in self.mean_work)
 
     def _mean_rate(self, now: float) -> float:
         span_s = now - self.changed_at
--- a/src/azurevane/_internal/policy/pool_sizing.py
+++ b/src/azurevane/_internal/policy/pool_sizing.py
@@ -8,7 +8,9 @@
 
 from collections.abc import Sequence
 import dataclasses
-import math
+
+from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import host_packing
 
 # By the sites' prices a move costs about as much as a host in a pool for this
 # long, so moving a host that was idle for less may cost more than it saves.
@@ -22,19 +24,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolDemand:
-    """Hosts and work of a pool; CPU is in thousandths of a core.
+    """Hosts and work of a pool.
 
     Attributes:
-        host_cpu: CPU of one host of the pool.
+        host: capacity of a host of the pool, the mean if they differ.
         ready_hosts: hosts that take tasks.
         incoming_hosts: hosts that are moving into the pool.
-        busy_cpu: CPU used by tasks.
-        waiting_cpu: CPU needed by tasks that wait for capacity; of jobs that
-            can't end in time, only as much as ends them after a while.
-        long_running_cpu: part of ``busy_cpu`` that long-running tasks use.
-        arriving_cpu: CPU kept busy by jobs if they continue to arrive at
-            the present rate.
-        min_hosts: hosts that the long-running tasks need.
+        min_hosts: hosts over which the long-running tasks are spread.
+        rooms: capacity that is left on each ready host with long-running
+            tasks, beside these.
+        running: tasks that run and end by themselves.
+        waiting: tasks that wait for capacity; of jobs that can't end in
+            time, only as much as ends them after a while.
+        waiting_long_running: long-running tasks that wait for capacity.
+        arriving: tasks that run at a time if jobs continue to arrive at the
+            present rate, when a host ordered now takes tasks.
         missing_label_count: labels that waiting tasks need and that only
             hosts outside the pool have.
         task_blocked: whether a waiting task fits on no host as long as the
@@ -42,14 +46,15 @@
     """
 
     name: str
-    host_cpu: int
+    host: job_models.Capacity
     ready_hosts: int
     incoming_hosts: int
-    busy_cpu: int
-    waiting_cpu: int
-    long_running_cpu: int
-    arriving_cpu: float
-    min_hosts: int
+    min_hosts: int = 0
+    rooms: tuple[job_models.Capacity, ...] = ()
+    running: host_packing.Load = host_packing.Load()
+    waiting: host_packing.Load = host_packing.Load()
+    waiting_long_running: host_packing.Load = host_packing.Load()
+    arriving: host_packing.Load = host_packing.Load()
     missing_label_count: int = 0
     task_blocked: bool = False
 
@@ -108,13 +113,9 @@
 def wanted_host_count(pool: PoolDemand) -> int:
     """Return how many hosts a pool needs now."""
     minimum = max(pool.min_hosts, MIN_HOSTS_PER_POOL)
-    if not pool.host_cpu:
+    if not pool.host.cpu:
         return minimum
-    current_cpu = pool.busy_cpu + pool.waiting_cpu
-    expected_cpu = pool.long_running_cpu + ARRIVAL_MARGIN * pool.arriving_cpu
-    enough = max(
-        math.ceil(max(current_cpu, expected_cpu) / pool.host_cpu), minimum
-    )
+    enough = max(minimum, len(pool.rooms) + _hosts_beside(pool))
     host_count = pool.ready_hosts + pool.incoming_hosts
     if pool.task_blocked:
         enough = max(enough, pool.ready_hosts + 1)
@@ -125,6 +126,17 @@
     return max(enough, host_count + extra)
 
 
+def _hosts_beside(pool: PoolDemand) -> int:
+    """Return the hosts needed beside those with long-running tasks."""
+    arriving = pool.arriving.scaled(ARRIVAL_MARGIN)
+    return host_packing.hosts_needed(
+        pool.waiting_long_running, pool.rooms, pool.host
+    ) + max(
+        host_packing.hosts_needed(load, pool.rooms, pool.host)
+        for load in (pool.running + pool.waiting, arriving)
+    )
+
+
 def allot_hosts(
     pools: Sequence[PoolDemand], standby_count: int
 ) -> dict[str, int]:
@@ -141,7 +153,8 @@
     if sum(wanted_by_pool.values()) <= host_count:
         return wanted_by_pool
     min_by_pool = {
-        pool.name: max(pool.min_hosts, MIN_HOSTS_PER_POOL) for pool in pools
+        pool.name: max(pool.min_hosts, MIN_HOSTS_PER_POOL, len(pool.rooms))
+        for pool in pools
     }
     left = max(host_count - sum(min_by_pool.values()), 0)
     extra_by_pool = {
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -157,7 +157,7 @@
         room = max_placements - len(placements)
         if room <= 0:
             break
-        need = _need(request.step)
+        need = capacity_needed(request.step)
         if any(need.covers(other) for other in too_large):
             continue
         max_count = len(request.waiting_indexes)
@@ -178,7 +178,7 @@
     return placements
 
 
-def _need(step: job_models.Step) -> job_models.Capacity:
+def capacity_needed(step: job_models.Step) -> job_models.Capacity:
     """Return the capacity that a task takes from its runner."""
     return dataclasses.replace(step.need, cpu=0) if step.fills else step.need
 
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterator
 import dataclasses
 
+from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
 from azurevane._internal.policy import arrival_rate
+from azurevane._internal.policy import host_packing
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
 from azurevane._internal.policy import task_placement
@@ -17,22 +19,57 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _WaitingWork:
-    """CPU of a service's waiting tasks, in total and of the largest one."""
+class _WaitingTasks:
+    """A service's waiting tasks.
 
-    cpu: float = 0.0
-    largest_cpu: int = 0
+    Attributes:
+        largest: the needs of the tasks that need most of each resource.
+    """
+
+    ending: host_packing.Load = host_packing.Load()
+    long_running: host_packing.Load = host_packing.Load()
+    largest: dict[str, job_models.Capacity] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add(self, step: job_models.Step, count: int, share: float) -> None:
+        need = task_placement.capacity_needed(step)
+        load = host_packing.Load(1, need.cpu, need.memory, need.gpu)
+        if step.long_running:
+            self.long_running += load.scaled(count)
+        else:
+            self.ending += load.scaled(count * share)
+        for name in ("cpu", "memory", "gpu"):
+            other = self.largest.get(name)
+            if other is None or getattr(need, name) > getattr(other, name):
+                self.largest[name] = need
 
 
 @dataclasses.dataclass(slots=True)
-class _RunnerTotals:
-    """Runners of a service and the CPU of their tasks."""
+class _Runners:
+    """Runners of a service and their tasks.
 
-    ready: int = 0
-    busy_cpu: int = 0
-    long_running_cpu: int = 0
-    host_cpu: int = 0
-    most_room_cpu: int = 0
+    Attributes:
+        running: tasks that end by themselves.
+        capacities: capacity of each runner that takes tasks.
+        room_by_runner: what long-running tasks leave of these runners, by
+            the runner's position in ``capacities``.
+    """
+
+    running: host_packing.Load = host_packing.Load()
+    capacities: list[job_models.Capacity] = dataclasses.field(
+        default_factory=list
+    )
+    room_by_runner: dict[int, job_models.Capacity] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def fit(self, need: job_models.Capacity) -> bool:
+        """Whether a need fits on a runner once its other tasks have ended."""
+        return any(
+            self.room_by_runner.get(number, capacity).covers(need)
+            for number, capacity in enumerate(self.capacities)
+        )
 
 
 class DemandMeter:
@@ -66,7 +103,7 @@
             return []
         waiting_by_service, min_hosts_by_service = self._measure_waiting(now)
         missing_labels_by_service = self._missing_labels(hosts)
-        totals_by_service = self._runner_totals()
+        runners_by_service = self._runners()
         demands = []
         for service in config.service_by_name.values():
             if service.standby:
@@ -74,8 +111,8 @@
             demands.append(
                 self._pool_demand(
                     service.name,
-                    totals_by_service.get(service.name, _RunnerTotals()),
-                    waiting_by_service.get(service.name, _WaitingWork()),
+                    runners_by_service.get(service.name, _Runners()),
+                    waiting_by_service.get(service.name, _WaitingTasks()),
                     min_hosts_by_service.get(service.name, 0),
                     incoming_by_pool.get(service.name, 0),
                     missing_labels_by_service.get(service.name, 0),
@@ -125,76 +162,79 @@
             for service, labels in labels_by_service.items()
         }
 
-    def _runner_totals(self) -> dict[str, _RunnerTotals]:
-        totals_by_service: dict[str, _RunnerTotals] = {}
+    def _runners(self) -> dict[str, _Runners]:
+        runners_by_service: dict[str, _Runners] = {}
         draining = self._scheduler_state.draining_runners
         for runner in self._scheduler_state.runner_by_id.values():
             entry = runner.entry
-            totals = totals_by_service.setdefault(
-                entry.service, _RunnerTotals()
+            runners = runners_by_service.setdefault(entry.service, _Runners())
+            capacity, free = entry.capacity, runner.free_capacity()
+            room, long_running_count, copy_count = capacity, 0, 0
+            for run in runner.run_by_task.values():
+                need = task_placement.capacity_needed(run.step)
+                if run.step.long_running:
+                    room -= need
+                    long_running_count += 1
+                elif run.is_copy:
+                    # Copies use what is there; no host is fetched for them.
+                    free += need
+                    copy_count += 1
+            used = room - free
+            runners.running += host_packing.Load(
+                len(runner.run_by_task) - long_running_count - copy_count,
+                used.cpu,
+                used.memory,
+                used.gpu,
             )
-            totals.busy_cpu += entry.capacity.cpu - runner.free_capacity().cpu
-            # Copies use capacity that is there; no host is fetched for them.
-            totals.busy_cpu -= sum(
-                run.step.need.cpu
-                for run in runner.run_by_task.values()
-                if run.is_copy
-            )
-            long_running_here = sum(
-                run.step.need.cpu
-                for run in runner.run_by_task.values()
-                if run.step.long_running and not run.step.fills
-            )
-            totals.long_running_cpu += long_running_here
             usable = runner.listed and not entry.draining
             if usable and runner.id not in draining:
-                totals.ready += 1
-                totals.host_cpu = max(totals.host_cpu, entry.capacity.cpu)
-                totals.most_room_cpu = max(
-                    totals.most_room_cpu,
-                    entry.capacity.cpu - long_running_here,
-                )
-        return totals_by_service
+                if long_running_count:
+                    number = len(runners.capacities)
+                    runners.room_by_runner[number] = room
+                runners.capacities.append(capacity)
+        return runners_by_service
 
     def _pool_demand(
         self,
         service: str,
-        totals: _RunnerTotals,
-        waiting: _WaitingWork,
+        runners: _Runners,
+        waiting: _WaitingTasks,
         min_hosts: int,
         incoming_hosts: int,
         missing_label_count: int,
         hosts: list[site.Host],
         now: float,
     ) -> pool_sizing.PoolDemand:
-        host_cpu = totals.host_cpu
-        if not host_cpu:
-            host_cpu = max((host.capacity.cpu for host in hosts), default=0)
+        host = host_packing.mean_capacity(
+            runners.capacities or (host.capacity for host in hosts)
+        )
         arrivals = self._arrivals_by_service.get(service)
-        arriving_cpu = 0.0
+        arriving = host_packing.Load()
         if arrivals is not None:
-            arriving_cpu = arrivals.arriving_cpu(now, self._lead_s)
+            arriving = host_packing.Load(*arrivals.arriving(now, self._lead_s))
         return pool_sizing.PoolDemand(
             name=service,
-            host_cpu=host_cpu,
-            ready_hosts=totals.ready,
+            host=host,
+            ready_hosts=len(runners.capacities),
             incoming_hosts=incoming_hosts,
-            busy_cpu=totals.busy_cpu,
-            waiting_cpu=round(waiting.cpu),
-            long_running_cpu=totals.long_running_cpu,
-            arriving_cpu=arriving_cpu,
             min_hosts=min_hosts,
+            rooms=tuple(runners.room_by_runner.values()),
+            running=runners.running,
+            waiting=waiting.ending,
+            waiting_long_running=waiting.long_running,
+            arriving=arriving,
             missing_label_count=missing_label_count,
-            task_blocked=(
-                totals.most_room_cpu < waiting.largest_cpu <= host_cpu
+            task_blocked=any(
+                host.covers(need) and not runners.fit(need)
+                for need in waiting.largest.values()
             ),
         )
 
     def _measure_waiting(
         self, now: float
-    ) -> tuple[dict[str, _WaitingWork], dict[str, int]]:
+    ) -> tuple[dict[str, _WaitingTasks], dict[str, int]]:
         """Return each service's waiting work and least number of hosts."""
-        waiting_by_service: dict[str, _WaitingWork] = {}
+        waiting_by_service: dict[str, _WaitingTasks] = {}
         min_hosts_by_service: dict[str, int] = {}
         for job in self._scheduler_state.live_job_by_id.values():
             if job.status.ended:
@@ -209,7 +249,7 @@
                     )
             if not job.waiting_count:
                 continue
-            waiting = waiting_by_service.setdefault(service, _WaitingWork())
+            waiting = waiting_by_service.setdefault(service, _WaitingTasks())
             self._add_waiting(job, waiting, now)
         self._recorded_job_ids.intersection_update(
             self._scheduler_state.live_job_by_id
@@ -220,22 +260,24 @@
         if job.long_running or job.job.id in self._recorded_job_ids:
             return
         self._recorded_job_ids.add(job.job.id)
-        work = sum(
-            step.count
-            * step.need.cpu
-            * self._scheduler_state.expected_run_s(job.job, step)
-            for step in job.job.steps
-            if not step.fills
-        )
+        work = host_packing.Load()
+        for step in job.job.steps:
+            need = task_placement.capacity_needed(step)
+            run_s = self._scheduler_state.expected_run_s(job.job, step)
+            work += host_packing.Load(
+                1, need.cpu, need.memory, need.gpu
+            ).scaled(step.count * run_s)
         arrivals = self._arrivals_by_service.setdefault(
             service, arrival_rate.ArrivalRate()
         )
         arrivals.count_job(
-            job.arrived_at, work, job_order.critical_path_s(job.job.steps)
+            job.arrived_at,
+            (work.tasks, work.cpu, work.memory, work.gpu),
+            job_order.critical_path_s(job.job.steps),
         )
 
     def _add_waiting(
-        self, job: runs.JobState, waiting: _WaitingWork, now: float
+        self, job: runs.JobState, waiting: _WaitingTasks, now: float
     ) -> None:
         in_time = (
             job.long_running
@@ -244,18 +286,14 @@
         )
         for key in job.ready_steps(float("inf")):
             step = job.job.steps[key[1]]
-            if step.fills:
-                continue
             count = sum(
                 run.phase is runs.Phase.WAITING and run.not_before <= now
                 for run in job.runs_by_step[key]
             )
             if not count:
                 continue
-            cpu = step.need.cpu
-            waiting.largest_cpu = max(waiting.largest_cpu, cpu)
             share = 1.0
             if not in_time:
                 run_s = self._scheduler_state.expected_run_s(job.job, step)
                 share = min(run_s / LATE_WORK_SPREAD_S, 1.0)
-            waiting.cpu += count * cpu * share
+            waiting.add(step, count, share)
--- a/src/azurevane/_internal/scheduler/move_manager.py
+++ b/src/azurevane/_internal/scheduler/move_manager.py
@@ -104,9 +104,12 @@
                     wanted,
                     pool.ready_hosts,
                     pool.incoming_hosts,
-                    pool.busy_cpu,
-                    pool.waiting_cpu,
-                    round(pool.arriving_cpu),
+                    len(pool.rooms),
+                    round(pool.running.cpu),
+                    round(pool.waiting.cpu),
+                    round(pool.arriving.cpu),
+                    round((pool.running + pool.waiting).memory),
+                    round(pool.arriving.memory),
                 ),
             )
 
--- a/tests/policy/steps/arrival_rate_steps.py
+++ b/tests/policy/steps/arrival_rate_steps.py
@@ -7,7 +7,9 @@
 from behave import when
 from tests.support import pool_load
 
+from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import arrival_rate
+from azurevane._internal.policy import host_packing
 from azurevane._internal.policy import pool_sizing
 
 SEEDS = range(4)
@@ -30,7 +32,7 @@
             rate = before if now < seconds else after
             for _ in range(2):
                 if rng.random() < rate * 0.025:
-                    meter.count_job(now, 1.0, 1.0)
+                    meter.count_job(now, (1.0,), 1.0)
             estimates.append((now, meter.update(now)))
         context.estimates_by_seed.append(estimates)
 
@@ -118,14 +120,12 @@
     return pool_sizing.wanted_host_count(
         pool_sizing.PoolDemand(
             name="press",
-            host_cpu=pool_load.HOST_CPU,
+            host=job_models.Capacity(pool_load.HOST_CPU),
             ready_hosts=pool.ready,
             incoming_hosts=len(pool.incoming),
-            busy_cpu=round(pool.used_cpu),
-            waiting_cpu=round(waiting_cpu),
-            long_running_cpu=0,
-            arriving_cpu=arriving_cpu,
-            min_hosts=0,
+            running=host_packing.Load(cpu=pool.used_cpu),
+            waiting=host_packing.Load(cpu=waiting_cpu),
+            arriving=host_packing.Load(cpu=arriving_cpu),
         )
     )
 
@@ -137,16 +137,15 @@
     def wanted(pool):
         for job in pool.arrived[len(seen) :]:
             seen.append(job)
-            meter.count_job(job.arrived_at, job.work, job.total * job.run_s)
+            meter.count_job(job.arrived_at, (job.work,), job.total * job.run_s)
         waiting_cpu = sum(
             job.waiting
             * job.cpu
             * (1.0 if job.start_by() >= pool.now else job.run_s / 3.0)
             for job in pool.waiting
         )
-        return _wanted(
-            pool, waiting_cpu, meter.arriving_cpu(pool.now, pool_load.MOVE_S)
-        )
+        arriving = meter.arriving(pool.now, pool_load.MOVE_S)
+        return _wanted(pool, waiting_cpu, *(arriving or (0.0,)))
 
     return wanted
 
--- a/tests/policy/steps/platform_policy_steps.py
+++ b/tests/policy/steps/platform_policy_steps.py
@@ -8,6 +8,8 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import host_packing
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
 
@@ -253,14 +255,9 @@
     context.pools.append(
         pool_sizing.PoolDemand(
             name=name,
-            host_cpu=cpu,
+            host=job_models.Capacity(cpu, 131072),
             ready_hosts=count,
             incoming_hosts=0,
-            busy_cpu=0,
-            waiting_cpu=0,
-            long_running_cpu=0,
-            arriving_cpu=0.0,
-            min_hosts=0,
         )
     )
 
@@ -273,19 +270,23 @@
     "its long-running tasks use {cpu:d} millicores and need {count:d} hosts"
 )
 def set_long_running(context, cpu, count):
-    _change_last_pool(
-        context, long_running_cpu=cpu, busy_cpu=cpu, min_hosts=count
-    )
+    host = context.pools[-1].host
+    room = job_models.Capacity(host.cpu - cpu, host.memory)
+    _change_last_pool(context, rooms=(room,), min_hosts=count)
 
 
 @given("{cpu:d} millicores of work arrive")
 def set_arriving(context, cpu):
-    _change_last_pool(context, arriving_cpu=float(cpu))
+    _change_last_pool(context, arriving=host_packing.Load(cpu=cpu))
 
 
 @given("{busy:d} millicores are busy and {waiting:d} millicores of work wait")
 def set_busy_and_waiting(context, busy, waiting):
-    _change_last_pool(context, busy_cpu=busy, waiting_cpu=waiting)
+    _change_last_pool(
+        context,
+        running=host_packing.Load(cpu=busy),
+        waiting=host_packing.Load(cpu=waiting),
+    )
 
 
 @given("{count:d} hosts are incoming")
