Fetch hosts before the busy periods that are foreseen

A host comes two seconds after the first jobs of a busy period called for it, and nearly all late jobs are of these seconds. With scheduling.forecast the leader learns which service is busy after which, and how long after, and has hosts ordered a move before. A new leader learns it from the rows of jobs. Late jobs count for more hosts than before (their run time in 1 s, not 3 s), a fall of the rate isn't taken from the delay of reading jobs, and the demand is at least what a window shows.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -477,6 +477,29 @@
     service: str
 
 
+@catalogue.event(6075)
+@dataclasses.dataclass(frozen=True, slots=True)
+class BusyPeriodChanged(catalogue.Event):
+    """Busy period of a service's jobs began or ended."""
+
+    pool: str
+    change: str
+    ago_s: float
+    jobs: int
+    rate: float
+
+
+@catalogue.event(6076)
+@dataclasses.dataclass(frozen=True, slots=True)
+class BusyPeriodForeseen(catalogue.Event):
+    """Busy period is expected soon; hosts are fetched for it."""
+
+    pool: str
+    begins_in_s: float
+    length_s: float
+    rate: float
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/arrival_rate.py
+++ b/src/azurevane/_internal/policy/arrival_rate.py
@@ -13,6 +13,9 @@
 # A change is searched for in windows of these lengths: the short ones show a
 # strong change at once, the long ones a weak change of a low rate.
 WINDOWS_S = (0.2, 0.4, 0.8, 1.6)
+# Jobs may be read this late, which must not pass for a fall: it isn't searched
+# for in windows that are less than twice as long.
+MAX_READ_DELAY_S = 0.2
 # A window shows a change if the bound on its probability without one, here
 # e to the power of minus this, is below 1 in 100.
 MIN_SURPRISE = 4.6
@@ -33,6 +36,9 @@
 
     Attributes:
         changed_at: since when jobs have arrived at the present rate.
+        rate: mean since the last change, as of the last update.
+        demand_rate: the same, or what a window shows at least, if that is
+            more: demand may rise in several steps.
         mean_work: mean work of a job: capacity of each kind, multiplied by
             the time for which it is used.
         mean_path_s: mean run time of a job's longest chain of steps.
@@ -40,6 +46,8 @@
 
     def __init__(self) -> None:
         self.changed_at = float("-inf")
+        self.rate = 0.0
+        self.demand_rate = 0.0
         self.mean_work: tuple[float, ...] = ()
         self.mean_path_s = 0.0
         self._jobs = 0
@@ -74,16 +82,17 @@
             if self._find_change(window_s, rate, now):
                 rate = self._mean_rate(now)
                 break
+        self.rate = rate
+        self.demand_rate = max(rate, self._least_recent_rate(now))
         return rate
 
-    def arriving(self, now: float, lead_s: float) -> tuple[float, ...]:
-        """Return the capacity that arriving jobs use a while from now.
+    def load(self, rate: float, arriving_s: float) -> tuple[float, ...]:
+        """Return the capacity that jobs use which arrive at a rate.
 
         Jobs begin with their first step and use as much as their whole work
         calls for only when they have arrived for as long as they run.
         """
-        rate = self.update(now)
-        arriving_s = max(now + lead_s - self.changed_at, 0.0)
+        arriving_s = max(arriving_s, 0.0)
         if arriving_s < self.mean_path_s:
             rate *= arriving_s / self.mean_path_s
         return tuple(rate * part for part in self.mean_work)
@@ -96,19 +105,34 @@
             span_s = MAX_SPAN_S
         return self._count / max(span_s, MIN_SPAN_S)
 
+    def _least_recent_rate(self, now: float) -> float:
+        """Return the highest lower bound that a window shows."""
+        least = 0.0
+        for window_s in WINDOWS_S[1:]:
+            count = sum(at >= now - window_s for at in self._recent)
+            # One standard deviation less.
+            least = max(least, (count - math.sqrt(count)) / window_s)
+        return least
+
     def _find_change(self, window_s: float, rate: float, now: float) -> bool:
         start = now - window_s
+        if start < self.changed_at:
+            return False
         jobs = [at for at in self._recent if at >= start]
         expected = max(rate, LEAST_RATE) * window_s
         if len(jobs) > expected:
-            if len(jobs) < MIN_JOBS or start < self.changed_at:
+            if len(jobs) < MIN_JOBS:
                 return False
             if _surprise(len(jobs), expected) < MIN_SURPRISE:
                 return False
             # The first job only marks the beginning.
             self.changed_at, self._count = jobs[0], len(jobs) - 1.0
             return True
-        if start < self.changed_at or rate < LEAST_RATE:
+        before_s = start - self.changed_at
+        if before_s >= 4 * window_s:
+            # The window is no part of what it is compared to.
+            rate = (self._count - len(jobs)) / before_s
+        if rate < LEAST_RATE or window_s < 2 * MAX_READ_DELAY_S:
             return False
         if _surprise(len(jobs), rate * window_s) < MIN_SURPRISE:
             return False
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -5,17 +5,19 @@
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
-from azurevane._internal.policy import arrival_rate
 from azurevane._internal.policy import host_packing
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import pool_sizing
 from azurevane._internal.policy import task_placement
+from azurevane._internal.scheduler import busy_periods
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
 
 # Tasks of jobs that can't end in time any more are spread over this time, as
 # hosts fetched for all of them at once would come too late to be of use.
-LATE_WORK_SPREAD_S = 3.0
+LATE_WORK_SPREAD_S = 1.0
+# The same for jobs that are too late to be of any use.
+USELESS_WORK_SPREAD_S = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,15 +79,22 @@
 
     Args:
         lead_s: time from the command to move a host until it takes tasks.
+        forecast: whether hosts are fetched before busy periods.
     """
 
     def __init__(
-        self, scheduler_state: state_module.SchedulerState, lead_s: float
+        self,
+        scheduler_state: state_module.SchedulerState,
+        lead_s: float,
+        *,
+        forecast: bool = False,
     ) -> None:
         self._scheduler_state = scheduler_state
-        self._lead_s = lead_s
-        self._arrivals_by_service: dict[str, arrival_rate.ArrivalRate] = {}
+        self._busy_periods = busy_periods.BusyPeriods(
+            lead_s, forecast=forecast
+        )
         self._recorded_job_ids: set[str] = set()
+        self._history_read = False
 
     def measure(
         self,
@@ -101,6 +110,7 @@
         config = self._scheduler_state.config
         if config is None:
             return []
+        self._record_arrivals(now)
         waiting_by_service, min_hosts_by_service = self._measure_waiting(now)
         missing_labels_by_service = self._missing_labels(hosts)
         runners_by_service = self._runners()
@@ -208,10 +218,6 @@
         host = host_packing.mean_capacity(
             runners.capacities or (host.capacity for host in hosts)
         )
-        arrivals = self._arrivals_by_service.get(service)
-        arriving = host_packing.Load()
-        if arrivals is not None:
-            arriving = host_packing.Load(*arrivals.arriving(now, self._lead_s))
         return pool_sizing.PoolDemand(
             name=service,
             host=host,
@@ -222,7 +228,7 @@
             running=runners.running,
             waiting=waiting.ending,
             waiting_long_running=waiting.long_running,
-            arriving=arriving,
+            arriving=self._busy_periods.arriving(service, now),
             missing_label_count=missing_label_count,
             task_blocked=any(
                 host.covers(need) and not runners.fit(need)
@@ -240,7 +246,6 @@
             if job.status.ended:
                 continue
             service = self._scheduler_state.service_of(job.job)
-            self._record_arrival(job, service)
             for step in job.job.steps:
                 if step.long_running:
                     min_hosts = min_hosts_by_service.get(service, 0)
@@ -251,15 +256,29 @@
                 continue
             waiting = waiting_by_service.setdefault(service, _WaitingTasks())
             self._add_waiting(job, waiting, now)
+        return waiting_by_service, min_hosts_by_service
+
+    def _record_arrivals(self, now: float) -> None:
+        """Count the jobs that are new to this leader.
+
+        At first these are all that the store has, also those that have ended.
+        """
+        jobs = self._scheduler_state.live_job_by_id
+        if not self._history_read:
+            jobs = self._scheduler_state.job_by_id
+            self._history_read = True
+        new_jobs = [
+            job
+            for job_id, job in jobs.items()
+            if job_id not in self._recorded_job_ids and not job.long_running
+        ]
         self._recorded_job_ids.intersection_update(
             self._scheduler_state.live_job_by_id
         )
-        return waiting_by_service, min_hosts_by_service
+        self._recorded_job_ids.update(job.job.id for job in new_jobs)
+        self._busy_periods.record_arrivals(map(self._arrival, new_jobs), now)
 
-    def _record_arrival(self, job: runs.JobState, service: str) -> None:
-        if job.long_running or job.job.id in self._recorded_job_ids:
-            return
-        self._recorded_job_ids.add(job.job.id)
+    def _arrival(self, job: runs.JobState) -> busy_periods.Arrival:
         work = host_packing.Load()
         for step in job.job.steps:
             need = task_placement.capacity_needed(step)
@@ -267,23 +286,17 @@
             work += host_packing.Load(
                 1, need.cpu, need.memory, need.gpu
             ).scaled(step.count * run_s)
-        arrivals = self._arrivals_by_service.setdefault(
-            service, arrival_rate.ArrivalRate()
-        )
-        arrivals.count_job(
+        return busy_periods.Arrival(
+            self._scheduler_state.service_of(job.job),
             job.arrived_at,
-            (work.tasks, work.cpu, work.memory, work.gpu),
+            work,
             job_order.critical_path_s(job.job.steps),
         )
 
     def _add_waiting(
         self, job: runs.JobState, waiting: _WaitingTasks, now: float
     ) -> None:
-        in_time = (
-            job.long_running
-            or bool(job.job.repeats)
-            or now <= job.objective_at - job.remaining_s
-        )
+        spread_s = _work_spread_s(job, now)
         for key in job.ready_steps(float("inf")):
             step = job.job.steps[key[1]]
             count = sum(
@@ -293,7 +306,21 @@
             if not count:
                 continue
             share = 1.0
-            if not in_time:
+            if spread_s:
                 run_s = self._scheduler_state.expected_run_s(job.job, step)
-                share = min(run_s / LATE_WORK_SPREAD_S, 1.0)
+                share = min(run_s / spread_s, 1.0)
             waiting.add(step, count, share)
+
+
+def _work_spread_s(job: runs.JobState, now: float) -> float:
+    """Return the time over which a job's waiting tasks are spread, or 0."""
+    if job.long_running or job.job.repeats:
+        return 0.0
+    start_by = job.objective_at - job.remaining_s
+    if now <= start_by:
+        return 0.0
+    objective_s = job.objective_at - job.arrived_at
+    useless_s = (job_order.USELESS_AFTER_OBJECTIVES - 1) * objective_s
+    if now <= start_by + useless_s:
+        return LATE_WORK_SPREAD_S
+    return USELESS_WORK_SPREAD_S
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -9,6 +9,7 @@
 from azurevane import exceptions
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import scheduling_settings
 from azurevane._internal.models import site
 from azurevane._internal.platform import host_calls
 from azurevane._internal.scheduler import background
@@ -64,6 +65,7 @@
     Args:
         move_s: how long the move of a host takes.
         maintenance_s: how long the maintenance of a host takes.
+        scheduling: optional decisions that are in use.
         known_commands: recent commands of previous leaders; those of this
             one are added for later leaders.
         command_limit: bounds the commands that are sent.
@@ -76,6 +78,7 @@
         *,
         move_s: float,
         maintenance_s: float,
+        scheduling: scheduling_settings.SchedulingSettings,
         known_commands: recent_commands.RecentCommands,
         command_limit: host_command_limit.HostCommandLimit,
     ) -> None:
@@ -96,7 +99,7 @@
             leader, leader.scheduler_state, self._table
         )
         self._moves = move_manager.MoveManager(
-            leader.scheduler_state, self._table, move_s
+            leader.scheduler_state, self._table, move_s, scheduling
         )
 
     async def run_planning_pass(self) -> None:
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -207,6 +207,7 @@
             calls,
             move_s=bounds.move_s,
             maintenance_s=bounds.maintenance_s,
+            scheduling=settings.scheduling,
             known_commands=recent_commands.RecentCommands(
                 settings.host_name,
                 bounds.host_lease_s,
--- a/src/azurevane/_internal/scheduler/move_manager.py
+++ b/src/azurevane/_internal/scheduler/move_manager.py
@@ -4,6 +4,7 @@
 
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import scheduling_settings
 from azurevane._internal.policy import pool_sizing
 from azurevane._internal.scheduler import demand
 from azurevane._internal.scheduler import host_commands
@@ -22,6 +23,7 @@
 
     Args:
         move_s: how long the move of a host takes.
+        scheduling: optional decisions that are in use.
     """
 
     def __init__(
@@ -29,11 +31,14 @@
         scheduler_state: state_module.SchedulerState,
         table: host_table.HostTable,
         move_s: float,
+        scheduling: scheduling_settings.SchedulingSettings,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._table = table
         self._demand = demand.DemandMeter(
-            scheduler_state, move_s + REGISTRATION_S
+            scheduler_state,
+            move_s + REGISTRATION_S,
+            forecast=scheduling.forecast,
         )
         self._sizes_by_pool: dict[str, tuple[int, int, int]] = {}
         # Names of hosts that drain for a move.
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -82,6 +82,7 @@
         self.store_delay_s = 0.0
         self.hosts_delay_s = 0.0
         self.host_command_delay_s = 0.0
+        self.host_commands_refused = False
         self.submission_delay_s = 0.0
         self.store_answers_to_lose = 0
         self.store_answers_lost_for: set[str] = set()
@@ -332,6 +333,8 @@
                 int(request.headers["X-Fencing-Token"]),
             )
         )
+        if self.host_commands_refused:
+            return Response(503)
         if self.host_command_delay_s:
             return twisted_task.deferLater(
                 self.reactor,
