--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -279,10 +279,11 @@
         self._busy_periods.record_arrivals(map(self._arrival, new_jobs), now)
 
     def _arrival(self, job: runs.JobState) -> busy_periods.Arrival:
-        work = host_packing.Load()
+        work, run_s_by_step = host_packing.Load(), []
         for step in job.job.steps:
             need = task_placement.capacity_needed(step)
             run_s = self._scheduler_state.expected_run_s(job.job, step)
+            run_s_by_step.append(run_s)
             work += host_packing.Load(
                 1, need.cpu, need.memory, need.gpu
             ).scaled(step.count * run_s)
@@ -290,7 +291,7 @@
             self._scheduler_state.service_of(job.job),
             job.arrived_at,
             work,
-            job_order.critical_path_s(job.job.steps),
+            job_order.critical_path_s(job.job.steps, run_s=run_s_by_step),
         )
 
     def _add_waiting(
