Admit jobs by the leader's estimate, refuse those of no use at once

Cause: every valid job was stored. One that could not end while it is of use any more was never refused, and its caller learned of it by waiting; no Retry-After said when there would be room.

Change: behind scheduling.admission the leader publishes with each renewal an estimate for the queues that have a backlog: work by its last start, capacity ready, coming and to come, the room until the next estimate and the shares of the entry hosts. Entry hosts decide by it: a job without capacity left before its last start gets 429, not run, with a Retry-After that spreads the returns. A refusal is stored as a row on whose version every submission is conditional, so no earlier write of the job can be carried out later, a repeat of a stored job gets 200, and any host knows a caller that comes back. Off by default.

--- a/src/azurevane/_internal/callers/job_handler.py
+++ b/src/azurevane/_internal/callers/job_handler.py
@@ -3,16 +3,19 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import logging
-from typing import Any
 
 import msgspec
 
 from azurevane import exceptions
+from azurevane._internal.callers import admission_control
 from azurevane._internal.callers import job_routes
+from azurevane._internal.callers import job_store
+from azurevane._internal.callers import job_submission
+from azurevane._internal.callers import request_refused
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import job as job_models
 from azurevane._internal.models import site
-from azurevane._internal.models import verdict
 from azurevane._internal.platform import job_requests
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import records
@@ -20,17 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Limit for all attempts at a write. The least patient callers wait for about
-# three seconds.
-WRITE_TIMEOUT_S = 1.8
-# Pause before a write is repeated that the store has rejected after an earlier
-# attempt got no response.
-SETTLE_RETRY_DELAY_S = 0.1
 # The store counts as unavailable without a response for this long, because
 # the operators' rows are read more often than that.
 STORE_SILENCE_LIMIT_S = 1.7
-# Another host may still reach a store that is unavailable to this one.
-STORE_UNAVAILABLE_RETRY_S = 1
 # A new host has its configuration within about a second.
 NO_CONFIG_RETRY_S = 1
 # The platform's protocol allows counts of pending jobs that are 2 s old; the
@@ -61,16 +56,6 @@
     retry_after_s: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RequestRefused(Exception):
-    """Raised to refuse a request; holds the fields of the response."""
-
-    status: int
-    reason: str
-    retry_after_s: int | None = None
-    outcome: verdict.Verdict = verdict.Verdict.NOT_RUN
-
-
 class JobHandler:
     """Accepts, shows and cancels jobs.
 
@@ -82,6 +67,7 @@
         unix_time: returns Unix time in seconds.
         sleep: waits a number of seconds.
         max_row_bytes: largest value of a row that the store accepts.
+        control: decides which jobs are accepted; None to accept all.
     """
 
     def __init__(
@@ -92,10 +78,16 @@
         unix_time: Callable[[], float],
         sleep: Callable[[float], Awaitable[None]],
         max_row_bytes: int = records.MAX_ROW_BYTES,
+        control: admission_control.AdmissionControl | None = None,
     ) -> None:
         self._client = client
-        self._sleep = sleep
         self._max_row_bytes = max_row_bytes
+        self._jobs = job_store.JobStore(client, seconds, sleep)
+        self._submission: job_submission.JobSubmission | None = None
+        if control is not None:
+            self._submission = job_submission.JobSubmission(
+                self._jobs, control, self._team_weight
+            )
         self._seconds = seconds
         self._unix_time = unix_time
         self._config: site.SiteConfig | None = None
@@ -104,8 +96,6 @@
         self._pending_by_queue: dict[str, int] = {}
         self._pending_updated_at = float("-inf")
         self._store_reads_failing = False
-        # When the latest write was sent that got no response in time.
-        self._unanswered_write_sent_at = float("-inf")
 
     @property
     def config(self) -> site.SiteConfig | None:
@@ -157,7 +147,7 @@
         """Run a request; the body of a refusal includes its verdict."""
         try:
             return await self._dispatch(request)
-        except _RequestRefused as refused:
+        except request_refused.RequestRefused as refused:
             self._log_refusal(request, refused)
             text = f"{refused.reason} (verdict: {refused.outcome.value})"
             return JobResponse(
@@ -167,7 +157,7 @@
             )
 
     def _log_refusal(
-        self, request: JobRequest, refused: _RequestRefused
+        self, request: JobRequest, refused: request_refused.RequestRefused
     ) -> None:
         version = 0 if self._config is None else self._config.version
         catalogue.emit(
@@ -185,36 +175,38 @@
     async def _dispatch(self, request: JobRequest) -> JobResponse:
         config, routes = self._config, self._routes
         if config is None or routes is None:
-            raise _RequestRefused(
+            raise request_refused.RequestRefused(
                 503, "no configuration yet", NO_CONFIG_RETRY_S
             )
         match = routes.find(request.host_name, request.path)
         if self._store_unavailable():
-            raise _RequestRefused(503, "store away", STORE_UNAVAILABLE_RETRY_S)
+            raise request_refused.RequestRefused(
+                503, "store away", job_store.STORE_UNAVAILABLE_RETRY_S
+            )
         if match is None:
-            raise _RequestRefused(404, "no such queue")
+            raise request_refused.RequestRefused(404, "no such queue")
         key = job_routes.bearer_key(request.authorization)
         team = config.team_by_key.get(key, "")
         if not match.queue.open and not team:
-            raise _RequestRefused(401, "unknown key")
+            raise request_refused.RequestRefused(401, "unknown key")
         if request.method == "GET" and not match.job_id:
             return self._show_pending_count(match.queue)
         if not job_requests.valid_job_id(match.job_id):
-            raise _RequestRefused(404, "no job of that name")
+            raise request_refused.RequestRefused(404, "no job of that name")
         if request.method == "POST":
             return await self._submit_job(request, match, team)
         if request.method == "GET":
             return await self._show_job(match.job_id)
         if request.method == "DELETE":
             return await self._cancel_job(match.job_id)
-        raise _RequestRefused(405, "no such method")
+        raise request_refused.RequestRefused(405, "no such method")
 
     def _show_pending_count(self, queue: site.Queue) -> JobResponse:
         if self._seconds() - self._pending_updated_at > PENDING_MAX_AGE_S:
-            raise _RequestRefused(
+            raise request_refused.RequestRefused(
                 503,
                 "no recent counts",
-                STORE_UNAVAILABLE_RETRY_S,
+                job_store.STORE_UNAVAILABLE_RETRY_S,
             )
         count = self._pending_by_queue.get(queue.name, 0)
         return JobResponse(200, job_requests.encode_pending(count))
@@ -225,7 +217,7 @@
         assert self._config is not None
         began_at = self._seconds()
         if len(request.body) > self._config.limits.body_bytes:
-            raise _RequestRefused(413, "body too large")
+            raise request_refused.RequestRefused(413, "body too large")
         try:
             job = job_requests.decode_job(
                 request.body,
@@ -235,21 +227,20 @@
                 now=self._unix_time(),
             )
         except exceptions.JobRejected as error:
-            raise _RequestRefused(400, str(error)) from error
-        value = records.encode_job(job)
+            raise request_refused.RequestRefused(400, str(error)) from error
+        if self._submission is not None:
+            job = self._submission.sign(job)
         max_tasks = self._max_row_bytes // records.MIN_TASK_BYTES
-        if len(value) > self._max_row_bytes or job.task_count > max_tasks:
-            raise _RequestRefused(413, "job too large to be stored")
-        version = self._config.version
-        row_key = _job_row_key(job.id)
-        conflict = await self._write_rows(
-            {row_key: 0, _cancel_row_key(job.id): 0},
-            {row_key: value},
-        )
-        if conflict is not None and not _exists(conflict, row_key):
-            raise _RequestRefused(
-                410, "job was cancelled before it was stored"
+        row_bytes = len(records.encode_job(job))
+        if row_bytes > self._max_row_bytes or job.task_count > max_tasks:
+            raise request_refused.RequestRefused(
+                413, "job too large to be stored"
             )
+        version = self._config.version
+        if self._submission is None:
+            await self._store_job(job)
+        else:
+            await self._submission.submit(job)
         catalogue.emit(
             logger,
             events.JobAccepted(
@@ -262,77 +253,36 @@
         )
         return JobResponse(200)
 
-    async def _write_rows(
-        self,
-        expected_by_row_key: dict[store.RowKey, int],
-        value_by_row_key: dict[store.RowKey, bytes],
-    ) -> store.Conflict | None:
-        """Write rows, retrying while the outcome is unknown.
-
-        Returns:
-            The version conflict, if some of the rows exist already.
-        """
-        if self._client.last_response_at < self._unanswered_write_sent_at:
-            # The outcome of another write would be unknown as well.
-            raise _RequestRefused(
-                503, "store doesn't respond", STORE_UNAVAILABLE_RETRY_S
-            )
-        deadline = self._seconds() + WRITE_TIMEOUT_S
-        unknown_failure = ""
-        while (remaining_s := deadline - self._seconds()) > 0:
-            sent_at = self._seconds()
-            try:
-                outcome = await self._client.transact(
-                    expected_by_row_key,
-                    value_by_row_key,
-                    max_wait_s=remaining_s,
-                )
-                return outcome if isinstance(outcome, store.Conflict) else None
-            except exceptions.CallFailed as failure:
-                if failure.verdict is verdict.Verdict.NOT_RUN:
-                    if not unknown_failure:
-                        raise _RequestRefused(
-                            503, str(failure), STORE_UNAVAILABLE_RETRY_S
-                        ) from failure
-                    # A later attempt may still show what became of the
-                    # earlier one.
-                    await self._sleep(SETTLE_RETRY_DELAY_S)
-                    continue
-                # Repeating the write shows whether this one took effect.
-                unknown_failure = str(failure)
-                if failure.timed_out:
-                    self._unanswered_write_sent_at = sent_at
-        raise _RequestRefused(
-            504, unknown_failure, None, verdict.Verdict.MAY_HAVE_RUN
+    async def _store_job(self, job: job_models.Job) -> None:
+        row_key = job_store.row_key(job.id)
+        conflict = await self._jobs.write_rows(
+            {row_key: 0, job_store.row_key(job.id, records.CANCEL_SUFFIX): 0},
+            {row_key: records.encode_job(job)},
         )
-
-    async def _read_job_rows(
-        self, table: str, partition: str, job_id: str
-    ) -> Any:
-        try:
-            read = await self._client.read_page(
-                table, partition, job_id, job_id + records.KEY_END
+        if conflict is not None and not job_store.exists(conflict, row_key):
+            raise request_refused.RequestRefused(
+                410, "job was cancelled before it was stored"
             )
-        except exceptions.CallFailed as failure:
-            raise _RequestRefused(
-                503, str(failure), STORE_UNAVAILABLE_RETRY_S
-            ) from failure
-        return {row.row_key.key: row.value for row in read.rows}
+
+    def _team_weight(self, name: str) -> float:
+        assert self._config is not None
+        team = self._config.team_by_name.get(name)
+        return 0.0 if team is None else team.weight
 
     async def _show_job(self, job_id: str) -> JobResponse:
         partition = records.job_partition(job_id)
-        job_rows = await self._read_job_rows(
+        job_rows = await self._jobs.read_rows(
             records.JOBS_TABLE, partition, job_id
         )
         if job_id not in job_rows:
-            raise _RequestRefused(410, "no such job")
-        state_rows = await self._read_job_rows(
+            raise request_refused.RequestRefused(410, "no such job")
+        state_rows = await self._jobs.read_rows(
             records.STATE_TABLE, records.LEADER_PARTITION, job_id
         )
         status = runs.JobStatus.QUEUED
         if job_id in state_rows:
             try:
-                status = records.decode_status(state_rows[job_id])
+                status = records.decode_status(state_rows[job_id] or b"")
             except (msgspec.MsgspecError, ValueError) as error:
                 catalogue.emit(
                     logger,
@@ -348,14 +298,14 @@
     async def _cancel_job(self, job_id: str) -> JobResponse:
         began_at = self._seconds()
         partition = records.job_partition(job_id)
-        job_rows = await self._read_job_rows(
+        job_rows = await self._jobs.read_rows(
             records.JOBS_TABLE, partition, job_id
         )
-        row_key = _cancel_row_key(job_id)
+        row_key = job_store.row_key(job_id, records.CANCEL_SUFFIX)
         if job_id not in job_rows:
             await self._cancel_unknown_job(job_id)
         elif row_key.key not in job_rows:
-            await self._write_rows({row_key: 0}, {row_key: b"{}"})
+            await self._jobs.write_rows({row_key: 0}, {row_key: b"{}"})
         catalogue.emit(
             logger,
             events.JobCancelStored(
@@ -369,31 +319,12 @@
 
         Returns if the job has been stored and cancelled meanwhile.
         """
-        job_row_key = _job_row_key(job_id)
-        row_key = _cancel_row_key(job_id)
-        conflict = await self._write_rows(
+        job_row_key = job_store.row_key(job_id)
+        row_key = job_store.row_key(job_id, records.CANCEL_SUFFIX)
+        conflict = await self._jobs.write_rows(
             {job_row_key: 0, row_key: 0}, {row_key: b"{}"}
         )
-        if conflict is None or not _exists(conflict, job_row_key):
-            raise _RequestRefused(410, "no such job")
-        if not _exists(conflict, row_key):
-            await self._write_rows({row_key: 0}, {row_key: b"{}"})
-
-
-def _exists(conflict: store.Conflict, row_key: store.RowKey) -> bool:
-    row = conflict.row_by_row_key.get(row_key)
-    return row is not None and row.value is not None
-
-
-def _cancel_row_key(job_id: str) -> store.RowKey:
-    return store.RowKey(
-        records.JOBS_TABLE,
-        records.job_partition(job_id),
-        job_id + records.CANCEL_SUFFIX,
-    )
-
-
-def _job_row_key(job_id: str) -> store.RowKey:
-    return store.RowKey(
-        records.JOBS_TABLE, records.job_partition(job_id), job_id
-    )
+        if conflict is None or not job_store.exists(conflict, job_row_key):
+            raise request_refused.RequestRefused(410, "no such job")
+        if not job_store.exists(conflict, row_key):
+            await self._jobs.write_rows({row_key: 0}, {row_key: b"{}"})
--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -15,6 +15,7 @@
 
 import azurevane
 from azurevane import exceptions
+from azurevane._internal.callers import admission_control
 from azurevane._internal.callers import job_handler
 from azurevane._internal.callers import job_resource
 from azurevane._internal.events import catalogue
@@ -85,12 +86,16 @@
         self._store = store.StoreClient(
             self._client, settings.store_address, reactor.seconds
         )
+        self.admission = admission_control.AdmissionControl(
+            settings.host_name, reactor.seconds
+        )
         self.job_handler = job_handler.JobHandler(
             self._store,
             seconds=reactor.seconds,
             unix_time=unix_time,
             sleep=runner_link.make_sleep(reactor),
             max_row_bytes=settings.store_row_bytes,
+            control=self.admission if settings.scheduling.admission else None,
         )
         self._stopping_at: float | None = None
         self._resource = job_resource.JobResource(
@@ -104,6 +109,7 @@
             unix_time=unix_time,
             process_lag=self._process_lag,
             on_pending_jobs=self.job_handler.set_pending,
+            on_estimate=self.admission.set_estimate,
             on_leading=self._update_leader,
         )
         self._operator_rows_read = False
--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -327,6 +327,49 @@
     took_s: float
 
 
+@catalogue.event(6043)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRefused(catalogue.Event):
+    """Job refused and not stored, as it would have been of no use.
+
+    Work is in thousandths of a core-second, by the jobs' estimates; the part
+    is what this host might accept by the estimate of that number and age.
+    """
+
+    job_id: str
+    queue: str
+    team: str
+    reason: str
+    room: int
+    accepted_work: int
+    part_work: int
+    estimate_number: int
+    estimate_age_s: float
+    refusals: int
+    retry_after_s: int
+    return_reason: str
+
+
+@catalogue.event(6044)
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobAdmitted(catalogue.Event):
+    """Job stored although its queue has a backlog, or after a refusal.
+
+    The fields are those of the event of a refused job.
+    """
+
+    job_id: str
+    queue: str
+    team: str
+    reason: str
+    room: int
+    accepted_work: int
+    part_work: int
+    estimate_number: int
+    estimate_age_s: float
+    refusals: int
+
+
 @catalogue.event(6050)
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostOrdered(catalogue.Event):
--- a/src/azurevane/_internal/metrics/site_instruments.py
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -40,6 +40,42 @@
     return 1
 
 
+@instruments.instrument(
+    "azurevane.job.refused",
+    "counter",
+    "{job}",
+    events.JobRefused,
+    ("queue", "team", "reason"),
+)
+def _job_refused(event: events.JobRefused) -> float:
+    """Jobs refused because they would have been of no use."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.job.retry_after",
+    "histogram",
+    "s",
+    events.JobRefused,
+    ("queue", "return_reason"),
+)
+def _job_retry_after(event: events.JobRefused) -> float:
+    """Time after which callers of refused jobs were told to come back."""
+    return event.retry_after_s
+
+
+@instruments.instrument(
+    "azurevane.job.admitted",
+    "counter",
+    "{job}",
+    events.JobAdmitted,
+    ("queue", "reason"),
+)
+def _job_admitted(event: events.JobAdmitted) -> float:
+    """Jobs accepted although their queue had a backlog."""
+    return 1
+
+
 @instruments.instrument(
     "azurevane.job.ended",
     "counter",
--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -111,6 +111,8 @@
         objective_s: latency objective: time within which it should
             complete.
         advised: whether its placements need the advisor's permission.
+        accepted_by: name of the entry host that accepted it; empty unless
+            the hosts divide what may be accepted.
     """
 
     id: str
@@ -127,6 +129,7 @@
     attempts: int = 1
     objective_s: float = 0.0
     advised: bool = False
+    accepted_by: str = ""
 
     @property
     def task_count(self) -> int:
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -11,6 +11,7 @@
 from azurevane import exceptions
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
+from azurevane._internal.models import admission
 from azurevane._internal.models import host_settings
 from azurevane._internal.peers import leader_query
 from azurevane._internal.platform import http_client
@@ -36,6 +37,8 @@
 # Random delay that spreads the takeovers of several hosts.
 MAX_TAKEOVER_JITTER_S = 0.3
 
+OnEstimate = Callable[[admission.AdmissionEstimate | None, float], None]
+
 _ENDED_LEADER_STATUSES = (
     leader_query.LeaderStatus.NOT_LEADING,
     leader_query.LeaderStatus.NOT_LISTENING,
@@ -48,6 +51,8 @@
     Args:
         process_lag: how late this process is.
         on_pending_jobs: called with the number of pending jobs of each queue.
+        on_estimate: called with the leader's newest estimate for admission,
+            or None, and with a time before which it can't have been stored.
         on_leading: called when this host begins to lead.
 
     Attributes:
@@ -64,6 +69,7 @@
         unix_time: Callable[[], float],
         process_lag: process_lag_module.ProcessLag,
         on_pending_jobs: Callable[[dict[str, int]], None],
+        on_estimate: OnEstimate,
         on_leading: Callable[[], None],
     ) -> None:
         self._reactor = reactor
@@ -73,6 +79,7 @@
         self._unix_time = unix_time
         self._process_lag = process_lag
         self._on_pending_jobs = on_pending_jobs
+        self._on_estimate = on_estimate
         self._on_leading = on_leading
         delay_s = leadership.takeover_delay_s(
             settings.processors, settings.link_mbps
@@ -139,6 +146,11 @@
                 pending_by_queue = leadership.decode_pending_jobs(value)
                 if pending_by_queue is not None:
                     self._on_pending_jobs(pending_by_queue)
+                # An earlier read didn't show it, so it is no older than that.
+                self._on_estimate(
+                    leadership.decode_estimate(value),
+                    self._view.confirmed_at or float("-inf"),
+                )
 
     def _handle_view_confirmed(self, now: float) -> None:
         self._view.record_view(now)
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -102,6 +102,11 @@
             leader.scheduler_state, self._table, move_s, scheduling
         )
 
+    @property
+    def table(self) -> host_table.HostTable:
+        """Hosts as the platform lists them."""
+        return self._table
+
     async def run_planning_pass(self) -> None:
         """Read the list of hosts if it is due, then plan and send commands.
 
--- a/src/azurevane/_internal/scheduler/job_rows.py
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -27,6 +27,8 @@
 # Rows of ended jobs are deleted at this interval, for this many jobs at once.
 DELETE_INTERVAL_S = 5.0
 MAX_DELETES_PER_INTERVAL = 200
+# Entries of one transaction, by the platform's protocol.
+MAX_REFUSALS_PER_DELETE = 100
 
 
 class JobRows:
@@ -59,6 +61,8 @@
         self._stored_state_by_job: dict[str, bytes] = {}
         # When cancellations of jobs that aren't stored were read.
         self._cancel_read_at_by_unknown_job: dict[str, float] = {}
+        # When refusals of jobs that aren't stored were read, by row.
+        self._refusal_read_at: dict[store.RowKey, float] = {}
         self._stopped = False
 
     def stop(self) -> None:
@@ -82,6 +86,8 @@
                     cancelled.append(job_id)
                 else:
                     self._cancel_read_at_by_unknown_job.pop(job_id, None)
+            elif key.endswith(records.REFUSED_SUFFIX):
+                self._keep_refusal(row, now)
             elif row.value is None:
                 self._scheduler_state.forget_job(key)
             else:
@@ -118,6 +124,34 @@
             return
         self._stored_state_by_job.pop(job.id, None)
 
+    def _keep_refusal(self, row: store.Row, now: float) -> None:
+        if row.value is None:
+            self._refusal_read_at.pop(row.row_key, None)
+        else:
+            # A further refusal keeps the row for longer.
+            self._refusal_read_at[row.row_key] = now
+
+    async def _delete_old_refusals(self, now: float) -> None:
+        """Delete refusals that no write of their jobs can follow any more.
+
+        One transaction a partition and interval, so that it costs little
+        after a burst.
+        """
+        old_by_partition: dict[str, list[store.RowKey]] = {}
+        for row_key, read_at in self._refusal_read_at.items():
+            if now - read_at > RESUBMISSION_WINDOW_S:
+                old = old_by_partition.setdefault(row_key.partition, [])
+                old.append(row_key)
+        for row_keys in old_by_partition.values():
+            if self._stopped or not self._may_send_commands():
+                return
+            try:
+                await self._client.transact(
+                    {}, {}, row_keys[:MAX_REFUSALS_PER_DELETE]
+                )
+            except exceptions.CallFailed as failure:
+                logger.info("Deleting refusals failed: %s", failure)
+
     @staticmethod
     def _decode_job(row: store.Row) -> list[job_models.Job]:
         try:
@@ -154,6 +188,7 @@
                 )
                 if now - read_at > RESUBMISSION_WINDOW_S
             ]
+            await self._delete_old_refusals(now)
             for job_id in ended[:MAX_DELETES_PER_INTERVAL]:
                 if self._stopped or not self._may_send_commands():
                     break
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -19,6 +19,7 @@
 from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import admission_estimate
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import command_sender
 from azurevane._internal.scheduler import commands
@@ -115,12 +116,6 @@
             lease_s=self.lease_s,
             lease_max_s=settings.bounds.runner_lease_max_s,
         )
-        self._renewals = renewals.Renewals(
-            token,
-            self.scheduler_state,
-            previous_extend_until,
-            settings.store_row_bytes,
-        )
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
         )
@@ -154,6 +149,13 @@
             store.Row(RENEWAL_ROW_KEY, b"", takeover_commit.version)
         )
         self._host_manager = self._make_host_manager(previous)
+        self._renewals = renewals.Renewals(
+            token,
+            self.scheduler_state,
+            previous_extend_until,
+            settings.store_row_bytes,
+            self._make_estimator(),
+        )
         self._command_sender = command_sender.CommandSender(
             reactor,
             self,
@@ -220,6 +222,17 @@
             ),
         )
 
+    def _make_estimator(self) -> admission_estimate.AdmissionEstimator | None:
+        if not self._settings.scheduling.admission:
+            return None
+        manager = self._host_manager
+        return admission_estimate.AdmissionEstimator(
+            self.token,
+            self.scheduler_state,
+            None if manager is None else manager.table,
+            self._settings.bounds.move_s,
+        )
+
     # Time, and whether this host still leads.
 
     def now(self) -> float:
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from azurevane._internal.models import admission
 from azurevane._internal.models import host_settings
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.utils import json_decoding
@@ -151,6 +152,7 @@
 
 
 _NO_ACCOUNTS = msgspec.Raw(b"{}")
+_NO_ESTIMATE = msgspec.Raw(b"null")
 
 
 class _RenewalRow(msgspec.Struct, omit_defaults=True):
@@ -179,6 +181,9 @@
     # What the teams' runs held on average. Decoded by itself, so that another
     # form of it doesn't make the row unreadable.
     usage: msgspec.Raw = _NO_ACCOUNTS
+    # Decoded by itself, so that another version of it doesn't make the row
+    # unreadable.
+    admission: msgspec.Raw = _NO_ESTIMATE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,6 +269,11 @@
         self._unreadable_keys.discard(key)
         return row
 
+    @property
+    def confirmed_at(self) -> float | None:
+        """Latest time at which the view matched the store's rows, if any."""
+        return self._view_confirmed_at
+
     def record_view(self, now: float) -> None:
         """Record that the view matches the store's rows at this time."""
         if (
@@ -378,6 +388,7 @@
     restart_lease_by_runner: dict[str, float] | None = None,
     restart_leases_until: float = 0.0,
     account_by_team: dict[str, list[int]] | None = None,
+    estimate: admission.AdmissionEstimate | None = None,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
 
@@ -390,6 +401,7 @@
             of before their restart was known, by the same clock.
         restart_leases_until: the same for any runner; 0 if there are none.
         account_by_team: what the runs of each team held on average.
+        estimate: estimate by which the entry hosts admit jobs.
     """
     return msgspec.json.encode(
         _RenewalRow(
@@ -402,6 +414,11 @@
             restart_lease_by_runner=restart_lease_by_runner or {},
             restart_leases_until=restart_leases_until,
             usage=_encode_accounts(account_by_team),
+            admission=(
+                _NO_ESTIMATE
+                if estimate is None
+                else admission.encode_estimate(estimate)
+            ),
         )
     )
 
@@ -428,3 +445,14 @@
     It is None if the leader hasn't read the jobs yet.
     """
     return json_decoding.decode(value, _RenewalRow).pending_by_queue
+
+
+def decode_estimate(value: bytes) -> admission.AdmissionEstimate | None:
+    """Return the estimate that a renewal carries, if it has a known form."""
+    try:
+        return admission.decode_estimate(
+            json_decoding.decode(value, _RenewalRow).admission
+        )
+    except msgspec.MsgspecError:
+        # Jobs are admitted without it.
+        return None
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -1,4 +1,4 @@
-"""Encoding of the rows of a job: submission, state and cancellation."""
+"""Encoding of the rows of a job: submission, state, cancellation, refusal."""
 
 import zlib
 
@@ -16,6 +16,7 @@
 # row, so they share one partition.
 LEADER_PARTITION = ""
 CANCEL_SUFFIX = "-cancel"
+REFUSED_SUFFIX = "-refused"
 # Sorts after every suffix of a key.
 KEY_END = "~"
 _WAVE_PREFIX = "wave/"
@@ -67,6 +68,40 @@
     run_ratio_by_step: list[float]
 
 
+class Refusal(msgspec.Struct, frozen=True):
+    """A job that was refused and not stored; times are Unix seconds.
+
+    Attributes:
+        first_at: when its caller's first attempt was refused.
+        latest_at: the same of the latest attempt.
+        count: number of refusals.
+        host: entry host of the latest refusal.
+    """
+
+    first_at: float
+    latest_at: float
+    count: int
+    host: str
+
+    def waited_s(self, unix_now: float) -> float:
+        """Return the time since the first refusal."""
+        return max(unix_now - self.first_at, 0.0)
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Return the value of a refusal's row."""
+    return msgspec.json.encode(refusal)
+
+
+def decode_refusal(value: bytes) -> Refusal:
+    """Return the refusal that a row holds.
+
+    Raises:
+        msgspec.MsgspecError: the value can't be decoded.
+    """
+    return json_decoding.decode(value, Refusal)
+
+
 def job_partition(job_id: str) -> str:
     """Return the partition that holds a job's submission."""
     return job_id[0].lower()
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 
+from azurevane._internal.scheduler import admission_estimate
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import runner_state
@@ -22,6 +23,8 @@
 # take. The store rejects a larger row, and the leader would lose its lead.
 EXPIRY_ROW_SHARE = 0.25
 RESTART_ROW_SHARE = 0.2
+# The same for the estimate by which hosts admit jobs.
+ESTIMATE_ROW_SHARE = 0.1
 # Bytes of an entry besides the runner's id.
 _ENTRY_OVERHEAD_BYTES = 28
 
@@ -89,6 +92,7 @@
         previous_extend_until: until when previous leaders may be extending
             leases, in monotonic seconds.
         row_bytes: largest value of a row that the store accepts.
+        estimator: makes the estimates by which hosts admit jobs, if they do.
     """
 
     def __init__(
@@ -97,10 +101,13 @@
         scheduler_state: state_module.SchedulerState,
         previous_extend_until: float,
         row_bytes: int,
+        estimator: admission_estimate.AdmissionEstimator | None = None,
     ) -> None:
         self._token = token
+        self._estimator = estimator
         self._max_expiry_bytes = row_bytes * EXPIRY_ROW_SHARE
         self._max_restart_bytes = row_bytes * RESTART_ROW_SHARE
+        self._max_estimate_bytes = row_bytes * ESTIMATE_ROW_SHARE
         self._scheduler_state = scheduler_state
         self._previous_extend_until = previous_extend_until
         self._count = 0
@@ -158,6 +165,11 @@
                 else 0.0
             ),
             account_by_team=state.usage.stored_accounts(),
+            estimate=(
+                self._estimator.estimate(now, self._max_estimate_bytes)
+                if self._estimator is not None and all_read
+                else None
+            ),
         )
 
     def handle_stored(self) -> None:
