Send no stop, pace or start of a leader that may have been replaced

A stop or a pace was sent whenever it was decided, also by a leader whose last renewal was so old that another host may lead, and a command that was held up by a freeze or by its queue was sent afterwards. A runner that doesn't know the next token yet obeys. Stops and paces that aren't sent are decided again with the next report.

Left of that finding: a process that is frozen between this check and the system call.

--- a/src/azurevane/_internal/platform/runner_calls.py
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -82,11 +82,14 @@
         address: str,
         command: messages.StartTask,
         lease_until_s: float,
+        *,
+        send_before: float,
     ) -> StartResult:
         """Start a run; the outcome says whether it may have begun.
 
         Args:
             lease_until_s: end of the lease, on the runner's clock.
+            send_before: monotonic time from which the command isn't sent.
         """
         body = {
             "task": str(command.task),
@@ -101,7 +104,11 @@
             body["ticket"] = command.ticket
         try:
             status, answer = await self._send_request(
-                runner_id, address, "run-start", body
+                runner_id,
+                address,
+                "run-start",
+                body,
+                send_before=send_before,
             )
         except exceptions.CallFailed as failure:
             if failure.verdict is verdict.Verdict.NOT_RUN:
@@ -117,9 +124,14 @@
         address: str,
         task: job_models.TaskName,
         attempt: int,
+        *,
+        send_before: float,
     ) -> bool:
         """Stop a run, or keep it from starting if it hasn't begun.
 
+        Args:
+            send_before: monotonic time from which the command isn't sent.
+
         Returns:
             Whether the runner accepted the command.
 
@@ -134,7 +146,11 @@
             "fencingToken": self._fencing_token,
         }
         status, answer = await self._send_request(
-            runner_id, address, "run-stop", body
+            runner_id,
+            address,
+            "run-stop",
+            body,
+            send_before=send_before,
         )
         if answer.reason == "fence":
             raise RunnerFenced(
@@ -200,9 +216,14 @@
         task: job_models.TaskName,
         attempt: int,
         percent: int,
+        *,
+        send_before: float,
     ) -> bool:
         """Limit a run to a percentage of its full speed.
 
+        Args:
+            send_before: monotonic time from which the command isn't sent.
+
         Returns:
             Whether the runner accepted the command.
 
@@ -216,7 +237,9 @@
             "percent": percent,
             "fencingToken": self._fencing_token,
         }
-        status, _ = await self._send_request(runner_id, address, "pace", body)
+        status, _ = await self._send_request(
+            runner_id, address, "pace", body, send_before=send_before
+        )
         return status == 200
 
     async def _send_request(
@@ -228,6 +251,7 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         max_parallel: int = MAX_PARALLEL_COMMANDS,
+        send_before: float | None = None,
     ) -> tuple[int, _Answer]:
         response = await self._client.call(
             addresses.parse_address(address),
@@ -237,6 +261,7 @@
             timeout_s=timeout_s,
             headers={"X-Target-Instance": runner_id},
             max_parallel=max_parallel,
+            send_before=send_before,
         )
         if response.status == 421:
             # The text becomes a metric label, so it doesn't change.
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -252,12 +252,13 @@
 
     def may_send_commands(self) -> bool:
         """Whether this host certainly leads and may send commands."""
-        confirmed_until = (
-            self._confirmed_at + leadership.CONFIRMATION_VALIDITY_S
-        )
         released = self._released_extend_until is not None
         ended = self.stopped or released
-        return not ended and self.now() < confirmed_until
+        return not ended and self.now() < self.commands_valid_until()
+
+    def commands_valid_until(self) -> float:
+        """Return until when this host certainly leads, in monotonic time."""
+        return self._confirmed_at + leadership.CONFIRMATION_VALIDITY_S
 
     def may_extend_leases(self) -> bool:
         """Whether runners' leases may be extended, also without the store."""
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -42,6 +42,9 @@
     def may_send_commands(self) -> bool:
         """Whether this host certainly leads."""
 
+    def commands_valid_until(self) -> float:
+        """Return until when a command that is decided now may be sent."""
+
     def may_extend_leases(self) -> bool:
         """Whether runners' leases may still be extended."""
 
@@ -357,6 +360,7 @@
                 runner.entry.address,
                 command.message,
                 lease_until_s,
+                send_before=leader.commands_valid_until(),
             )
         except Exception as error:
             # Without an outcome the task would wait for ever.
@@ -390,7 +394,11 @@
         incarnation = runner.started_at
         try:
             accepted = await self._calls.stop_task(
-                self._runner_id, runner.entry.address, task, attempt
+                self._runner_id,
+                runner.entry.address,
+                task,
+                attempt,
+                send_before=self._leader.commands_valid_until(),
             )
         except runner_calls.RunnerFenced as failure:
             self._leader.verify_leadership(str(failure))
@@ -421,6 +429,7 @@
                 run.name,
                 command.attempt,
                 command.percent,
+                send_before=self._leader.commands_valid_until(),
             )
         except (exceptions.CallFailed, runner_calls.RunnerMismatch) as failure:
             logger.debug(
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -257,3 +257,20 @@
     And 10 jobs of 1 task are submitted to the other hosts at once
     And all hosts are killed and one restarts 5.0 s later
     Then for 4.0 s each count of pending jobs is at least 5, or refused
+
+  Scenario Outline: A leader that may have been replaced commands no runner
+    Guards against a stop or a pace that is decided before a freeze and obeyed
+    by a runner that doesn't know the next leader yet.
+    Given tasks that run 20 s
+    When job "00000000000000c7" of 4 tasks is submitted
+    And 1.0 s pass
+    And the leader reaches nothing but runners
+    And 2.0 s pass
+    And that leader decides to <command> a task
+    And 0.3 s pass
+    Then no runner got that command
+
+    Examples:
+      | command |
+      | stop    |
+      | pace    |
--- a/tests/scheduler/steps/stop_steps.py
+++ b/tests/scheduler/steps/stop_steps.py
@@ -7,6 +7,8 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.scheduler import commands
+
 
 def _leader(context):
     world = context.world
@@ -75,3 +77,38 @@
 def step_ended(context, least, most):
     assert len(context.ended_after) == 1, context.ended_after
     assert least <= context.ended_after[0] <= most, context.ended_after
+
+
+@when("that leader decides to {name} a task")
+def step_decide(context, name):
+    world = context.world
+    leader = world.host_by_name[context.previous_leader].leader
+    state = leader.scheduler_state
+    run = next(
+        run
+        for runner in state.runner_by_id.values()
+        for run in runner.run_by_task.values()
+    )
+    platform = world.platform
+    handle = platform._handle_runner_call
+    context.commands = []
+
+    def record(entry_host, request):
+        sent_by_leader = entry_host == context.previous_leader
+        if sent_by_leader and not request.path.endswith("hold"):
+            context.commands.append(request.path)
+        return handle(entry_host, request)
+
+    platform._handle_runner_call = record
+    if name == "stop":
+        state.stop_run(run, "test", leader.now())
+    else:
+        state.queue_command(
+            commands.PaceCommand(run.runner_id, run, run.attempt, 50)
+        )
+    leader.request_planning()
+
+
+@then("no runner got that command")
+def step_no_command(context):
+    assert not context.commands, context.commands
