Set failing jobs aside for 10 s, and not if most of them fail

A job that failed to be planned was left out until the leader changed. A job is now tried again after 10 s, and if more than half of the jobs fail, none is set aside.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -556,7 +556,7 @@
 @catalogue.event(6092, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSetAside(catalogue.Event):
-    """Job that can't be planned is left out until the leader changes."""
+    """Job that can't be planned is left out for a while."""
 
     job_id: str
     error: str
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -26,6 +26,9 @@
 # stalled. After that it may use them again, since the others may be full for
 # hours with long-running tasks.
 MAX_AVOIDANCE_S = 2.0
+# A job that can't be planned is tried again after this time. Each try costs
+# all others one planning pass.
+SET_ASIDE_S = 10.0
 
 
 class Planner:
@@ -46,6 +49,7 @@
         self._scheduler_state = scheduler_state
         self._runner_stop_s = runner_stop_s
         self._passes = 0
+        self._set_aside_until: dict[str, float] = {}
         # Factors on the time left of the service that is planned.
         self._factor_by_team: dict[str, float] = {}
         # Attempt number and checkpoint shared by the members of a gang.
@@ -68,6 +72,8 @@
         """
         if self._share_order is not None:
             self._share_order.advance_accounts(now)
+        if self._set_aside_until:
+            self._bring_back_jobs(now)
         self._stop_draining_runs(now)
         self._gang_attempt_by_step.clear()
         waiting_by_service = self._waiting_jobs()
@@ -97,21 +103,39 @@
         return left_over
 
     def set_aside_failing_jobs(self, now: float, unix_now: float) -> None:
-        """Plan no job any more that can't be planned by itself.
+        """Leave out for a while the jobs that can't be planned alone.
 
         One such job would keep all others from being planned. Its runs go on.
+        If most jobs fail, the fault isn't theirs, and they all stay.
         """
-        for job in list(self._scheduler_state.live_job_by_id.values()):
+        live_jobs = self._scheduler_state.live_job_by_id
+        error_by_job: dict[str, str] = {}
+        for job in live_jobs.values():
             try:
-                order = job_order.order_key(job.order_input(), now)
-                sorted((order, order))
+                job_order.order_key(
+                    job.order_input(self._share_factor(job)), now
+                )
                 for occurrence, index in job.ready_steps(unix_now):
                     self._step_request(job, occurrence, index, now)
             except Exception as error:
-                del self._scheduler_state.live_job_by_id[job.job.id]
-                catalogue.emit(
-                    logger, events.JobSetAside(job.job.id, repr(error))
-                )
+                error_by_job[job.job.id] = repr(error)
+        if len(error_by_job) > max(len(live_jobs) // 2, 1):
+            return
+        for job_id, text in error_by_job.items():
+            del live_jobs[job_id]
+            self._set_aside_until[job_id] = now + SET_ASIDE_S
+            catalogue.emit(logger, events.JobSetAside(job_id, text))
+
+    def _bring_back_jobs(self, now: float) -> None:
+        """Plan jobs again that were set aside, unless they have ended."""
+        state = self._scheduler_state
+        for job_id, until in list(self._set_aside_until.items()):
+            if now < until:
+                continue
+            del self._set_aside_until[job_id]
+            job = state.job_by_id.get(job_id)
+            if job is not None and not job.status.ended:
+                state.live_job_by_id[job_id] = job
 
     def _waiting_jobs(self) -> dict[str, list[runs.JobState]]:
         """Return the jobs with waiting tasks of the services to plan."""
--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -69,6 +69,10 @@
   Scenario: Any body is rejected or describes a job that can be stored
     Then any body is rejected, or its job can be stored and read again
 
+  Scenario: Any settings are loaded or rejected
+    Settings may change to anything before SIGHUP.
+    Then any settings of a host are loaded, or rejected as invalid
+
   Scenario: Any row is decoded or rejected
     Then any bytes as a row of any table are decoded or rejected
 
--- a/tests/platform/steps/decoding_steps.py
+++ b/tests/platform/steps/decoding_steps.py
@@ -332,3 +332,27 @@
         request.send(None)
     except StopIteration as stop:
         assert stop.value.ticket_by_runner == {"i-1": "a", "i-4": "d"}
+
+
+@then("any settings of a host are loaded, or rejected as invalid")
+def step_any_settings(context):
+    nested = strategies.dictionaries(
+        strategies.sampled_from(("graceS", "address", "frontend", "cores")),
+        _VALUES,
+        max_size=3,
+    )
+    fields = strategies.dictionaries(
+        strategies.sampled_from((*_SETTINGS, "internalPorts", "ip")),
+        _VALUES | nested,
+        max_size=3,
+    )
+
+    @_check
+    @hypothesis.given(fields)
+    def check(fields):
+        try:
+            _load_settings({**_SETTINGS, **fields})
+        except exceptions.SettingsError:
+            return
+
+    check()
--- a/tests/scheduler/malformed.feature
+++ b/tests/scheduler/malformed.feature
@@ -81,6 +81,15 @@
       | finished | [1e30, "00000000000000c5.0.0.1", 1, "done", ""] |
       | finished | [0, "00000000000000c5.0.0.1", 1, "failed", 5]   |
 
+  Scenario: A runner whose entry becomes unreadable keeps its tasks
+    Given tasks that run 4 s
+    When job "00000000000000c7" of 20 tasks is submitted
+    And 1.0 s pass
+    And the entries of all runners with tasks become unreadable
+    And 5.0 s pass
+    Then job "00000000000000c7" is "completed"
+    And each task of job "00000000000000c7" started once
+
   Scenario: A wave whose stored progress is unreadable completes
     Given row "wave/1" of table "azurevane-state" has the value [0, 5, "\xff"]
     When the leader is killed
--- a/tests/scheduler/steps/malformed_steps.py
+++ b/tests/scheduler/steps/malformed_steps.py
@@ -171,3 +171,16 @@
     phase = {"count": 1, "cpu": 10, "memMb": 10, "image": "x" * 40}
     response = _submit(context, [phase] * count)
     assert response.status == status, response
+
+
+@when("the entries of all runners with tasks become unreadable")
+def step_entries_unreadable(context):
+    platform = context.world.platform
+    busy = [
+        runner
+        for runner in platform.runner_by_address.values()
+        if runner.task_by_name
+    ]
+    assert busy, "no runner has tasks"
+    for runner in busy:
+        platform.store.put("servers", runner.id, b"\xff")
--- a/tests/scheduler/steps/unexpected_steps.py
+++ b/tests/scheduler/steps/unexpected_steps.py
@@ -114,3 +114,17 @@
     world = context.world
     leader = world.host_by_name[world.leader_name].leader
     assert leader.token > context.token, (leader.token, context.token)
+
+
+@when("for {seconds:g} s no job can be planned")
+def step_no_job_planned(context, seconds):
+    world = context.world
+    planner = world.host_by_name[world.leader_name].leader._planner
+    step_request = planner._step_request
+
+    def fail(*arguments):
+        raise RuntimeError("unexpected")
+
+    planner._step_request = fail
+    world.advance_time(seconds)
+    planner._step_request = step_request
--- a/tests/scheduler/unexpected_errors.feature
+++ b/tests/scheduler/unexpected_errors.feature
@@ -14,6 +14,15 @@
     And the same host leads
     And one job was set aside
 
+  Scenario: Jobs are planned again after an error that wasn't theirs
+    Given a stored job whose steps depend on one that it doesn't have
+    When job "00000000000000d3" of 10 tasks is submitted
+    And job "00000000000000d4" of 10 tasks is submitted
+    And for 1.0 s no job can be planned
+    And 13.0 s pass
+    Then job "00000000000000d3" is "completed"
+    And job "00000000000000d4" is "completed"
+
   Scenario Outline: One error in a step of the leader loses nothing
     Given the next <count> calls of the leader's <step> fail
     When job "00000000000000d2" of 10 tasks is submitted
