Take back bounds that were lowered to what was measured

Three bounds of the policies for shares and for the order of jobs had been set to values between the first ones and the measured figures. They are the first ones again: 0.05 more for the worst teams and 0.75 of the fair bound at twice the room, 75 s for the longest wait.

--- a/tests/policy/fair_shares.feature
+++ b/tests/policy/fair_shares.feature
@@ -40,8 +40,8 @@
 
   Scenario: Twenty teams ask twice the room
     Given 20 teams of skewed sizes whose jobs ask 2 times a pool's room
-    Then the worst tenth of the teams gets at least 0.03 more in time
-    And at least 0.6 of the computed fair bound
+    Then the worst tenth of the teams gets at least 0.05 more in time
+    And at least 0.75 of the computed fair bound
     And the total in time is at most 0.01 less
 
   Scenario: A team floods the pool with large jobs within its rate
--- a/tests/policy/job_order.feature
+++ b/tests/policy/job_order.feature
@@ -64,7 +64,7 @@
 
   Scenario: No job waits without bound while the pool stays overloaded
     Given 20 teams of skewed sizes whose jobs ask 1.5 times a small pool's room for 100 s
-    Then every job of the first 4 s ends within 85 s
+    Then every job of the first 4 s ends within 75 s
     And without the limit on the wait one takes over 95 s
     And the jobs in time are at most 0.02 fewer for it
 
