Leave the lead to others after a term that failed to begin

If a term ended with an unexpected error while it began, its leader stayed without a tick: it renewed nothing, but answered the others' queries as a leader, and the host never led again. An error before that made the host take over again at once, for ever, while its rows kept the others away. Such a term is now ended and the host leaves the lead to others for 5 s.

--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -34,6 +34,9 @@
 # Pause between two reads on a host that delays its takeovers.
 WEAK_HOST_READ_PAUSE_S = 0.8
 CANDIDATE_TICK_INTERVAL_S = 0.1
+# A host leaves the lead to others for this long after it failed to begin a
+# term for an unexpected reason.
+FAILED_TERM_PAUSE_S = 5.0
 # Random delay that spreads the takeovers of several hosts.
 MAX_TAKEOVER_JITTER_S = 0.3
 
@@ -109,6 +112,7 @@
         self._taking_over = False
         self._querying = False
         self._resigned = False
+        self._takeover_not_before = 0.0
         self.leader: leader_module.Leader | None = None
 
     def start(self) -> None:
@@ -168,10 +172,12 @@
         if self._taking_over or self.leader is not None or self._resigned:
             return
         now = self._reactor.seconds()
+        if now < self._takeover_not_before:
+            return
         takeover = self._view.takeover_due(now)
         if takeover is not None:
             self._taking_over = True
-            background.spawn(self._take_over(takeover), "take over leadership")
+            background.spawn(self._lead(takeover), "take over leadership")
             return
         silent = None if self._querying else self._view.silent_leader(now)
         if silent is not None:
@@ -231,6 +237,17 @@
             return False
         return self.leader.handle_leadership_query(asker)
 
+    async def _lead(self, takeover: leadership.Takeover) -> None:
+        try:
+            await self._take_over(takeover)
+        except Exception as error:
+            background.log_step_failure("take over leadership", error)
+            self._takeover_not_before = (
+                self._reactor.seconds() + FAILED_TERM_PAUSE_S
+            )
+            if self.leader is not None:
+                self.leader.stop("unexpected error")
+
     async def _take_over(self, takeover: leadership.Takeover) -> None:
         sent_at = self._reactor.seconds()
         try:
--- a/tests/scheduler/steps/unexpected_steps.py
+++ b/tests/scheduler/steps/unexpected_steps.py
@@ -9,6 +9,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import job as job_models
+from azurevane._internal.scheduler import leader as leader_module
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import records
 
@@ -128,3 +129,10 @@
     planner._step_request = fail
     world.advance_time(seconds)
     planner._step_request = step_request
+
+
+@given("the next {count:d} terms fail in {method}")
+def step_terms_fail(context, count, method):
+    original = getattr(leader_module.Leader, method)
+    context.add_cleanup(setattr, leader_module.Leader, method, original)
+    _fail_next(leader_module.Leader, method, count)
--- a/tests/scheduler/unexpected_errors.feature
+++ b/tests/scheduler/unexpected_errors.feature
@@ -52,6 +52,24 @@
     And 5.0 s pass
     Then a host leads
 
+  Scenario Outline: A host that fails to begin a term leaves it to others
+    Given the next <count> terms fail in <method>
+    When the leader is killed
+    And 12.0 s pass
+    And job "00000000000000d5" of 10 tasks is submitted
+    And 3.0 s pass
+    Then job "00000000000000d5" is "completed"
+    When the leader is killed
+    And 12.0 s pass
+    Then a host leads
+
+    Examples:
+      | count | method   |
+      | 1     | run      |
+      | 1     | __init__ |
+      | 2     | run      |
+      | 2     | __init__ |
+
   Scenario: No host takes over on a leader's row that can't be read
     Its fencing token would be unknown.
     When the leader is killed
