--- a/src/azurevane/_internal/models/scheduling_settings.py
+++ b/src/azurevane/_internal/models/scheduling_settings.py
@@ -18,8 +18,6 @@
             runners from ended and running tasks.
         copies: run copies of tasks that the job marks as speculative.
         forecast: move hosts to a pool before its next busy period.
-        reservations: keep capacity free for tasks that are too large for
-            what ends by itself.
     """
 
     admission: bool = False
@@ -28,4 +26,3 @@
     learned_run_times: bool = False
     copies: bool = False
     forecast: bool = False
-    reservations: bool = False
--- a/src/azurevane/_internal/settings/scheduling.py
+++ b/src/azurevane/_internal/settings/scheduling.py
@@ -20,7 +20,6 @@
     ),
     "copies": "Run copies of tasks whose jobs allow them.",
     "forecast": "Move hosts to a pool before its next busy period.",
-    "reservations": "Keep capacity free for large tasks that wait.",
 }
 
 for _field in dataclasses.fields(scheduling_settings.SchedulingSettings):
