Count announced commands without a call made for its side effect

Cause: the host manager called unexpired() only to drop old commands before it asked for the bytes of the rest, so the order of two calls mattered.

Change: announced_bytes() takes the time and counts the unexpired ones.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -134,9 +134,12 @@
         now = self._leader.now()
         self._table.update_idle_runners(now)
         planned = self._plan_commands(now)
-        self.recent_commands.unexpired(self._leader.store_clock.earliest(now))
         commands = self._command_limit.admit(
-            planned, self.recent_commands.announced_bytes(), now
+            planned,
+            self.recent_commands.announced_bytes(
+                self._leader.store_clock.earliest(now)
+            ),
+            now,
         )
         # The others are planned anew.
         self._release_hosts(planned[len(commands) :])
--- a/src/azurevane/_internal/scheduler/recent_commands.py
+++ b/src/azurevane/_internal/scheduler/recent_commands.py
@@ -65,11 +65,11 @@
         command = RecentCommand(sent_until, self._holder)
         self._command_by_host.update(dict.fromkeys(hosts, command))
 
-    def announced_bytes(self) -> int:
-        """Return the most bytes that the commands take in a row."""
+    def announced_bytes(self, store_now: float) -> int:
+        """Return the most bytes that unexpired commands take in a row."""
         return sum(
             announcement_bytes(host, command.holder)
-            for host, command in self._command_by_host.items()
+            for host, command in self.unexpired(store_now).items()
         )
 
     def unexpired(self, store_now: float) -> dict[str, RecentCommand]:
