Log how long lost runs had been at work

Event 6007 now has the time since the runner confirmed the start, and how much of it the runner was heard from.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -83,12 +83,19 @@
 @catalogue.event(6007, logging.WARNING)
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunLost(catalogue.Event):
-    """Run lost: no part of it can still be running."""
+    """Run lost: no part of it can still be running.
+
+    Attributes:
+        begun_s: time since the runner confirmed the start, None if it didn't.
+        heard_s: time from that confirmation to the runner's last response.
+    """
 
     task: str
     attempt: int
     runner: str
     reason: str
+    begun_s: float | None = None
+    heard_s: float | None = None
 
 
 @catalogue.event(6010)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -186,9 +186,23 @@
     def _release_lost_run(
         self, run: runs.Run, reason: str, now: float
     ) -> None:
+        runner = self._scheduler_state.runner_by_id.get(run.runner_id)
+        begun_s = heard_s = None
+        if run.acknowledged_at:
+            begun_s = round(now - run.acknowledged_at, 3)
+            if runner is not None:
+                heard_s = runner.last_contact_at - run.acknowledged_at
+                heard_s = round(heard_s, 3)
         catalogue.emit(
             logger,
-            events.RunLost(str(run.name), run.attempt, run.runner_id, reason),
+            events.RunLost(
+                str(run.name),
+                run.attempt,
+                run.runner_id,
+                reason,
+                begun_s,
+                heard_s,
+            ),
         )
         self._scheduler_state.release_run(run, now)
 
