Show that a task may crash runner after runner

The stand-in's tasks may crash their runner; its host is back after some seconds with another runner at the address.

--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -57,6 +57,7 @@
         late_commands: task and attempt of commands that runners executed
             late and without an answer.
         host_commands: (time, command, host, holder, token) of all hosts.
+        crash_by_task: what happens to a runner that a task crashes.
         most_in_maintenance: highest number of hosts in maintenance at once.
         entry_host_by_address: answers leadership queries of other entry
             hosts; None if the process has ended, so that connections are
@@ -91,6 +92,9 @@
         self.lease_expiries: list[tuple[float, str]] = []
         self.host_commands: list[tuple[float, str, str, str, int]] = []
         self.standby_pools: set[str] = set()
+        self.crash_by_task: Callable[[site_runner.SiteRunner], None] = (
+            lambda runner: self.crash_host(runner, down_s=3.0)
+        )
         self._incarnations = 0
         self.allocate_address: Callable[[], str] = lambda: (
             f"10.9.0.{self._incarnations}:8000"
@@ -113,11 +117,11 @@
         return host
 
     def add_runner(
-        self, host: FleetHost, **options: Any
+        self, host: FleetHost, *, address: str = "", **options: Any
     ) -> site_runner.SiteRunner:
         """Start a new runner on a host and register it."""
         self._incarnations += 1
-        address = self.allocate_address()
+        address = address or self.allocate_address()
         runner = site_runner.SiteRunner(
             self.reactor,
             f"i-{self._incarnations:04d}",
@@ -127,6 +131,7 @@
             rack=host.rack,
             plan=lambda task, attempt: self.plan_task(task, attempt),
             record=self._record_event,
+            crash_by_task=self.crash_by_task,
             started_at_ms=1_000_000 + self._incarnations,
             **options,
         )
@@ -171,6 +176,41 @@
         self.reactor.callLater(restart_s, start)
         return runner
 
+    def crash_host(
+        self,
+        runner: site_runner.SiteRunner,
+        *,
+        down_s: float,
+        silent: bool = False,
+        same_id: bool = False,
+    ) -> None:
+        """Crash a runner; its host starts another one at the same address.
+
+        Args:
+            silent: whether the host has no power, so that calls get no
+                answer instead of a reset.
+            same_id: whether the next runner has the same id.
+        """
+        runner.resets_connections = not silent
+        if same_id:
+            self.restart_runner(runner, restart_s=down_s)
+            return
+        runner.crash()
+        host = next(
+            host
+            for host in self.host_by_name.values()
+            if host.runner is runner
+        )
+        host.state, host.runner = "down", None
+        self.reactor.callLater(down_s, self._power_up, host, runner)
+
+    def _power_up(
+        self, host: FleetHost, previous: site_runner.SiteRunner
+    ) -> None:
+        host.state = "up"
+        self.unregister(previous)
+        self.add_runner(host, address=previous.address)
+
     def register(self, runner: site_runner.SiteRunner) -> None:
         """Write a runner's entry to the store."""
         value = json.dumps(runner.entry()).encode()
@@ -252,9 +292,9 @@
         self, entry_host: str, request: "PlatformRequest"
     ) -> "Response | defer.Deferred[Response] | None":
         runner = self.runner_by_address.get(str(request.address))
-        if runner is None or not runner.reachable:
-            return None
-        if entry_host in runner.unreachable_from:
+        if runner is not None and runner.crashed and runner.resets_connections:
+            return defer.fail(ConnectionRefusedError())
+        if runner is None or not runner.is_reachable_from(entry_host):
             return None
         if request.headers.get("X-Target-Instance") != runner.id:
             return Response(421)
@@ -302,7 +342,7 @@
                 return
             forwarded.callback(response)
 
-        answer.addCallback(forward)
+        answer.addCallbacks(forward, forwarded.errback)
         return forwarded
 
     # Hosts API.
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import error as twisted_error
 
 from azurevane._internal.standins import site_store
 
@@ -17,6 +18,8 @@
 _LONG_RUNNING_MIN_S = 1000.0
 # Event of a runner, of none of its tasks.
 LEASE_EXPIRED = "lease expired"
+# Outcome of a task that crashes its runner.
+CRASH = "crash"
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +49,8 @@
     Args:
         plan: returns the plan of a task by its name and attempt.
         record: called with (event, runner id, task, attempt).
+        crash_by_task: called with this runner when one of its tasks crashes
+            it; ``crash`` if None.
         clock_rate: seconds of the runner's clock in one second.
         guards_capacity: whether a start beyond the capacity is rejected.
 
@@ -63,7 +68,8 @@
             after a crash.
         slowness: multiple of the planned time that tasks take.
         fails_all_tasks: whether every task that starts fails after 0.05 s.
-        crashed: whether the process has ended.
+        resets_connections: whether connections are reset and refused once
+            the process has ended, as on a host that has power.
     """
 
     def __init__(
@@ -77,6 +83,7 @@
         rack: str,
         plan: Any,
         record: Any,
+        crash_by_task: Any = None,
         capacity: dict[str, int] | None = None,
         lease_max_s: float = 10.0,
         stop_s: float = 0.1,
@@ -92,6 +99,7 @@
         self.rack = rack
         self._plan = plan
         self._record = record
+        self._crash_by_task = crash_by_task
         self.capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 0}
         self._lease_max_s = lease_max_s
         self._stop_s = stop_s
@@ -120,6 +128,7 @@
         self.response_delay_s = 0.0
         self.slowness = 1.0
         self.fails_all_tasks = False
+        self.resets_connections = False
         self._stalled_since: float | None = None
         self.reject_status: int | None = None
 
@@ -144,6 +153,10 @@
             entry["remainingMs"] = 2000
         return entry
 
+    def is_reachable_from(self, entry_host: str) -> bool:
+        """Whether an entry host's calls reach the runner."""
+        return self.reachable and entry_host not in self.unreachable_from
+
     def _clock_ms(self) -> int:
         elapsed_s = self._reactor.seconds() - self._clock_zero
         return round(elapsed_s * self._clock_rate * 1000)
@@ -232,6 +245,12 @@
     def _end_task(self, task: _Task, outcome: str) -> None:
         if self.task_by_name.get(task.name) is not task:
             return
+        if outcome == CRASH:
+            if self._crash_by_task is None:
+                self.crash()
+            else:
+                self._crash_by_task(self)
+            return
         del self.task_by_name[task.name]
         if task.timer is not None and task.timer.active():
             task.timer.cancel()
@@ -348,6 +367,7 @@
             rack=self.rack,
             plan=self._plan,
             record=self._record,
+            crash_by_task=self._crash_by_task,
             capacity=self.capacity,
             lease_max_s=self._lease_max_s,
             stop_s=self._stop_s,
@@ -365,5 +385,9 @@
                 task.timer.cancel()
             self._record("crashed", self.id, task.name, task.attempt)
         self.task_by_name.clear()
+        if self.resets_connections:
+            waiting, self._waiting_holds = self._waiting_holds, []
+            for wait in waiting:
+                wait.errback(twisted_error.ConnectionLost())
         if self._lease_timer is not None and self._lease_timer.active():
             self._lease_timer.cancel()
