Give up tasks that crash every runner that starts them

Cause: a run lost with its runner was counted nowhere, and placement packed all that was lost, killers and bystanders, on one runner again.

Now a crash makes the tasks suspected that had just started there, by the runner's own clock. A suspected job's next start has no other suspected job beside it, and after two crashes a task starts alone on a runner kept for it; a third crash fails its job. Half a second at work clears a task. Runners that crash at once have another cause, unless one job was starting on all of them; a quarter of the site at once suspects nobody. The history lies in the job's row before the next start is sent, so the next leader has it. Suspected tasks get no copies and no room of others, and pools aren't sized up for those that wait for their trial.

Evidence: of the losses of the crashing tasks no runner was heard from more than 10 ms after the start.

--- /dev/null
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -0,0 +1,197 @@
+"""Decides which tasks are at fault when a runner crashes.
+
+A crash ends all runs of a runner. Only those that had just started there are
+suspected. A suspected task starts apart from other suspected jobs, and after
+two crashes alone, so that a third one shows that it is at fault. A run that
+goes on for ``SETTLING_S`` clears its task. Runners that crash at the same
+time have another cause, unless one job was starting on all of them.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+# A run that has been at work for this long doesn't crash its runner by its
+# start.
+SETTLING_S = 0.5
+# Crashes that lie no further apart may have one cause.
+SIMULTANEITY_S = 0.1
+# So many runners that crash at once, and at least this share of all, suffer
+# from an outage, which makes no task suspected.
+MIN_OUTAGE_RUNNERS = 3
+OUTAGE_SHARE = 0.25
+# A task is given up after so many crashes in succession if only its job was
+# starting on the last runner.
+MAX_CRASHES_ALONE = 3
+# The same, whatever else was starting there.
+MAX_CRASHES = 4
+# The same if others crashed at the same time as most of these runners. The
+# task has then crashed one by itself at least.
+MAX_CRASHES_AT_ONCE = 5
+# A suspected task that found no suitable runner for this long starts like
+# any other, as an overloaded pool may have none for minutes.
+MAX_ISOLATION_WAIT_S = 5.0
+# Suspected jobs whose tasks may start on one runner at the same time.
+MAX_SUSPECTS_PER_RUNNER = 1
+# Shares of a pool on which suspected tasks may start at the same time, apart
+# from each other and alone. At least one runner is allowed.
+MAX_SHARED_RUNNERS_SHARE = 0.75
+MAX_EXCLUSIVE_RUNNERS_SHARE = 0.25
+
+
+class Cause(enum.Enum):
+    """Cause of a crash; the values are logged."""
+
+    TASK = "task"
+    # Other runners crashed at the same time.
+    UNCERTAIN = "uncertain"
+    OUTAGE = "outage"
+
+
+class Isolation(enum.IntEnum):
+    """What else may start on the runner of a task at the same time."""
+
+    NONE = 0
+    # Few other suspected jobs.
+    APART = 1
+    # Nothing.
+    ALONE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerCrash:
+    """Crash of a runner; times are monotonic seconds.
+
+    Attributes:
+        earliest: since when it may have crashed.
+        latest: when it had certainly crashed.
+        starting_jobs: ids of the jobs whose tasks had just started there.
+        suspected: whether one of these tasks was suspected before.
+    """
+
+    runner_id: str
+    earliest: float
+    latest: float
+    starting_jobs: frozenset[str]
+    suspected: bool = False
+
+    def may_coincide(self, other: "RunnerCrash") -> bool:
+        """Whether both runners may have crashed at the same time."""
+        return (
+            self.earliest <= other.latest + SIMULTANEITY_S
+            and other.earliest <= self.latest + SIMULTANEITY_S
+        )
+
+
+def coinciding_crashes(
+    crash: RunnerCrash, others: Iterable[RunnerCrash]
+) -> list[RunnerCrash]:
+    """Return the crashes at the same time that no suspected task explains."""
+    return [
+        other
+        for other in others
+        if other.runner_id != crash.runner_id
+        and not other.suspected
+        and crash.may_coincide(other)
+    ]
+
+
+def find_cause(
+    crash: RunnerCrash, coinciding: list[RunnerCrash], runner_count: int
+) -> Cause:
+    """Return the cause of a crash.
+
+    Args:
+        coinciding: unexplained crashes of other runners at the same time.
+        runner_count: number of runners of the site.
+    """
+    if not coinciding:
+        return Cause.TASK
+    if crash.starting_jobs.intersection(
+        *(other.starting_jobs for other in coinciding)
+    ):
+        return Cause.TASK
+    crashed = len(coinciding) + 1
+    if crashed >= max(MIN_OUTAGE_RUNNERS, OUTAGE_SHARE * runner_count):
+        return Cause.OUTAGE
+    return Cause.UNCERTAIN
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashHistory:
+    """Runs of a task that crashes ended, since one that settled.
+
+    The members of a gang share one history, as they share their attempts.
+
+    Attributes:
+        attempts: attempts whose crash no other crash coincided with.
+        uncertain_attempts: attempts whose crash others coincided with.
+        alone: whether only the task's job was starting at the last crash.
+    """
+
+    attempts: frozenset[int] = frozenset()
+    uncertain_attempts: frozenset[int] = frozenset()
+    alone: bool = False
+
+    @property
+    def suspected(self) -> bool:
+        """Whether the task may have crashed a runner."""
+        return bool(self.attempts or self.uncertain_attempts)
+
+    @property
+    def needs_trial(self) -> bool:
+        """Whether the task is to start alone, as it is likely at fault."""
+        return len(self.attempts) >= MAX_CRASHES_ALONE - 1
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether the task is given up."""
+        count = len(self.attempts)
+        if count >= MAX_CRASHES or (self.alone and count >= MAX_CRASHES_ALONE):
+            return True
+        total = count + len(self.uncertain_attempts)
+        return bool(count) and total >= MAX_CRASHES_AT_ONCE
+
+    def with_crash(
+        self, attempt: int, cause: Cause, *, alone: bool
+    ) -> "CrashHistory":
+        """Return the history with a further crash."""
+        if cause is Cause.OUTAGE:
+            return self
+        if cause is Cause.TASK:
+            return CrashHistory(
+                self.attempts | {attempt}, self.uncertain_attempts, alone
+            )
+        return CrashHistory(
+            self.attempts, self.uncertain_attempts | {attempt}, False
+        )
+
+    def without(self, attempt: int) -> "CrashHistory":
+        """Return the history without an attempt that didn't crash."""
+        return CrashHistory(
+            self.attempts - {attempt}, self.uncertain_attempts - {attempt}
+        )
+
+    def isolation(self, waited_s: float) -> Isolation:
+        """Return how the task's next run is to be isolated.
+
+        Args:
+            waited_s: time since its last run ended, in seconds.
+        """
+        if not self.suspected or waited_s > MAX_ISOLATION_WAIT_S:
+            return Isolation.NONE
+        return Isolation.ALONE if self.needs_trial else Isolation.APART
+
+
+def max_runners(isolation: Isolation, runner_count: int) -> int:
+    """Return on how many runners of a pool isolated tasks may start at once.
+
+    Args:
+        runner_count: number of the pool's runners that accept tasks.
+    """
+    share = {
+        Isolation.NONE: 1.0,
+        Isolation.APART: MAX_SHARED_RUNNERS_SHARE,
+        Isolation.ALONE: MAX_EXCLUSIVE_RUNNERS_SHARE,
+    }[isolation]
+    return max(int(share * runner_count), 1)
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -7,11 +7,15 @@
 racks.
 """
 
+import collections
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import math
 
 from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import crash_attribution
+from azurevane._internal.policy import isolated_starts
 from azurevane._internal.policy import runner_speeds
 
 
@@ -47,6 +51,7 @@
             even a full one. The caller drops them after some time.
         bearable_slowness: slowness of a runner with which the job still
             meets its objective.
+        isolation: what else may start on the tasks' runners.
     """
 
     job_id: str
@@ -61,6 +66,12 @@
         default_factory=dict
     )
     bearable_slowness: float = 1.0
+    isolation: crash_attribution.Isolation = crash_attribution.Isolation.NONE
+
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Job, occurrence and index of the step."""
+        return self.job_id, self.occurrence, self.step_index
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +147,7 @@
     runners: Sequence[RunnerCapacity],
     free_by_team: dict[str, job_models.Capacity],
     max_placements: int = NO_LIMIT,
+    isolated: isolated_starts.IsolatedStarts | None = None,
 ) -> list[TaskPlacement]:
     """Choose runners for the waiting tasks, in the order of the requests.
 
@@ -144,6 +156,7 @@
             isn't listed has no limit.
         max_placements: number of tasks after which the others wait. A gang
             is placed whole, so its last tasks may be beyond it.
+        isolated: where suspected tasks start, if there are any.
     """
     balances = [_RunnerBalance(runner) for runner in runners]
     allowance_by_team = {
@@ -153,12 +166,14 @@
     # Needs that fitted no runner. As capacity only shrinks in this loop, no
     # request of at least the same need fits any more.
     too_large: list[job_models.Capacity] = []
+    count_by_runner_by_step: dict[tuple[str, int, int], dict[str, int]] = {}
     for request in requests:
+        request = _with_placed_tasks(request, count_by_runner_by_step)
         room = max_placements - len(placements)
         if room <= 0:
             break
         need = capacity_needed(request.step)
-        if any(need.covers(other) for other in too_large):
+        if _is_hopeless(request, need, too_large):
             continue
         max_count = len(request.waiting_indexes)
         if not request.step.gang:
@@ -168,16 +183,50 @@
             max_count = min(max_count, allowance.max_tasks(request.step.need))
         if request.step.gang and max_count < len(request.waiting_indexes):
             continue
-        chosen = _place_step(request, max_count, balances)
+        chosen = _place_step(request, max_count, balances, isolated)
         if not chosen and max_count and _is_unrestricted(request):
             too_large.append(need)
-        if allowance is not None:
-            for _ in chosen:
+        count_by_runner = count_by_runner_by_step[request.step_key]
+        for placement in chosen:
+            if allowance is not None:
                 allowance.reserve(request.step.need)
+            count_by_runner.setdefault(placement.runner_id, 0)
+            count_by_runner[placement.runner_id] += 1
         placements.extend(chosen)
     return placements
 
 
+def _is_hopeless(
+    request: StepRequest,
+    need: job_models.Capacity,
+    too_large: list[job_models.Capacity],
+) -> bool:
+    """Whether a smaller need fitted no runner that the request may use.
+
+    Runners may be kept for tasks that start alone, so that these fit where
+    others didn't.
+    """
+    if request.isolation is not crash_attribution.Isolation.NONE:
+        return False
+    return any(need.covers(other) for other in too_large)
+
+
+def _with_placed_tasks(
+    request: StepRequest,
+    count_by_runner_by_step: dict[tuple[str, int, int], dict[str, int]],
+) -> StepRequest:
+    """Return a request that counts the tasks placed for its step before.
+
+    Suspected tasks of a step have requests of their own.
+    """
+    count_by_runner = count_by_runner_by_step.setdefault(request.step_key, {})
+    if not count_by_runner:
+        return request
+    total = collections.Counter(request.task_count_by_runner)
+    total.update(count_by_runner)
+    return dataclasses.replace(request, task_count_by_runner=dict(total))
+
+
 def capacity_needed(step: job_models.Step) -> job_models.Capacity:
     """Return the capacity that a task takes from its runner."""
     return dataclasses.replace(step.need, cpu=0) if step.fills else step.need
@@ -192,22 +241,89 @@
         or step.max_per_runner
         or request.allowed_runners is not None
         or request.avoided_runners_by_index
+        or request.isolation is not crash_attribution.Isolation.NONE
     )
 
 
 def _place_step(
-    request: StepRequest, max_count: int, balances: list[_RunnerBalance]
+    request: StepRequest,
+    max_count: int,
+    balances: list[_RunnerBalance],
+    isolated: isolated_starts.IsolatedStarts | None,
 ) -> list[TaskPlacement]:
     step = request.step
     if not max_count:
         return []
     candidates = _candidates(request, balances)
+    if isolated is not None and not step.gang:
+        return _place_isolated(request, max_count, candidates, isolated)
+    if isolated is not None:
+        candidates = _admitting(request, candidates, isolated)
     if step.gang and step.same_rack:
-        return _place_in_one_rack(request, candidates)
-    placements = _place_greedily(request, max_count, candidates)
+        placements = _place_in_one_rack(request, candidates)
+    else:
+        placements = _place_greedily(request, max_count, candidates)
     if step.gang and len(placements) < len(request.waiting_indexes):
         _release_placements(placements, candidates, step)
         return []
+    if isolated is not None:
+        _record_starts(placements, isolated)
+    return placements
+
+
+def _admitting(
+    request: StepRequest,
+    candidates: list[_RunnerBalance],
+    isolated: isolated_starts.IsolatedStarts,
+) -> list[_RunnerBalance]:
+    """Return the runners on which a request's tasks may start."""
+    return [
+        balance
+        for balance in candidates
+        if isolated.admits(
+            balance.runner.runner_id, request.job_id, request.isolation
+        )
+    ]
+
+
+def _record_starts(
+    placements: list[TaskPlacement], isolated: isolated_starts.IsolatedStarts
+) -> None:
+    for placement in placements:
+        request = placement.request
+        isolated.record_start(
+            placement.runner_id, request.job_id, request.isolation
+        )
+
+
+def _place_isolated(
+    request: StepRequest,
+    max_count: int,
+    candidates: list[_RunnerBalance],
+    isolated: isolated_starts.IsolatedStarts,
+) -> list[TaskPlacement]:
+    """Place tasks of one step while some starts are isolated.
+
+    Suspected tasks of a job start on one runner, which is the one with most
+    free processors: a crash then ends least work of others.
+    """
+    admitting = _admitting(request, candidates, isolated)
+    if request.isolation is not crash_attribution.Isolation.NONE:
+        admitting.sort(
+            key=lambda balance: (
+                not isolated.is_starting(
+                    balance.runner.runner_id, request.job_id
+                ),
+                isolated.suspect_count(balance.runner.runner_id),
+                -balance.cpu,
+            )
+        )
+        need = request.step.need
+        cpu = 0 if request.step.fills else need.cpu
+        fitting = (b for b in admitting if b.fits(need, cpu))
+        admitting = [*itertools.islice(fitting, 1)]
+    placements = _place_greedily(request, max_count, admitting)
+    _record_starts(placements, isolated)
     return placements
 
 
--- a/src/azurevane/_internal/scheduler/copy_planner.py
+++ b/src/azurevane/_internal/scheduler/copy_planner.py
@@ -12,6 +12,7 @@
 from azurevane._internal.policy import runner_speeds
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import commands
+from azurevane._internal.scheduler import isolation
 from azurevane._internal.scheduler import planner as planner_module
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
@@ -177,6 +178,7 @@
                 ],
                 free_by_team,
                 1,
+                isolation.find_starts(candidates, now),
             )
             if placements:
                 self._assign_copy(run, placements[0], decision, now)
@@ -241,6 +243,7 @@
         and run.name not in run.job.copy_by_task
         and run.last_attempt - run.attempt < copies.MAX_COPIES
         and len(run.failed_attempts) < run.job.job.attempts
+        and not run.job.crash_history(run).suspected
     )
 
 
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -301,7 +301,9 @@
         for key in job.ready_steps(float("inf")):
             step = job.job.steps[key[1]]
             count = sum(
-                run.phase is runs.Phase.WAITING and run.not_before <= now
+                run.phase is runs.Phase.WAITING
+                and run.not_before <= now
+                and not job.crash_history(run).needs_trial
                 for run in job.runs_by_step[key]
             )
             if not count:
--- a/src/azurevane/_internal/scheduler/host_table.py
+++ b/src/azurevane/_internal/scheduler/host_table.py
@@ -51,7 +51,7 @@
         """Update the table with the platform's list."""
         for host in hosts:
             self._log_host_change(host)
-            self._handle_lost_runner(host, now)
+        self._handle_lost_runners(hosts, now)
         self.host_by_name = {host.name: host for host in hosts}
         listed_runners = {host.runner_id for host in hosts if host.runner_id}
         for host in hosts:
@@ -78,23 +78,30 @@
             ),
         )
 
-    def _handle_lost_runner(self, host: site.Host, now: float) -> None:
-        """Give up the runner of a host that is down or has another one.
+    def _handle_lost_runners(
+        self, hosts: tuple[site.Host, ...], now: float
+    ) -> None:
+        """Give up the runners of hosts that are down or have another one.
 
         A runner is one incarnation of its host, and the lists are read one
         after the other, so the runner has certainly ended and its lease
         needn't expire first.
         """
-        previous = self.host_by_name.get(host.name)
-        if previous is None or not previous.runner_id:
-            return
-        if host.up and host.runner_id == previous.runner_id:
-            return
-        if previous.runner_id in self._scheduler_state.runner_by_id:
+        reason_by_crashed: dict[str, str] = {}
+        for host in hosts:
+            previous = self.host_by_name.get(host.name)
+            if previous is None or not previous.runner_id:
+                continue
+            if host.up and host.runner_id == previous.runner_id:
+                continue
             reason = f"its host is {host.state.value}"
-            self._runner_events.handle_runner_gone(
-                previous.runner_id, reason, now
-            )
+            if host.up or host.state is site.HostState.DOWN:
+                reason_by_crashed[previous.runner_id] = reason
+            else:
+                self._runner_events.handle_runner_gone(
+                    previous.runner_id, reason, now
+                )
+        self._runner_events.handle_runners_crashed(reason_by_crashed, now)
 
     def update_idle_runners(self, now: float) -> None:
         """Update since when runners have had no tasks."""
--- a/src/azurevane/_internal/scheduler/preemptor.py
+++ b/src/azurevane/_internal/scheduler/preemptor.py
@@ -93,6 +93,8 @@
             return False
         if run.step.gang or run.step.fills:
             return False
+        if run.job.crash_history(run).suspected:
+            return False
         if now < self._pending_until_by_task.get(str(run.name), 0.0):
             return False
         waited_s = now - run.not_serving_since
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import crash_attribution
 from azurevane._internal.scheduler import runs as runs_module
 from azurevane._internal.utils import json_decoding
 
@@ -51,9 +52,16 @@
     copy_runner_id: str = ""
 
 
+class _SuspectedTask(_CopiedTask, array_like=True):
+    """A task that may have crashed runners, or the first one of its gang."""
+
+    crashed_attempts: list[int] = []
+    uncertain_attempts: list[int] = []
+
+
 class _Record(msgspec.Struct, array_like=True):
     status: str
-    tasks: list[_CopiedTask]
+    tasks: list[_SuspectedTask]
     # Of an ended job, if run times are learned: ratio of actual to declared
     # run time of each step.
     run_ratio_by_step: list[float] = []
@@ -183,12 +191,20 @@
         sorted(run.failed_attempts),
         run.checkpoint,
     )
-    if run.last_attempt == run.attempt:
+    history = run.job.crash_history(run)
+    if run.last_attempt == run.attempt and not history.suspected:
         return _Task(*fields)
     copy = run.job.copy_by_task.get(run.name)
-    if copy is None:
-        return _CopiedTask(*fields, run.last_attempt)
-    return _CopiedTask(*fields, run.last_attempt, copy.attempt, copy.runner_id)
+    copy_fields = (0, "") if copy is None else (copy.attempt, copy.runner_id)
+    if not history.suspected:
+        return _CopiedTask(*fields, run.last_attempt, *copy_fields)
+    return _SuspectedTask(
+        *fields,
+        run.last_attempt,
+        *copy_fields,
+        sorted(history.attempts),
+        sorted(history.uncertain_attempts),
+    )
 
 
 def decode_status(value: bytes) -> runs_module.JobStatus:
@@ -217,6 +233,12 @@
         run.last_attempt = max(task.attempt, task.last_attempt)
         run.failed_attempts = set(task.failed_attempts)
         run.checkpoint = task.checkpoint
+        if task.crashed_attempts or task.uncertain_attempts:
+            history = crash_attribution.CrashHistory(
+                frozenset(task.crashed_attempts),
+                frozenset(task.uncertain_attempts),
+            )
+            state.set_crash_history(run, history)
         phase = runs_module.Phase(task.phase)
         if phase is runs_module.Phase.DONE:
             run.finish()
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -5,6 +5,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
+from azurevane._internal.scheduler import crash_judge
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
@@ -29,8 +30,13 @@
 class RunEndHandler:
     """Updates jobs and runners when runs end; times are monotonic seconds."""
 
-    def __init__(self, scheduler_state: state_module.SchedulerState) -> None:
+    def __init__(
+        self,
+        scheduler_state: state_module.SchedulerState,
+        judge: crash_judge.CrashJudge,
+    ) -> None:
         self._scheduler_state = scheduler_state
+        self._crash_judge = judge
 
     def handle_run_end(
         self,
@@ -64,6 +70,7 @@
                 ended.number,
             ),
         )
+        self._crash_judge.handle_run_end(runner, run, ended, current=current)
         self._update_health(runner, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
             if current:
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -1,6 +1,6 @@
 """Handles registrations, reports and command responses of runners."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 import logging
 
 from azurevane._internal.events import catalogue
@@ -11,6 +11,7 @@
 from azurevane._internal.policy import pacing
 from azurevane._internal.policy import runner_health
 from azurevane._internal.scheduler import commands
+from azurevane._internal.scheduler import crash_judge
 from azurevane._internal.scheduler import run_ends
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
@@ -34,7 +35,10 @@
 
     def __init__(self, scheduler_state: state_module.SchedulerState) -> None:
         self._scheduler_state = scheduler_state
-        self._run_end_handler = run_ends.RunEndHandler(scheduler_state)
+        self._crash_judge = crash_judge.CrashJudge(scheduler_state)
+        self._run_end_handler = run_ends.RunEndHandler(
+            scheduler_state, self._crash_judge
+        )
 
     def replace_entries(
         self, entries: Iterable[site.Runner], now: float
@@ -117,10 +121,12 @@
             logger,
             events.RunnerReborn(runner.id, len(runner.run_by_task), shown_by),
         )
+        self._crash_judge.judge_runners((runner,), now)
         for run in runner.run_by_task.values():
             # The new incarnation may have accepted any of the runs before
             # its restart was known, but no stop. Its report shows which.
             run.stop_acknowledged_at = 0.0
+            run.begun_clock_s = None
             if run.phase is _Phase.ASSIGNED and run.sent_at:
                 # The start command may still reach the new incarnation.
                 run.unconfirmed_since = run.unconfirmed_since or now
@@ -137,11 +143,27 @@
         self._release_lost_runner(runner, reason, now)
         del self._scheduler_state.runner_by_id[runner_id]
 
+    def handle_runners_crashed(
+        self, reason_by_runner: Mapping[str, str], now: float
+    ) -> None:
+        """Remove runners that ended without an order to, at the same time."""
+        self._crash_judge.judge_runners(
+            [
+                self._scheduler_state.runner_by_id[runner_id]
+                for runner_id in reason_by_runner
+                if runner_id in self._scheduler_state.runner_by_id
+            ],
+            now,
+        )
+        for runner_id, reason in reason_by_runner.items():
+            self.handle_runner_gone(runner_id, reason, now)
+
     def handle_runner_silent(self, runner_id: str, now: float) -> None:
         """Release the runs of an unreachable runner once its lease expired."""
         runner = self._scheduler_state.runner_by_id.get(runner_id)
         if runner is None or now < runner.lease_end().at:
             return
+        self._crash_judge.judge_runners((runner,), now)
         if not runner.listed:
             self.handle_runner_gone(runner_id, "silent past its lease", now)
             return
@@ -156,13 +178,19 @@
         They are kept while the runner may execute the previous leader's
         commands.
         """
-        for job in list(self._scheduler_state.live_job_by_id.values()):
+        lost_by_runner: dict[str, list[runs.Run]] = {}
+        for job in self._scheduler_state.live_job_by_id.values():
             for run in job.runs_occupying_capacity():
                 runner_id = run.runner_id
                 if runner_id in self._scheduler_state.runner_by_id:
                     continue
                 if now >= self._scheduler_state.unreached_until_of(runner_id):
-                    self._release_lost_run(run, "runner not registered", now)
+                    lost_by_runner.setdefault(runner_id, []).append(run)
+        if lost_by_runner:
+            self._crash_judge.judge_unregistered(lost_by_runner, now)
+        for lost in lost_by_runner.values():
+            for run in lost:
+                self._release_lost_run(run, "runner not registered", now)
 
     def _release_lost_runner(
         self, runner: runner_state.RunnerState, reason: str, now: float
@@ -220,6 +248,7 @@
             return
         if outcome is _Outcome.STARTED:
             run.acknowledged_at = now
+            self._note_begun(run)
             if run.phase is _Phase.ASSIGNED:
                 run.phase = _Phase.RUNNING
                 run.unconfirmed_since = 0.0
@@ -239,6 +268,11 @@
             return
         self._handle_start_rejected(run, runner_id, outcome, now)
 
+    def _note_begun(self, run: runs.Run) -> None:
+        runner = self._scheduler_state.runner_by_id.get(run.runner_id)
+        if runner is not None and run.begun_clock_s is None:
+            run.begun_clock_s = runner.clock_s
+
     def _handle_start_accepted(self, runner_id: str) -> None:
         runner = self._scheduler_state.runner_by_id.get(runner_id)
         if runner is not None:
@@ -252,8 +286,8 @@
         now: float,
     ) -> None:
         if outcome is _Outcome.RUNNER_MISMATCH:
-            self.handle_runner_gone(
-                runner_id, "another runner at its address", now
+            self.handle_runners_crashed(
+                {runner_id: "another runner at its address"}, now
             )
         else:
             runner = self._scheduler_state.runner_by_id.get(runner_id)
@@ -349,9 +383,10 @@
             running = running_by_task.get(run.name)
             if running is not None and running.attempt == run.attempt:
                 self._update_running(run, running, now)
+                self._crash_judge.clear_settled_run(runner, run)
                 self._stop_if_stalled(runner, run, now)
             elif report.complete:
-                self._handle_unreported_run(run, sent_at, now)
+                self._handle_unreported_run(runner, run, sent_at, now)
         if self._scheduler_state.run_times is not None:
             self._scheduler_state.run_times.observe_runner(runner, now)
         runner.need_by_orphan.clear()
@@ -389,6 +424,7 @@
         self, run: runs.Run, running: messages.RunningTask, now: float
     ) -> None:
         was_serving = run.serving
+        self._note_begun(run)
         run.record_progress(running.percent, now)
         run.load = running.load
         if running.checkpoint:
@@ -426,10 +462,16 @@
             run_ends.log_runner_pause(runner, "its tasks are stalled", now)
 
     def _handle_unreported_run(
-        self, run: runs.Run, sent_at: float, now: float
+        self,
+        runner: runner_state.RunnerState,
+        run: runs.Run,
+        sent_at: float,
+        now: float,
     ) -> None:
         """Handle a run that its runner lists neither as running nor ended."""
         if run.inherited:
+            if runner.started_at > run.job.job.accepted_at:
+                self._crash_judge.judge_missing_run(run)
             # The runner rejects the previous leader's commands by now.
             self._release_lost_run(run, "never begun", now)
         elif run.stop_acknowledged_at:
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -12,6 +12,7 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.platform import runner_calls
+from azurevane._internal.policy import crash_attribution
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import runner_events
@@ -176,26 +177,21 @@
         lease_until_s = None
         if runner.lease_allowed and leader.may_extend_leases():
             lease_until_s = runner.extend_lease(sent_at, self._lease_s)
-        wait_s = MAX_POLL_WAIT_S
-        report_needed = runner.unreachable or not runner.fenced
-        if report_needed or self._awaits_store(runner):
-            # Request a report at once instead of waiting for the next end.
-            wait_s = 0.0
         try:
             applied = await self._request_report(
                 runner,
                 last_seen=self._end_number_to_acknowledge(runner),
                 sent_at=sent_at,
                 lease_until_s=lease_until_s,
-                wait_s=wait_s,
+                wait_s=self._poll_wait_s(runner),
             )
         except runner_calls.RunnerFenced as failure:
             leader.verify_leadership(str(failure))
             await self._wait_for_wakeup(RETRY_DELAY_S)
             return
         except runner_calls.RunnerMismatch as failure:
-            leader.runner_events.handle_runner_gone(
-                self._runner_id, str(failure), leader.now()
+            leader.runner_events.handle_runners_crashed(
+                {self._runner_id: str(failure)}, leader.now()
             )
             leader.request_planning()
             return
@@ -213,6 +209,16 @@
         if runner.processed_end_number > runner.stored_end_number:
             self._acknowledge_ends(runner, runner.processed_end_number)
 
+    def _poll_wait_s(self, runner: runner_state.RunnerState) -> float:
+        """Return for how long a poll may wait for the end of a run."""
+        report_needed = runner.unreachable or not runner.fenced
+        if report_needed or self._awaits_store(runner):
+            return 0.0
+        if runner.starts_suspected_task():
+            # The report shows soon whether the task has settled.
+            return crash_attribution.SETTLING_S
+        return MAX_POLL_WAIT_S
+
     @staticmethod
     def _end_number_to_acknowledge(runner: runner_state.RunnerState) -> int:
         """Return the highest number of stored ends that a poll acknowledges.
@@ -318,8 +324,9 @@
     async def _handle_call_failure(
         self, runner: runner_state.RunnerState, failure: exceptions.CallFailed
     ) -> None:
-        if not runner.unreachable:
-            runner.unreachable = True
+        if runner.record_call_failure(
+            self._leader.now(), reset=not failure.timed_out
+        ):
             catalogue.emit(
                 logger,
                 events.RunnerUnreachable(
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -25,6 +25,8 @@
 # Time without new tasks after a runner rejected a start. It doubles with each
 # rejection up to the maximum.
 INITIAL_BACKOFF_S = 0.25
+# A broken connection is noticed within this time.
+RESET_DELAY_S = 0.1
 MAX_BACKOFF_S = 4.0
 
 
@@ -83,6 +85,7 @@
         speed_observed_at: when the progress of its runs was last counted.
         last_contact_at: when the runner last responded.
         unreachable: whether the last call to the runner failed.
+        reserved_until: until when it starts only tasks that start alone.
         expiry_published: whether the next leader may rely on the published
             end of the lease, so that it must not be extended.
         kept_lease_until: until when a lease may last that was granted before
@@ -114,6 +117,9 @@
         self.speed_observed_at = 0.0
         self.last_contact_at = now
         self.unreachable = False
+        self._unreachable_since = 0.0
+        self._connection_reset = False
+        self.reserved_until = 0.0
         self.expiry_published = False
         self.drain_deadline: float | None = None
         self._backoff_s = INITIAL_BACKOFF_S
@@ -189,6 +195,54 @@
         self._clock_read_at = at
         self.last_contact_at = at
 
+    def record_call_failure(self, now: float, *, reset: bool) -> bool:
+        """Record that a call failed; return whether the last one hadn't.
+
+        Args:
+            reset: whether the connection was reset or refused, so that no
+                process of the runner listens any more.
+        """
+        if self.unreachable:
+            return False
+        self.unreachable = True
+        self._unreachable_since = now
+        self._connection_reset = reset
+        return True
+
+    def crash_interval(self, now: float) -> tuple[float, float]:
+        """Return the times between which a runner that is lost crashed."""
+        latest = self._unreachable_since if self.unreachable else now
+        if not self.reached:
+            return 0.0, latest
+        if self.unreachable and self._connection_reset:
+            # A poll is nearly always in progress, and breaks at once.
+            return max(self.last_contact_at, latest - RESET_DELAY_S), latest
+        return min(self.last_contact_at, latest), latest
+
+    def heard_s(self, run: runs_module.Run) -> float | None:
+        """Return for how long after a run's start the runner was heard from.
+
+        It is measured by the runner's clock, so that it doesn't depend on
+        when this process read the responses; None if the runner hasn't
+        confirmed the start.
+        """
+        if run.begun_clock_s is None or self._clock_s is None:
+            return None
+        return max(self._clock_s - run.begun_clock_s, 0.0)
+
+    def starts_suspected_task(self) -> bool:
+        """Whether a task runs here that may crash its runner."""
+        return any(
+            run.job.crash_history_by_task
+            and run.job.crash_history(run).suspected
+            for run in self.run_by_task.values()
+        )
+
+    @property
+    def clock_s(self) -> float | None:
+        """Last known reading of the runner's clock, in seconds."""
+        return self._clock_s
+
     @property
     def reached(self) -> bool:
         """Whether this incarnation has responded to this leader."""
@@ -318,6 +372,7 @@
         self.health = runner_health.RunnerHealth()
         self.speed = runner_speeds.RunnerSpeed()
         self.unreachable = False
+        self.reserved_until = 0.0
         self.drain_deadline = None
 
 
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -4,6 +4,7 @@
 import enum
 
 from azurevane._internal.models import job as job_models
+from azurevane._internal.policy import crash_attribution
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import run_progress
 
@@ -40,6 +41,7 @@
     JobStatus.CANCELLED,
 }
 _CAPACITY_PHASES = (Phase.ASSIGNED, Phase.RUNNING, Phase.STOPPING)
+_NO_CRASHES = crash_attribution.CrashHistory()
 
 
 class Run:
@@ -66,18 +68,22 @@
             rejects that leader's commands once it knows this leader.
         sent_at: when the start command was last sent, or 0.
         acknowledged_at: when the runner confirmed the start, or 0.
+        begun_clock_s: time by the runner's clock when it confirmed the start,
+            or None.
         unconfirmed_since: since when the outcome of the start command is
             unknown, or 0.
         stop_acknowledged_at: when the runner accepted the stop command,
             or 0.
         stop_sent_at: when the stop command was last sent, or 0.
         not_before: earliest time of the next start.
+        waiting_since: when the task began to wait for a run.
         not_serving_since: since when a long-running task isn't serving.
     """
 
     __slots__ = (
         "acknowledged_at",
         "attempt",
+        "begun_clock_s",
         "checkpoint",
         "failed_attempts",
         "failed_on",
@@ -101,6 +107,7 @@
         "stop_acknowledged_at",
         "stop_sent_at",
         "unconfirmed_since",
+        "waiting_since",
     )
 
     def __init__(
@@ -125,6 +132,7 @@
         self.checkpoint = ""
         self.not_before = 0.0
         self.not_serving_since = now
+        self.waiting_since = now
         self._reset_run_fields()
 
     def _reset_run_fields(self) -> None:
@@ -136,6 +144,7 @@
         self.pace = 100
         self.sent_at = 0.0
         self.acknowledged_at = 0.0
+        self.begun_clock_s: float | None = None
         self.unconfirmed_since = 0.0
         self.stop_acknowledged_at = 0.0
         self.stop_sent_at = 0.0
@@ -178,6 +187,7 @@
         self.inherited = False
         self.runner_id = ""
         self.not_before = not_before
+        self.waiting_since = now
         self.unconfirmed_since = 0.0
 
     def finish(self) -> None:
@@ -270,6 +280,8 @@
         run_ratio_by_step: ratio of actual to declared run time of each step
             of an ended job, 0 where it isn't known; empty if none is.
         unfinished_by_step: number of tasks not done, by the same key.
+        crash_history_by_task: crashes of runners under tasks that are
+            suspected to have caused them; under a gang, by its first task.
     """
 
     def __init__(
@@ -311,6 +323,9 @@
             key: len(runs) for key, runs in self.runs_by_step.items()
         }
         self.waiting_count = sum(self.unfinished_by_step.values())
+        self.crash_history_by_task: dict[
+            job_models.TaskName, crash_attribution.CrashHistory
+        ] = {}
         self._remaining_s: float | None = None
 
     @property
@@ -409,6 +424,44 @@
                     count_by_runner[task_run.runner_id] = count + 1
         return count_by_runner
 
+    def crash_history(self, run: Run) -> crash_attribution.CrashHistory:
+        """Return the crashes under a run's task, or under its gang."""
+        if not self.crash_history_by_task:
+            return _NO_CRASHES
+        return self.crash_history_by_task.get(
+            self._crash_key(run), _NO_CRASHES
+        )
+
+    def set_crash_history(
+        self, run: Run, history: crash_attribution.CrashHistory
+    ) -> None:
+        """Set the crashes under a run's task, or under its gang."""
+        if history.suspected:
+            self.crash_history_by_task[self._crash_key(run)] = history
+        else:
+            self.crash_history_by_task.pop(self._crash_key(run), None)
+
+    def _crash_key(self, run: Run) -> job_models.TaskName:
+        if not run.step.gang:
+            return run.name
+        return self.runs_by_step[run.name.occurrence, run.name.step][0].name
+
+    def awaits_trial(self, now: float) -> bool:
+        """Whether a suspected task must start alone before any other."""
+        for name, history in self.crash_history_by_task.items():
+            if not history.needs_trial:
+                continue
+            run = self.find_run(name)
+            if run is None or run.phase is Phase.DONE:
+                continue
+            waited_s = now - run.waiting_since
+            if (
+                run.phase is not Phase.WAITING
+                or waited_s <= crash_attribution.MAX_ISOLATION_WAIT_S
+            ):
+                return True
+        return False
+
     def drop_run(self, run: Run) -> bool:
         """End one of two runs of a task; the other one goes on.
 
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -268,6 +268,12 @@
             team.name, team.weight, arrived_at
         )
 
+    def has_suspected_tasks(self) -> bool:
+        """Whether any task is suspected of crashing runners."""
+        return any(
+            job.crash_history_by_task for job in self.live_job_by_id.values()
+        )
+
     def request_service_plan(self, service: str) -> None:
         """Let the next planning pass consider a service."""
         self._services_to_plan.add(service)
@@ -426,6 +432,16 @@
 
         A task whose attempts are used up goes on while a copy of it runs.
         """
+        history = run.job.crash_history(run)
+        if history.exhausted and not run.job.status.ended:
+            crash_count = len(history.attempts | history.uncertain_attempts)
+            self.end_job(
+                run.job,
+                runs.JobStatus.FAILED,
+                f"{crash_count} runners crashed under task {run.name}",
+                now,
+            )
+            return
         exhausted = len(run.failed_attempts) >= run.job.job.attempts
         if run.step.long_running or run.step.gang or not exhausted:
             return
