Give up crashed runners that no list of hosts showed

Callers waited up to 3.3 s longer for tasks that a crash had ended: the leader gave a runner up at once only if an earlier list had shown it on its host. A new leader has no earlier list, and a runner may crash between its registration and the next list, as it does where a suspected task is its first one.

Now a runner whose connections were reset before a list was asked for, and that the list doesn't show on any host, is given up too. The scenario fails without the change.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -125,7 +125,7 @@
             self._list_due_at = listed_at + max(
                 HOST_LIST_INTERVAL_S, took_s / HOST_LIST_TIME_SHARE
             )
-            self._table.update_hosts(hosts, listed_at)
+            self._table.update_hosts(hosts, asked_at=asked_at, now=listed_at)
         if (
             not self._leader.may_send_commands()
             or not self._table.host_by_name
--- a/src/azurevane/_internal/scheduler/host_table.py
+++ b/src/azurevane/_internal/scheduler/host_table.py
@@ -47,11 +47,18 @@
         self.commanded_hosts: set[str] = set()
         self._unregistered_since: dict[str, float] = {}
 
-    def update_hosts(self, hosts: tuple[site.Host, ...], now: float) -> None:
-        """Update the table with the platform's list."""
+    def update_hosts(
+        self, hosts: tuple[site.Host, ...], *, asked_at: float, now: float
+    ) -> None:
+        """Update the table with the platform's list.
+
+        Args:
+            asked_at: when the list was requested.
+        """
         for host in hosts:
             self._log_host_change(host)
         self._handle_lost_runners(hosts, now)
+        self._handle_unlisted_runners(hosts, asked_at, now)
         self.host_by_name = {host.name: host for host in hosts}
         listed_runners = {host.runner_id for host in hosts if host.runner_id}
         for host in hosts:
@@ -103,6 +110,25 @@
                 )
         self._runner_events.handle_runners_crashed(reason_by_crashed, now)
 
+    def _handle_unlisted_runners(
+        self, hosts: tuple[site.Host, ...], asked_at: float, now: float
+    ) -> None:
+        """Give up runners without a process that no host has.
+
+        Their hosts may never have been listed with them: the leader is new,
+        or the runner crashed before it was listed.
+        """
+        listed = {host.runner_id for host in hosts}
+        self._runner_events.handle_runners_crashed(
+            {
+                runner.id: "no host has it"
+                for runner in self._scheduler_state.runner_by_id.values()
+                if runner.id not in listed
+                and runner.was_reset_before(asked_at)
+            },
+            now,
+        )
+
     def update_idle_runners(self, now: float) -> None:
         """Update since when runners have had no tasks."""
         for runner in self._scheduler_state.runner_by_id.values():
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -209,6 +209,14 @@
         self._connection_reset = reset
         return True
 
+    def was_reset_before(self, at: float) -> bool:
+        """Whether no process of the runner has listened since some time."""
+        return (
+            self.unreachable
+            and self._connection_reset
+            and self._unreachable_since < at
+        )
+
     def crash_interval(self, now: float) -> tuple[float, float]:
         """Return the times between which a runner that is lost crashed."""
         latest = self._unreachable_since if self.unreachable else now
--- a/tests/scheduler/crash_loop.feature
+++ b/tests/scheduler/crash_loop.feature
@@ -13,3 +13,14 @@
     And 20.0 s pass
     Then job "00000000000000c1" is "failed"
     And at most 5 runners crashed under task 0 of job "00000000000000c1"
+
+  Scenario: A new leader gives up a crashed runner that it never saw on a host
+    Guards against lost tasks that wait for the runner's return or its lease.
+    Given tasks that run 20.0 s
+    When job "00000000000000c2" of 20 tasks is submitted
+    And 2.0 s pass
+    And a busy runner crashes for 10.0 s
+    And the leader is killed
+    And 3.0 s pass
+    Then every task of job "00000000000000c2" runs
+    And no task ran twice
--- a/tests/scheduler/steps/crash_steps.py
+++ b/tests/scheduler/steps/crash_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from azurevane._internal.standins import site_runner
 
@@ -35,3 +36,14 @@
 def step_crashes_at_most(context, count, index, job_id):
     crashes = crashes_by_task(context).get(f"{job_id}.0.0.{index}", 0)
     assert 0 < crashes <= count, crashes
+
+
+@when("a busy runner crashes for {down:g} s")
+def step_busy_crashes(context, down):
+    platform = context.world.platform
+    runner = next(
+        runner
+        for runner in platform.runner_by_address.values()
+        if runner.task_by_name
+    )
+    platform.crash_host(runner, down_s=down)
