Keep runners free only for tasks that one more crash gives up

Cause: each crash made all starts of the last half second suspects, 60 jobs at a time, and each kept a runner to itself for that long.

A task that one more crash gives up always starts alone, on a runner kept for it; a report is asked for when it must have settled. Runners count as crashed at once if their connections broke within 50 ms of each other, as plain crashes do in the logs (4 ms), so that fewer trials are undecided.

--- a/src/azurevane/_internal/policy/crash_attribution.py
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -1,8 +1,9 @@
 """Decides which tasks are at fault when a runner crashes.
 
 A crash ends all runs of a runner. Only those that had just started there are
-suspected. A suspected task starts apart from other suspected jobs, and after
-two crashes alone, so that a third one shows that it is at fault. A run that
+suspected. The likeliest of them, and those that are suspected twice, start
+while nothing else starts on their runner, so that a crash then is evidence
+against them alone; the third crash in succession gives a task up. A run that
 goes on for ``SETTLING_S`` clears its task. Runners that crash at the same
 time have another cause, unless one job was starting on all of them.
 """
@@ -13,9 +14,12 @@
 
 # A run that has been at work for this long doesn't crash its runner by its
 # start.
-SETTLING_S = 0.5
+SETTLING_S = 0.25
+# Most tasks that crash their runner do it within this time. A crash leaves
+# too many other suspects to isolate them all.
+PROMPT_S = 0.1
 # Crashes that lie no further apart may have one cause.
-SIMULTANEITY_S = 0.1
+SIMULTANEITY_S = 0.05
 # So many runners that crash at once, and at least this share of all, suffer
 # from an outage, which makes no task suspected.
 MIN_OUTAGE_RUNNERS = 3
@@ -28,15 +32,6 @@
 # The same if others crashed at the same time as most of these runners. The
 # task has then crashed one by itself at least.
 MAX_CRASHES_AT_ONCE = 5
-# A suspected task that found no suitable runner for this long starts like
-# any other, as an overloaded pool may have none for minutes.
-MAX_ISOLATION_WAIT_S = 5.0
-# Suspected jobs whose tasks may start on one runner at the same time.
-MAX_SUSPECTS_PER_RUNNER = 1
-# Shares of a pool on which suspected tasks may start at the same time, apart
-# from each other and alone. At least one runner is allowed.
-MAX_SHARED_RUNNERS_SHARE = 0.75
-MAX_EXCLUSIVE_RUNNERS_SHARE = 0.25
 
 
 class Cause(enum.Enum):
@@ -48,16 +43,6 @@
     OUTAGE = "outage"
 
 
-class Isolation(enum.IntEnum):
-    """What else may start on the runner of a task at the same time."""
-
-    NONE = 0
-    # Few other suspected jobs.
-    APART = 1
-    # Nothing.
-    ALONE = 2
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerCrash:
     """Crash of a runner; times are monotonic seconds.
@@ -127,11 +112,14 @@
         attempts: attempts whose crash no other crash coincided with.
         uncertain_attempts: attempts whose crash others coincided with.
         alone: whether only the task's job was starting at the last crash.
+        prompt: whether the last crash may have come ``PROMPT_S`` after the
+            start.
     """
 
     attempts: frozenset[int] = frozenset()
     uncertain_attempts: frozenset[int] = frozenset()
     alone: bool = False
+    prompt: bool = True
 
     @property
     def suspected(self) -> bool:
@@ -153,45 +141,45 @@
         return bool(count) and total >= MAX_CRASHES_AT_ONCE
 
     def with_crash(
-        self, attempt: int, cause: Cause, *, alone: bool
+        self,
+        attempt: int,
+        cause: Cause,
+        *,
+        alone: bool,
+        heard_s: float | None,
     ) -> "CrashHistory":
-        """Return the history with a further crash."""
+        """Return the history with a further crash.
+
+        Args:
+            heard_s: time after the start for which the runner was heard
+                from, in seconds; None if it isn't known.
+        """
         if cause is Cause.OUTAGE:
             return self
+        prompt = heard_s is None or heard_s < PROMPT_S
         if cause is Cause.TASK:
             return CrashHistory(
-                self.attempts | {attempt}, self.uncertain_attempts, alone
+                self.attempts | {attempt},
+                self.uncertain_attempts,
+                alone,
+                prompt,
             )
         return CrashHistory(
-            self.attempts, self.uncertain_attempts | {attempt}, False
+            self.attempts, self.uncertain_attempts | {attempt}, False, prompt
         )
 
+    @property
+    def isolated_s(self) -> float | None:
+        """Time for which nothing else starts beside the task, in seconds.
+
+        None if the task needn't start alone.
+        """
+        if self.needs_trial:
+            return SETTLING_S
+        return PROMPT_S if self.suspected and self.prompt else None
+
     def without(self, attempt: int) -> "CrashHistory":
         """Return the history without an attempt that didn't crash."""
         return CrashHistory(
             self.attempts - {attempt}, self.uncertain_attempts - {attempt}
         )
-
-    def isolation(self, waited_s: float) -> Isolation:
-        """Return how the task's next run is to be isolated.
-
-        Args:
-            waited_s: time since its last run ended, in seconds.
-        """
-        if not self.suspected or waited_s > MAX_ISOLATION_WAIT_S:
-            return Isolation.NONE
-        return Isolation.ALONE if self.needs_trial else Isolation.APART
-
-
-def max_runners(isolation: Isolation, runner_count: int) -> int:
-    """Return on how many runners of a pool isolated tasks may start at once.
-
-    Args:
-        runner_count: number of the pool's runners that accept tasks.
-    """
-    share = {
-        Isolation.NONE: 1.0,
-        Isolation.APART: MAX_SHARED_RUNNERS_SHARE,
-        Isolation.ALONE: MAX_EXCLUSIVE_RUNNERS_SHARE,
-    }[isolation]
-    return max(int(share * runner_count), 1)
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -10,11 +10,9 @@
 import collections
 from collections.abc import Sequence
 import dataclasses
-import itertools
 import math
 
 from azurevane._internal.models import job as job_models
-from azurevane._internal.policy import crash_attribution
 from azurevane._internal.policy import isolated_starts
 from azurevane._internal.policy import runner_speeds
 
@@ -51,7 +49,8 @@
             even a full one. The caller drops them after some time.
         bearable_slowness: slowness of a runner with which the job still
             meets its objective.
-        isolation: what else may start on the tasks' runners.
+        isolated_s: time for which nothing else may start on the runner of
+            tasks that may crash it, None for other tasks.
     """
 
     job_id: str
@@ -66,7 +65,7 @@
         default_factory=dict
     )
     bearable_slowness: float = 1.0
-    isolation: crash_attribution.Isolation = crash_attribution.Isolation.NONE
+    isolated_s: float | None = None
 
     @property
     def step_key(self) -> tuple[str, int, int]:
@@ -203,10 +202,10 @@
 ) -> bool:
     """Whether a smaller need fitted no runner that the request may use.
 
-    Runners may be kept for tasks that start alone, so that these fit where
-    others didn't.
+    Runners may be kept for suspected tasks, so that these fit where others
+    didn't.
     """
-    if request.isolation is not crash_attribution.Isolation.NONE:
+    if request.isolated_s is not None:
         return False
     return any(need.covers(other) for other in too_large)
 
@@ -241,7 +240,7 @@
         or step.max_per_runner
         or request.allowed_runners is not None
         or request.avoided_runners_by_index
-        or request.isolation is not crash_attribution.Isolation.NONE
+        or request.isolated_s is not None
     )
 
 
@@ -281,7 +280,9 @@
         balance
         for balance in candidates
         if isolated.admits(
-            balance.runner.runner_id, request.job_id, request.isolation
+            balance.runner.runner_id,
+            request.job_id,
+            request.isolated_s,
         )
     ]
 
@@ -292,7 +293,7 @@
     for placement in placements:
         request = placement.request
         isolated.record_start(
-            placement.runner_id, request.job_id, request.isolation
+            placement.runner_id, request.job_id, request.isolated_s
         )
 
 
@@ -308,20 +309,11 @@
     free processors: a crash then ends least work of others.
     """
     admitting = _admitting(request, candidates, isolated)
-    if request.isolation is not crash_attribution.Isolation.NONE:
-        admitting.sort(
-            key=lambda balance: (
-                not isolated.is_starting(
-                    balance.runner.runner_id, request.job_id
-                ),
-                isolated.suspect_count(balance.runner.runner_id),
-                -balance.cpu,
-            )
-        )
+    if request.isolated_s is not None:
         need = request.step.need
         cpu = 0 if request.step.fills else need.cpu
-        fitting = (b for b in admitting if b.fits(need, cpu))
-        admitting = [*itertools.islice(fitting, 1)]
+        fitting = [b for b in admitting if b.fits(need, cpu)]
+        admitting = sorted(fitting, key=lambda b: b.cpu)[-1:]
     placements = _place_greedily(request, max_count, admitting)
     _record_starts(placements, isolated)
     return placements
--- a/src/azurevane/_internal/scheduler/crash_judge.py
+++ b/src/azurevane/_internal/scheduler/crash_judge.py
@@ -144,7 +144,7 @@
         if job.status.ended:
             return
         history = job.crash_history(run).with_crash(
-            run.attempt, cause, alone=alone
+            run.attempt, cause, alone=alone, heard_s=heard_s
         )
         job.set_crash_history(run, history)
         self._scheduler_state.mark_job_changed(job)
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -8,12 +8,11 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
-from azurevane._internal.policy import crash_attribution
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import runner_speeds
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import commands
-from azurevane._internal.scheduler import isolation as isolation_module
+from azurevane._internal.scheduler import isolation
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
@@ -32,8 +31,6 @@
 # all others one planning pass.
 SET_ASIDE_S = 10.0
 
-_Isolation = crash_attribution.Isolation
-
 
 class Planner:
     """Plans starts and stops of runs; times are monotonic seconds.
@@ -170,7 +167,7 @@
         requests = self._step_requests(jobs, capacities, now, unix_now)
         isolated = None
         if self._scheduler_state.has_suspected_tasks():
-            isolated = isolation_module.find_starts(runners, now)
+            isolated = isolation.find_starts(runners, now)
         placements = task_placement.place_tasks(
             requests,
             capacities,
@@ -181,29 +178,21 @@
         for placement in placements:
             self._assign_task(placement, now)
         if isolated is not None and len(placements) < max_starts:
-            self._reserve_runners(requests, placements, runners, now)
-        return len(placements)
-
-    def _reserve_runners(
-        self,
-        requests: list[task_placement.StepRequest],
-        placements: list[task_placement.TaskPlacement],
-        runners: list[runner_state.RunnerState],
-        now: float,
-    ) -> None:
-        """Keep runners for the tasks that have to start alone and didn't."""
-        placed = {placement.request.step_key for placement in placements}
-        for request in requests:
-            if request.isolation is not _Isolation.ALONE:
-                continue
-            if request.step_key in placed:
-                continue
-            isolation_module.reserve_runner(
-                request,
+            placed = {placement.request.step_key for placement in placements}
+            isolation.reserve_runners(
+                [
+                    request
+                    for request in requests
+                    if request.step_key not in placed
+                    and isolation.on_trial(
+                        self._scheduler_state.live_job_by_id[request.job_id],
+                        request,
+                    )
+                ],
                 runners,
-                isolation_module.find_starts(runners, now),
                 now,
             )
+        return len(placements)
 
     def _stop_draining_runs(self, now: float) -> None:
         margin_s = self._runner_stop_s + DRAIN_STOP_MARGIN_S
@@ -285,9 +274,11 @@
                     continue
                 request = self._step_request(job, occurrence, index, now)
                 if request is not None:
-                    requests += _split_by_isolation(job, request, now)
+                    requests += isolation.split_request(job, request, now)
         waiting = [job for job in jobs if requests_by_job[job.job.id]]
         self._sort_jobs(waiting, requests_by_job, capacities, all_fit, now)
+        # Runners that are kept for suspected tasks go to the likeliest first.
+        waiting.sort(key=lambda job: not job.awaits_trial(now))
         return [
             request
             for job in waiting
@@ -418,8 +409,6 @@
         if not request.step.checkpointing:
             checkpoint = ""
         free_cpu = runner.free_capacity().cpu
-        if request.isolation is _Isolation.ALONE:
-            runner.reserved_until = 0.0
         self._scheduler_state.assign_run(run, runner, attempt)
         ticket = self.advice_ticket(request, placement.runner_id)
         message = messages.StartTask(
@@ -465,31 +454,6 @@
         ]
 
 
-def _split_by_isolation(
-    job: runs.JobState, request: task_placement.StepRequest, now: float
-) -> list[task_placement.StepRequest]:
-    """Return a request for the tasks of each isolation.
-
-    A job with a task that has to start alone starts no other task before it,
-    as that task is likely to fail the job.
-    """
-    if not job.crash_history_by_task:
-        return [request]
-    step_runs = job.runs_by_step[request.occurrence, request.step_index]
-    indexes_by_isolation: dict[crash_attribution.Isolation, list[int]] = {}
-    for index in request.waiting_indexes:
-        isolation = isolation_module.isolation_of(step_runs[index], now)
-        indexes_by_isolation.setdefault(isolation, []).append(index)
-    awaits_trial = job.awaits_trial(now)
-    return [
-        dataclasses.replace(
-            request, waiting_indexes=tuple(indexes), isolation=isolation
-        )
-        for isolation, indexes in indexes_by_isolation.items()
-        if isolation is _Isolation.ALONE or not awaits_trial
-    ]
-
-
 def capacity_of(
     runner: runner_state.RunnerState, now: float
 ) -> task_placement.RunnerCapacity:
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -29,6 +29,9 @@
 # runs or the withdrawal of a published expiry can't be stored.
 UNSTORED_POLL_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.1
+# A report about a suspected task is requested this much after it has settled,
+# as the runner's clock may be slow.
+SETTLED_REPORT_DELAY_S = 0.02
 
 
 class Leader(Protocol):
@@ -214,9 +217,6 @@
         report_needed = runner.unreachable or not runner.fenced
         if report_needed or self._awaits_store(runner):
             return 0.0
-        if runner.starts_suspected_task():
-            # The report shows soon whether the task has settled.
-            return crash_attribution.SETTLING_S
         return MAX_POLL_WAIT_S
 
     @staticmethod
@@ -391,6 +391,20 @@
         leader.request_planning()
         if result.outcome is messages.StartOutcome.UNKNOWN:
             await self._request_report_now(runner)
+        elif run.job.crash_history(run).suspected:
+            background.spawn(
+                self._request_report_when_settled(runner),
+                f"report of runner {self._runner_id}",
+            )
+
+    async def _request_report_when_settled(
+        self, runner: runner_state.RunnerState
+    ) -> None:
+        """Request the report that shows whether a suspected task goes on."""
+        wait_s = crash_attribution.SETTLING_S + SETTLED_REPORT_DELAY_S
+        await twisted_task.deferLater(self._reactor, wait_s, lambda: None)
+        if self._runner() is runner:
+            await self._request_report_now(runner)
 
     async def send_stop(self, command: commands.StopCommand) -> None:
         """Send a stop command; it is repeated if no response arrives."""
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -26,7 +26,7 @@
 # rejection up to the maximum.
 INITIAL_BACKOFF_S = 0.25
 # A broken connection is noticed within this time.
-RESET_DELAY_S = 0.1
+RESET_DELAY_S = 0.02
 MAX_BACKOFF_S = 4.0
 
 
@@ -238,14 +238,6 @@
             return None
         return max(self._clock_s - run.begun_clock_s, 0.0)
 
-    def starts_suspected_task(self) -> bool:
-        """Whether a task runs here that may crash its runner."""
-        return any(
-            run.job.crash_history_by_task
-            and run.job.crash_history(run).suspected
-            for run in self.run_by_task.values()
-        )
-
     @property
     def clock_s(self) -> float | None:
         """Last known reading of the runner's clock, in seconds."""
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -41,6 +41,8 @@
     JobStatus.CANCELLED,
 }
 _CAPACITY_PHASES = (Phase.ASSIGNED, Phase.RUNNING, Phase.STOPPING)
+# Other tasks of a job wait for so long for one that is to start alone.
+MAX_TRIAL_WAIT_S = 5.0
 _NO_CRASHES = crash_attribution.CrashHistory()
 
 
@@ -447,7 +449,11 @@
         return self.runs_by_step[run.name.occurrence, run.name.step][0].name
 
     def awaits_trial(self, now: float) -> bool:
-        """Whether a suspected task must start alone before any other."""
+        """Whether a task that is given up after one more crash starts first.
+
+        The others aren't held for longer than ``MAX_TRIAL_WAIT_S``, as no
+        runner may suit that task.
+        """
         for name, history in self.crash_history_by_task.items():
             if not history.needs_trial:
                 continue
@@ -455,10 +461,7 @@
             if run is None or run.phase is Phase.DONE:
                 continue
             waited_s = now - run.waiting_since
-            if (
-                run.phase is not Phase.WAITING
-                or waited_s <= crash_attribution.MAX_ISOLATION_WAIT_S
-            ):
+            if run.phase is not Phase.WAITING or waited_s <= MAX_TRIAL_WAIT_S:
                 return True
         return False
 
