Start the suspected tasks of one job one runner after the other

A job of 40 tasks that all crash their runners took down all 8 runners of a pool before it failed (new scenario): its suspected tasks start alone for 0.1 s each, and a runner that has crashed meanwhile no longer counts, so that the next runner was taken 0.1 s later, before the first crash was known.

Now suspected tasks of a job wait while one of them has a run that hasn't settled.

--- a/src/azurevane/_internal/scheduler/isolation.py
+++ b/src/azurevane/_internal/scheduler/isolation.py
@@ -35,19 +35,23 @@
 ) -> list[task_placement.StepRequest]:
     """Return requests of their own for the suspected tasks of a step.
 
-    A job with a task on trial, or before it, starts no other task, as that
-    task is likely to fail the job.
+    While one suspected task starts, those of the same job wait, as they may
+    all crash their runners. A job with a task on trial, or before it, starts
+    no other task, as that task is likely to fail the job.
     """
     if not job.crash_history_by_task:
         return [request]
     step_runs = job.runs_by_step[request.occurrence, request.step_index]
     awaits_trial = job.awaits_trial(now)
+    suspect_starts = job.starts_suspected_task()
     indexes_by_isolated_s: dict[float | None, list[int]] = {}
     for index in request.waiting_indexes:
         run = step_runs[index]
         history = job.crash_history(run)
         if awaits_trial and not history.needs_trial:
             continue
+        if suspect_starts and history.suspected:
+            continue
         isolated_s = history.isolated_s
         if now - run.waiting_since > _max_wait_s(run):
             isolated_s = None
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -465,6 +465,14 @@
                 return True
         return False
 
+    def starts_suspected_task(self) -> bool:
+        """Whether a suspected task has a run that hasn't settled yet."""
+        return any(
+            run.occupies_capacity
+            for name in self.crash_history_by_task
+            for run in self.runs_of_task(name)
+        )
+
     def drop_run(self, run: Run) -> bool:
         """End one of two runs of a task; the other one goes on.
 
