Store at once that a job has failed after crashes

A leader that was killed 50 ms after it had given up a job left it running for its successors, and with leaders killed in turn it never failed (new scenario: still running after 40 s). Callers were told up to 0.6 s late.

Cause: the row of a job whose last run is lost with its runner was written with the next start or renewal, whichever came first; only ends that a runner reports are written at once.

Now a failed job is written at once. The scenario fails without the change, and without the stored crashes.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -37,6 +37,7 @@
 from azurevane._internal.scheduler import runner_events
 from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import runner_state
+from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import share_order
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
@@ -495,7 +496,7 @@
         if self.scheduler_state.restart_noticed:
             # The next leader is to know of the runner's lease.
             self._renew()
-        self._write_changed_jobs()
+        job_failed = self._write_changed_jobs()
         starts: list[commands.StartCommand] = []
         for command in self.scheduler_state.take_commands():
             if isinstance(command, commands.StartCommand):
@@ -506,6 +507,9 @@
             self._command_sender.send_starts_after(
                 self._row_writer.flush(), starts
             )
+        elif job_failed:
+            # Its callers read the stored state.
+            self._row_writer.flush().addErrback(lambda _: None)
 
     def _plan(self) -> None:
         began_at = self.now()
@@ -522,7 +526,9 @@
             ended_at - began_at
         )
 
-    def _write_changed_jobs(self) -> None:
+    def _write_changed_jobs(self) -> bool:
+        """Schedule the changed jobs' rows; return whether one has failed."""
+        job_failed = False
         for state in self.scheduler_state.take_changed_jobs():
             row_key = store.RowKey(
                 records.STATE_TABLE, records.LEADER_PARTITION, state.job.id
@@ -533,6 +539,8 @@
                     records.encode_state, state, self._settings.store_row_bytes
                 ),
             )
+            job_failed = job_failed or state.status is runs.JobStatus.FAILED
+        return job_failed
 
     def store_changes(self) -> "defer.Deferred[None]":
         """Store all changes; fires once they are stored."""
--- a/tests/scheduler/crash_loop.feature
+++ b/tests/scheduler/crash_loop.feature
@@ -70,6 +70,15 @@
     And 25.0 s pass
     Then all 40 jobs are "completed"
 
+  Scenario: The next leader knows the crashes that the last one counted
+    Guards against a count that is lost with each leader.
+    Given task 0 of job "00000000000000c1" crashes its runner after 0.01 s
+    And the leader is killed and restarted 0.05 s after it suspects a task
+    When job "00000000000000c1" of 6 tasks is submitted
+    And 40.0 s pass
+    Then job "00000000000000c1" is "failed"
+    And at most 5 runners crashed under task 0 of job "00000000000000c1"
+
   Scenario: A leader that is killed with the runner leaves the crash to the next
     Given task 0 of job "00000000000000c1" crashes its runner after 0.01 s
     And the leader is killed and restarted 0.0 s after each crash
