Show that no start exceeds a capacity that shrinks and grows

The stand-in's runners can now change their capacity and record a start beyond it. No change of logic was needed.

--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -20,6 +20,11 @@
 LEASE_EXPIRED = "lease expired"
 # Outcome of a task that crashes its runner.
 CRASH = "crash"
+# Event of a start beyond the capacity of a runner that doesn't guard it.
+OVER_CAPACITY = "over capacity"
+# A capacity that has shrunk counts this much later: the time for which a
+# leader may be out of touch, and one heartbeat.
+SHRUNK_CAPACITY_GRACE_S = 4.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +106,8 @@
         self._record = record
         self._crash_by_task = crash_by_task
         self.capacity = capacity or {"cpu": 32000, "memMb": 131072, "gpu": 0}
+        # Earlier capacities, each with the time until which it counts.
+        self._earlier_capacities: list[tuple[float, dict[str, int]]] = []
         self._lease_max_s = lease_max_s
         self._stop_s = stop_s
         self.started_at_ms = started_at_ms
@@ -230,17 +237,39 @@
                 plan.outcome,
             )
         self._record("start", self.id, name, attempt)
+        if self._is_over_capacity(plan.need):
+            self._record(OVER_CAPACITY, self.id, name, attempt)
         self._extend_leases(body["expiresMs"])
         return self._answer(200)
 
+    def change_capacity(self, capacity: dict[str, int]) -> None:
+        """Change the capacity that the next entry shows."""
+        counts_until = self._reactor.seconds() + SHRUNK_CAPACITY_GRACE_S
+        self._earlier_capacities.append((counts_until, self.capacity))
+        self.capacity = capacity
+
+    def _is_over_capacity(self, need: dict[str, int]) -> bool:
+        """Whether the tasks exceed every capacity that counts now."""
+        now = self._reactor.seconds()
+        counting = [self.capacity] + [
+            capacity
+            for counts_until, capacity in self._earlier_capacities
+            if now < counts_until
+        ]
+        return any(
+            self._used(kind) > max(each.get(kind, 0) for each in counting)
+            for kind in need
+        )
+
+    def _used(self, kind: str) -> int:
+        tasks = self.task_by_name.values()
+        return sum(task.need.get(kind, 0) for task in tasks)
+
     def _has_capacity(self, need: dict[str, int]) -> bool:
-        for kind, amount in need.items():
-            used = sum(
-                task.need.get(kind, 0) for task in self.task_by_name.values()
-            )
-            if used + amount > self.capacity.get(kind, 0):
-                return False
-        return True
+        return all(
+            self._used(kind) + amount <= self.capacity.get(kind, 0)
+            for kind, amount in need.items()
+        )
 
     def _end_task(self, task: _Task, outcome: str) -> None:
         if self.task_by_name.get(task.name) is not task:
