Let a wide job explain only its own part in a crash

Two runners that crashed at once, with one job starting on both, counted as crashed by every job that was starting on either. Now only that job is at fault; the crash stays undecided for the others.

--- a/src/azurevane/_internal/events/crash_events.py
+++ b/src/azurevane/_internal/events/crash_events.py
@@ -12,6 +12,8 @@
     """Runner crashed; its cause was decided.
 
     Attributes:
+        cause: causes for the jobs that were starting there, empty if none
+            was.
         latest_s_ago: time since the runner had certainly crashed.
         within_s: length of the time within which it crashed.
         starting: number of runs that had just started there, or may have.
--- a/src/azurevane/_internal/policy/crash_attribution.py
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -5,7 +5,7 @@
 while nothing else starts on their runner, so that a crash then is evidence
 against them alone; the third crash in succession gives a task up. A run that
 goes on for ``SETTLING_S`` clears its task. Runners that crash at the same
-time have another cause, unless one job was starting on all of them.
+time have another cause, but for a job that was starting on all of them.
 """
 
 from collections.abc import Iterable
@@ -82,19 +82,19 @@
 
 
 def find_cause(
-    crash: RunnerCrash, coinciding: list[RunnerCrash], runner_count: int
+    job_id: str,
+    crash: RunnerCrash,
+    coinciding: list[RunnerCrash],
+    runner_count: int,
 ) -> Cause:
-    """Return the cause of a crash.
+    """Return the cause of a crash, as far as it concerns a job.
 
     Args:
+        job_id: job whose tasks had just started on the runner.
         coinciding: unexplained crashes of other runners at the same time.
         runner_count: number of runners of the site.
     """
-    if not coinciding:
-        return Cause.TASK
-    if crash.starting_jobs.intersection(
-        *(other.starting_jobs for other in coinciding)
-    ):
+    if all(job_id in other.starting_jobs for other in coinciding):
         return Cause.TASK
     crashed = len(coinciding) + 1
     if crashed >= max(MIN_OUTAGE_RUNNERS, OUTAGE_SHARE * runner_count):
--- a/src/azurevane/_internal/scheduler/crash_judge.py
+++ b/src/azurevane/_internal/scheduler/crash_judge.py
@@ -112,12 +112,17 @@
         coinciding = crash_attribution.coinciding_crashes(
             crash, [*self._recent, *silent]
         )
-        cause = crash_attribution.find_cause(crash, coinciding, len(runners))
+        cause_by_job = {
+            job_id: crash_attribution.find_cause(
+                job_id, crash, coinciding, len(runners)
+            )
+            for job_id in crash.starting_jobs
+        }
         catalogue.emit(
             logger,
             events.RunnerCrashJudged(
                 crash.runner_id,
-                cause.value,
+                ",".join(sorted({c.value for c in cause_by_job.values()})),
                 round(now - crash.latest, 3),
                 round(crash.latest - crash.earliest, 3),
                 run_count,
@@ -126,11 +131,11 @@
                 len(coinciding),
             ),
         )
-        if cause is crash_attribution.Cause.OUTAGE:
-            return
         alone = len(crash.starting_jobs) == 1
         for run, heard_s in starting:
-            self._suspect(run, heard_s, cause, alone=alone)
+            cause = cause_by_job[run.job.job.id]
+            if cause is not crash_attribution.Cause.OUTAGE:
+                self._suspect(run, heard_s, cause, alone=alone)
 
     def _suspect(
         self,
--- /dev/null
+++ b/tests/policy/steps/crash_attribution_steps.py
@@ -0,0 +1,135 @@
+"""Steps about the attribution of crashes to tasks."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from azurevane._internal.policy import crash_attribution
+from azurevane._internal.policy import isolated_starts
+
+
+def _crash(runner_id, at, jobs, *, suspected=False):
+    return crash_attribution.RunnerCrash(
+        runner_id, at, at, frozenset(filter(None, jobs)), suspected
+    )
+
+
+@given("{count:d} runners")
+def step_runners(context, count):
+    context.runner_count, context.crashes = count, []
+
+
+@given('runner "{runner}" crashes at {at:g} s while jobs "{jobs}" start')
+def step_crash(context, runner, at, jobs):
+    context.crashes.append(_crash(runner, at, jobs.split(",")))
+
+
+@given('runner "{runner}" crashes at {at:g} s while jobs "" start')
+def step_idle_crash(context, runner, at):
+    context.crashes.append(_crash(runner, at, []))
+
+
+@given("no other runner crashes")
+def step_no_other(context):
+    pass
+
+
+@given('{count:d} other runners crash at {at:g} s while jobs "{job}" start')
+def step_many(context, count, at, job):
+    for number in range(count):
+        context.crashes.append(_crash(f"s{number}", at, [job]))
+
+
+@given('1 suspected job crashes runner "{runner}" at {at:g} s')
+def step_suspected(context, runner, at):
+    context.crashes.append(_crash(runner, at, ["s"], suspected=True))
+
+
+@then('the cause is "{cause}" for job "{job}"')
+def step_cause(context, cause, job):
+    first, *others = context.crashes
+    coinciding = crash_attribution.coinciding_crashes(first, others)
+    found = crash_attribution.find_cause(
+        job, first, coinciding, context.runner_count
+    )
+    assert found.value == cause, found
+
+
+def _with_crash(history, attempt, text):
+    words = text.split()
+    heard_s = float(words[words.index("after") + 1]) if "after" in words else 0
+    history = history.with_crash(
+        attempt,
+        crash_attribution.Cause(words[0]),
+        alone="alone" in words,
+        heard_s=heard_s,
+    )
+    return history.without(attempt) if "back" in words else history
+
+
+@given("a task under which runners crash: {crashes}")
+def step_history(context, crashes):
+    context.history = crash_attribution.CrashHistory()
+    for attempt, text in enumerate(crashes.split(","), 1):
+        context.history = _with_crash(context.history, attempt, text)
+
+
+@then("it is given up")
+def step_given_up(context):
+    assert context.history.exhausted, context.history
+
+
+@then("it is not given up")
+def step_not_given_up(context):
+    assert not context.history.exhausted, context.history
+
+
+@then("nothing else starts beside it for {seconds:g} s")
+def step_isolated(context, seconds):
+    assert (context.history.isolated_s or 0) == seconds, context.history
+
+
+def _make_pool(context, count, latest_start_s):
+    context.starts = isolated_starts.IsolatedStarts(
+        isolated_starts.RunnerStarts(f"r{number}", latest_start_s)
+        for number in range(count)
+    )
+    context.runner_ids = [f"r{number}" for number in range(count)]
+    context.runner_by_job = {}
+
+
+@given("{count:d} runners of a pool without recent starts")
+def step_quiet_pool(context, count):
+    _make_pool(context, count, float("inf"))
+
+
+@given("{count:d} runners of a pool with starts {seconds:g} s ago")
+def step_busy_pool(context, count, seconds):
+    _make_pool(context, count, seconds)
+
+
+@when('suspected tasks of jobs "{jobs}" look for runners')
+def step_look(context, jobs):
+    isolated_s = crash_attribution.PROMPT_S
+    for job in jobs.split(","):
+        for runner in context.runner_ids:
+            if context.starts.admits(runner, job, isolated_s):
+                context.starts.record_start(runner, job, isolated_s)
+                context.runner_by_job[job] = runner
+                break
+
+
+@then('jobs "{jobs}" have found different runners')
+def step_found(context, jobs):
+    assert sorted(context.runner_by_job) == jobs.split(",")
+    assert len(set(context.runner_by_job.values())) == len(jobs.split(","))
+
+
+@then("other tasks may start on {count:d} runners")
+def step_others(context, count):
+    admitting = [
+        runner
+        for runner in context.runner_ids
+        if context.starts.admits(runner, "other", None)
+    ]
+    assert len(admitting) == count, admitting
