--- a/src/azurevane/_internal/metrics/site_instruments.py
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -1,5 +1,6 @@
 """OpenTelemetry instruments of the scheduler and of the job API."""
 
+from azurevane._internal.events import crash_events
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.metrics import instruments
 
@@ -182,6 +183,30 @@
     return 1
 
 
+@instruments.instrument(
+    "azurevane.runner.crashed",
+    "counter",
+    "{runner}",
+    crash_events.RunnerCrashJudged,
+    ("cause",),
+)
+def _runner_crashed(event: crash_events.RunnerCrashJudged) -> float:
+    """Runners with runs that ended without an order to."""
+    return 1
+
+
+@instruments.instrument(
+    "azurevane.task.suspected",
+    "counter",
+    "{task}",
+    crash_events.TaskSuspected,
+    ("cause", "given_up"),
+)
+def _task_suspected(event: crash_events.TaskSuspected) -> float:
+    """Tasks that may have crashed the runner that had just started them."""
+    return 1
+
+
 @instruments.instrument(
     "azurevane.leadership.taken",
     "counter",
--- a/src/azurevane/_internal/scheduler/crash_judge.py
+++ b/src/azurevane/_internal/scheduler/crash_judge.py
@@ -172,6 +172,8 @@
         self, runner: runner_state.RunnerState, run: runs_module.Run
     ) -> None:
         """Clear a task whose run has been at work for long enough."""
+        if not run.job.crash_history_by_task:
+            return
         heard_s = runner.heard_s(run)
         if heard_s is None or heard_s < crash_attribution.SETTLING_S:
             return
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -269,8 +269,10 @@
         self._handle_start_rejected(run, runner_id, outcome, now)
 
     def _note_begun(self, run: runs.Run) -> None:
+        if run.begun_clock_s is not None:
+            return
         runner = self._scheduler_state.runner_by_id.get(run.runner_id)
-        if runner is not None and run.begun_clock_s is None:
+        if runner is not None:
             run.begun_clock_s = runner.clock_s
 
     def _handle_start_accepted(self, runner_id: str) -> None:
