Try a task alone after three crashes, decided or not

Now three crashes of any kind lead to a trial, a single coinciding crash doesn't excuse a task on trial, and the fourth crash gives it up if it came alone and one of the four was decided. The new rows of the policy feature failed before. An outage and two coinciding crashes still excuse the task.

--- a/src/azurevane/_internal/policy/crash_attribution.py
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -29,9 +29,13 @@
 MAX_CRASHES_ALONE = 3
 # The same, whatever else was starting there.
 MAX_CRASHES = 4
-# The same if others crashed at the same time as most of these runners. The
+# The same if others crashed at the same time as some of these runners. The
 # task has then crashed one by itself at least.
-MAX_CRASHES_AT_ONCE = 5
+MAX_UNCERTAIN_CRASHES_ALONE = 4
+MAX_UNCERTAIN_CRASHES = 5
+# A task that started alone after earlier crashes isn't excused by fewer
+# crashes of other runners at the same time.
+MIN_COINCIDING_IN_TRIAL = 2
 
 
 class Cause(enum.Enum):
@@ -86,6 +90,8 @@
     crash: RunnerCrash,
     coinciding: list[RunnerCrash],
     runner_count: int,
+    *,
+    on_trial: bool = False,
 ) -> Cause:
     """Return the cause of a crash, as far as it concerns a job.
 
@@ -93,9 +99,12 @@
         job_id: job whose tasks had just started on the runner.
         coinciding: unexplained crashes of other runners at the same time.
         runner_count: number of runners of the site.
+        on_trial: whether only that job was starting, after earlier crashes.
     """
     if all(job_id in other.starting_jobs for other in coinciding):
         return Cause.TASK
+    if on_trial and len(coinciding) < MIN_COINCIDING_IN_TRIAL:
+        return Cause.TASK
     crashed = len(coinciding) + 1
     if crashed >= max(MIN_OUTAGE_RUNNERS, OUTAGE_SHARE * runner_count):
         return Cause.OUTAGE
@@ -126,19 +135,30 @@
         """Whether the task may have crashed a runner."""
         return bool(self.attempts or self.uncertain_attempts)
 
+    @property
+    def _total(self) -> int:
+        return len(self.attempts) + len(self.uncertain_attempts)
+
     @property
     def needs_trial(self) -> bool:
         """Whether the task is to start alone, as it is likely at fault."""
-        return len(self.attempts) >= MAX_CRASHES_ALONE - 1
+        return (
+            len(self.attempts) >= MAX_CRASHES_ALONE - 1
+            or self._total >= MAX_UNCERTAIN_CRASHES_ALONE - 1
+        )
 
     @property
     def exhausted(self) -> bool:
         """Whether the task is given up."""
         count = len(self.attempts)
-        if count >= MAX_CRASHES or (self.alone and count >= MAX_CRASHES_ALONE):
+        if not count:
+            return False
+        if self.alone and (
+            count >= MAX_CRASHES_ALONE
+            or self._total >= MAX_UNCERTAIN_CRASHES_ALONE
+        ):
             return True
-        total = count + len(self.uncertain_attempts)
-        return bool(count) and total >= MAX_CRASHES_AT_ONCE
+        return count >= MAX_CRASHES or self._total >= MAX_UNCERTAIN_CRASHES
 
     def with_crash(
         self,
--- a/src/azurevane/_internal/scheduler/crash_judge.py
+++ b/src/azurevane/_internal/scheduler/crash_judge.py
@@ -112,9 +112,13 @@
         coinciding = crash_attribution.coinciding_crashes(
             crash, [*self._recent, *silent]
         )
+        alone = len(crash.starting_jobs) == 1
+        on_trial = alone and any(
+            run.job.crash_history(run).needs_trial for run, _ in starting
+        )
         cause_by_job = {
             job_id: crash_attribution.find_cause(
-                job_id, crash, coinciding, len(runners)
+                job_id, crash, coinciding, len(runners), on_trial=on_trial
             )
             for job_id in crash.starting_jobs
         }
@@ -131,7 +135,6 @@
                 len(coinciding),
             ),
         )
-        alone = len(crash.starting_jobs) == 1
         for run, heard_s in starting:
             cause = cause_by_job[run.job.job.id]
             if cause is not crash_attribution.Cause.OUTAGE:
--- a/tests/policy/crash_attribution.feature
+++ b/tests/policy/crash_attribution.feature
@@ -19,6 +19,19 @@
       | 8 other runners crash at 10.0 s while jobs "c" start      | uncertain |
       | 1 suspected job crashes runner "r1" at 10.0 s             | task      |
 
+  Scenario Outline: The cause of a crash during a trial
+    Guards against trials that stay undecided while others crash runners too.
+    Given 40 runners
+    And runner "r0" crashes at 10.0 s while jobs "a" start
+    And <others>
+    Then the cause is "<cause>" for job "a" on trial
+
+    Examples:
+      | others                                               | cause     |
+      | runner "r1" crashes at 10.04 s while jobs "c" start  | task      |
+      | 2 other runners crash at 10.0 s while jobs "c" start | uncertain |
+      | 9 other runners crash at 10.0 s while jobs "c" start | outage    |
+
   Scenario Outline: When a task is given up
     Given a task under which runners crash: <crashes>
     Then it is <outcome>
@@ -32,6 +45,9 @@
       | task shared, task shared, task shared, task shared     | given up        |
       | task alone, task alone, uncertain                      | not given up    |
       | task alone, task alone, uncertain, task alone          | given up        |
+      | task shared, uncertain, uncertain, task alone          | given up        |
+      | uncertain, uncertain, uncertain, task shared           | not given up    |
+      | uncertain, uncertain, uncertain, uncertain             | not given up    |
       | uncertain, uncertain, uncertain, uncertain, task alone | given up        |
       | uncertain, uncertain, uncertain, uncertain, uncertain  | not given up    |
       | outage, outage, outage, outage, outage                 | not given up    |
@@ -48,6 +64,7 @@
       | task shared                         | 0.1  |
       | task shared after 0.2 s             | 0    |
       | task shared after 0.2 s, task alone | 0.25 |
+      | uncertain, uncertain, uncertain     | 0.25 |
 
   Scenario: Half of a pool stays free of suspected tasks
     Given 4 runners of a pool without recent starts
--- a/tests/policy/steps/crash_attribution_steps.py
+++ b/tests/policy/steps/crash_attribution_steps.py
@@ -45,16 +45,25 @@
     context.crashes.append(_crash(runner, at, ["s"], suspected=True))
 
 
-@then('the cause is "{cause}" for job "{job}"')
-def step_cause(context, cause, job):
+def _check_cause(context, cause, job, *, on_trial):
     first, *others = context.crashes
     coinciding = crash_attribution.coinciding_crashes(first, others)
     found = crash_attribution.find_cause(
-        job, first, coinciding, context.runner_count
+        job, first, coinciding, context.runner_count, on_trial=on_trial
     )
     assert found.value == cause, found
 
 
+@then('the cause is "{cause}" for job "{job}"')
+def step_cause(context, cause, job):
+    _check_cause(context, cause, job, on_trial=False)
+
+
+@then('the cause is "{cause}" for job "{job}" on trial')
+def step_trial_cause(context, cause, job):
+    _check_cause(context, cause, job, on_trial=True)
+
+
 def _with_crash(history, attempt, text):
     words = text.split()
     heard_s = float(words[words.index("after") + 1]) if "after" in words else 0
