Judge coinciding crashes by pool, and by what was starting

Now only runners whose connections broke count before they are known to be gone, times that aren't known well are compared only with each other, and a tenth of the same pool must have crashed. Five undecided crashes give a task up. What tells plain crashes better is a runner on which nothing was starting, so idle runners that crash count in any pool, and crashes explained by other suspects still count towards an outage.

--- a/src/azurevane/_internal/events/crash_events.py
+++ b/src/azurevane/_internal/events/crash_events.py
@@ -18,8 +18,7 @@
         within_s: length of the time within which it crashed.
         starting: number of runs that had just started there, or may have.
         jobs: number of jobs of these runs.
-        coinciding: number of other runners that crashed at the same time
-            without a suspected task.
+        coinciding: number of other runners that crashed at the same time.
     """
 
     runner: str
--- a/src/azurevane/_internal/policy/crash_attribution.py
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -20,29 +20,36 @@
 PROMPT_S = 0.1
 # Crashes that lie no further apart may have one cause.
 SIMULTANEITY_S = 0.05
+# The time of a crash is known if it is known this well. Otherwise nothing can
+# be said of crashes at the same time as it, and the other way round.
+MAX_KNOWN_TIME_S = 0.2
 # So many runners that crash at once, and at least this share of all, suffer
 # from an outage, which makes no task suspected.
 MIN_OUTAGE_RUNNERS = 3
 OUTAGE_SHARE = 0.25
+# So many other runners of a pool that crash at the same time, and at least
+# this share of it, leave the cause undecided. In a large pool several tasks
+# may crash their runners at the same time.
+MIN_COINCIDING = 1
+COINCIDING_SHARE = 0.1
+# A task on trial has crashed runners before, so it takes more to excuse it.
+MIN_COINCIDING_IN_TRIAL = 2
 # A task is given up after so many crashes in succession if only its job was
 # starting on the last runner.
 MAX_CRASHES_ALONE = 3
 # The same, whatever else was starting there.
 MAX_CRASHES = 4
-# The same if others crashed at the same time as some of these runners. The
-# task has then crashed one by itself at least.
+# The same with crashes whose cause is undecided, if the last one was decided,
+# and in any case.
 MAX_UNCERTAIN_CRASHES_ALONE = 4
 MAX_UNCERTAIN_CRASHES = 5
-# A task that started alone after earlier crashes isn't excused by fewer
-# crashes of other runners at the same time.
-MIN_COINCIDING_IN_TRIAL = 2
 
 
 class Cause(enum.Enum):
     """Cause of a crash; the values are logged."""
 
     TASK = "task"
-    # Other runners crashed at the same time.
+    # Other runners of its pool crashed at the same time.
     UNCERTAIN = "uncertain"
     OUTAGE = "outage"
 
@@ -52,6 +59,7 @@
     """Crash of a runner; times are monotonic seconds.
 
     Attributes:
+        pool: pool of the runner.
         earliest: since when it may have crashed.
         latest: when it had certainly crashed.
         starting_jobs: ids of the jobs whose tasks had just started there.
@@ -59,15 +67,29 @@
     """
 
     runner_id: str
+    pool: str
     earliest: float
     latest: float
     starting_jobs: frozenset[str]
     suspected: bool = False
 
+    @property
+    def time_known(self) -> bool:
+        """Whether the time of the crash is known well."""
+        return self.latest - self.earliest <= MAX_KNOWN_TIME_S
+
     def may_coincide(self, other: "RunnerCrash") -> bool:
-        """Whether both runners may have crashed at the same time."""
+        """Whether both runners may have crashed at the same time.
+
+        If no task was starting on one of them, something else crashes
+        runners, so that its time needn't be known well.
+        """
+        comparable = (
+            self.time_known == other.time_known or not other.starting_jobs
+        )
         return (
-            self.earliest <= other.latest + SIMULTANEITY_S
+            comparable
+            and self.earliest <= other.latest + SIMULTANEITY_S
             and other.earliest <= self.latest + SIMULTANEITY_S
         )
 
@@ -75,40 +97,45 @@
 def coinciding_crashes(
     crash: RunnerCrash, others: Iterable[RunnerCrash]
 ) -> list[RunnerCrash]:
-    """Return the crashes at the same time that no suspected task explains."""
+    """Return the crashes of other runners that may be at the same time."""
     return [
         other
         for other in others
-        if other.runner_id != crash.runner_id
-        and not other.suspected
-        and crash.may_coincide(other)
+        if other.runner_id != crash.runner_id and crash.may_coincide(other)
     ]
 
 
 def find_cause(
     job_id: str,
     crash: RunnerCrash,
-    coinciding: list[RunnerCrash],
-    runner_count: int,
+    coinciding: Iterable[RunnerCrash],
     *,
+    runner_count: int,
+    pool_size: int,
     on_trial: bool = False,
 ) -> Cause:
     """Return the cause of a crash, as far as it concerns a job.
 
     Args:
         job_id: job whose tasks had just started on the runner.
-        coinciding: unexplained crashes of other runners at the same time.
+        coinciding: crashes of other runners at the same time.
         runner_count: number of runners of the site.
+        pool_size: number of runners of the crashed runner's pool.
         on_trial: whether only that job was starting, after earlier crashes.
     """
-    if all(job_id in other.starting_jobs for other in coinciding):
-        return Cause.TASK
-    if on_trial and len(coinciding) < MIN_COINCIDING_IN_TRIAL:
-        return Cause.TASK
-    crashed = len(coinciding) + 1
-    if crashed >= max(MIN_OUTAGE_RUNNERS, OUTAGE_SHARE * runner_count):
+    others = [c for c in coinciding if job_id not in c.starting_jobs]
+    outage_at = max(MIN_OUTAGE_RUNNERS, OUTAGE_SHARE * runner_count)
+    if len(others) + 1 >= outage_at:
         return Cause.OUTAGE
-    return Cause.UNCERTAIN
+    unexplained = sum(
+        not other.starting_jobs
+        or (other.pool == crash.pool and not other.suspected)
+        for other in others
+    )
+    excused_at = MIN_COINCIDING_IN_TRIAL if on_trial else MIN_COINCIDING
+    if unexplained >= max(excused_at, COINCIDING_SHARE * pool_size):
+        return Cause.UNCERTAIN
+    return Cause.TASK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +147,8 @@
     Attributes:
         attempts: attempts whose crash no other crash coincided with.
         uncertain_attempts: attempts whose crash others coincided with.
-        alone: whether only the task's job was starting at the last crash.
+        alone: whether only the task's job was starting at the last crash, and
+            its cause was decided.
         prompt: whether the last crash may have come ``PROMPT_S`` after the
             start.
     """
@@ -130,35 +158,37 @@
     alone: bool = False
     prompt: bool = True
 
+    @property
+    def all_attempts(self) -> frozenset[int]:
+        """Attempts that ended in a crash."""
+        return self.attempts | self.uncertain_attempts
+
     @property
     def suspected(self) -> bool:
         """Whether the task may have crashed a runner."""
         return bool(self.attempts or self.uncertain_attempts)
 
-    @property
-    def _total(self) -> int:
-        return len(self.attempts) + len(self.uncertain_attempts)
-
     @property
     def needs_trial(self) -> bool:
         """Whether the task is to start alone, as it is likely at fault."""
         return (
             len(self.attempts) >= MAX_CRASHES_ALONE - 1
-            or self._total >= MAX_UNCERTAIN_CRASHES_ALONE - 1
+            or len(self.all_attempts) >= MAX_UNCERTAIN_CRASHES_ALONE - 1
         )
 
     @property
     def exhausted(self) -> bool:
         """Whether the task is given up."""
         count = len(self.attempts)
-        if not count:
-            return False
         if self.alone and (
             count >= MAX_CRASHES_ALONE
-            or self._total >= MAX_UNCERTAIN_CRASHES_ALONE
+            or len(self.all_attempts) >= MAX_UNCERTAIN_CRASHES_ALONE
         ):
             return True
-        return count >= MAX_CRASHES or self._total >= MAX_UNCERTAIN_CRASHES
+        return (
+            count >= MAX_CRASHES
+            or len(self.all_attempts) >= MAX_UNCERTAIN_CRASHES
+        )
 
     def with_crash(
         self,
@@ -174,18 +204,21 @@
             heard_s: time after the start for which the runner was heard
                 from, in seconds; None if it isn't known.
         """
+        prompt = heard_s is None or heard_s < PROMPT_S
         if cause is Cause.OUTAGE:
             return self
-        prompt = heard_s is None or heard_s < PROMPT_S
-        if cause is Cause.TASK:
-            return CrashHistory(
-                self.attempts | {attempt},
-                self.uncertain_attempts,
-                alone,
-                prompt,
+        if cause is Cause.UNCERTAIN:
+            return dataclasses.replace(
+                self,
+                uncertain_attempts=self.uncertain_attempts | {attempt},
+                alone=False,
+                prompt=prompt,
             )
-        return CrashHistory(
-            self.attempts, self.uncertain_attempts | {attempt}, False, prompt
+        return dataclasses.replace(
+            self,
+            attempts=self.attempts | {attempt},
+            alone=alone,
+            prompt=prompt,
         )
 
     @property
@@ -201,5 +234,6 @@
     def without(self, attempt: int) -> "CrashHistory":
         """Return the history without an attempt that didn't crash."""
         return CrashHistory(
-            self.attempts - {attempt}, self.uncertain_attempts - {attempt}
+            self.attempts - {attempt},
+            self.uncertain_attempts - {attempt},
         )
--- a/src/azurevane/_internal/scheduler/crash_judge.py
+++ b/src/azurevane/_internal/scheduler/crash_judge.py
@@ -13,6 +13,9 @@
 
 logger = logging.getLogger(__name__)
 
+# An idle runner isn't polled. The list of hosts shows its crash within this
+# time.
+IDLE_CRASH_KNOWN_WITHIN_S = 1.0
 # Crashes are compared with others of this time, as silent runners are known
 # to have crashed only when their lease has expired.
 REMEMBERED_S = 10.0
@@ -40,11 +43,15 @@
         crashed = [
             runner
             for runner in runners
-            if runner.run_by_task and not runner.entry.draining
+            if not runner.entry.draining
+            # An idle one may have crashed under the previous leader.
+            and (runner.run_by_task or runner.reached)
         ]
         crashes = [_describe_crash(runner, now) for runner in crashed]
         self._remember(crashes, now)
         for runner, crash in zip(crashed, crashes, strict=True):
+            if not runner.run_by_task:
+                continue
             starting = [
                 (run, runner.heard_s(run))
                 for run in runner.run_by_task.values()
@@ -63,7 +70,7 @@
         """
         crashes = {
             runner_id: crash_attribution.RunnerCrash(
-                runner_id, 0.0, now, _job_ids(runs), _any_suspected(runs)
+                runner_id, "", 0.0, now, _job_ids(runs), _any_suspected(runs)
             )
             for runner_id, runs in runs_by_runner.items()
         }
@@ -101,16 +108,16 @@
     ) -> None:
         runners = self._scheduler_state.runner_by_id.values()
         recent_ids = {other.runner_id for other in self._recent}
-        # Runners that don't respond have crashed too, as far as is known.
-        silent = [
+        # Of these it isn't known yet that they have ended.
+        reset = [
             _describe_crash(runner, now)
             for runner in runners
-            if runner.unreachable
-            and runner.run_by_task
+            if runner.run_by_task
+            and runner.was_reset_before(now)
             and runner.id not in recent_ids
         ]
         coinciding = crash_attribution.coinciding_crashes(
-            crash, [*self._recent, *silent]
+            crash, [*self._recent, *reset]
         )
         alone = len(crash.starting_jobs) == 1
         on_trial = alone and any(
@@ -118,7 +125,14 @@
         )
         cause_by_job = {
             job_id: crash_attribution.find_cause(
-                job_id, crash, coinciding, len(runners), on_trial=on_trial
+                job_id,
+                crash,
+                coinciding,
+                runner_count=len(runners),
+                pool_size=sum(
+                    runner.entry.service == crash.pool for runner in runners
+                ),
+                on_trial=on_trial,
             )
             for job_id in crash.starting_jobs
         }
@@ -210,7 +224,7 @@
         if current:
             self.clear_settled_run(runner, run)
         history = run.job.crash_history(run)
-        if ended.attempt in history.attempts | history.uncertain_attempts:
+        if ended.attempt in history.all_attempts:
             # The runner was only silent.
             run.job.set_crash_history(run, history.without(ended.attempt))
             self._scheduler_state.mark_job_changed(run.job)
@@ -234,9 +248,14 @@
         for run in runner.run_by_task.values()
         if _may_be_starting(runner, run)
     ]
+    earliest, latest = runner.crash_interval(now)
+    if not runner.run_by_task:
+        earliest = now - IDLE_CRASH_KNOWN_WITHIN_S
     return crash_attribution.RunnerCrash(
         runner.id,
-        *runner.crash_interval(now),
+        runner.entry.service,
+        earliest,
+        latest,
         _job_ids(starting),
         _any_suspected(starting),
     )
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -233,11 +233,11 @@
         run.last_attempt = max(task.attempt, task.last_attempt)
         run.failed_attempts = set(task.failed_attempts)
         run.checkpoint = task.checkpoint
-        if task.crashed_attempts or task.uncertain_attempts:
-            history = crash_attribution.CrashHistory(
-                frozenset(task.crashed_attempts),
-                frozenset(task.uncertain_attempts),
-            )
+        history = crash_attribution.CrashHistory(
+            frozenset(task.crashed_attempts),
+            frozenset(task.uncertain_attempts),
+        )
+        if history.suspected:
             state.set_crash_history(run, history)
         phase = runs_module.Phase(task.phase)
         if phase is runs_module.Phase.DONE:
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -434,7 +434,7 @@
         """
         history = run.job.crash_history(run)
         if history.exhausted and not run.job.status.ended:
-            crash_count = len(history.attempts | history.uncertain_attempts)
+            crash_count = len(history.all_attempts)
             self.end_job(
                 run.job,
                 runs.JobStatus.FAILED,
--- a/tests/policy/steps/crash_attribution_steps.py
+++ b/tests/policy/steps/crash_attribution_steps.py
@@ -8,25 +8,55 @@
 from azurevane._internal.policy import isolated_starts
 
 
-def _crash(runner_id, at, jobs, *, suspected=False):
-    return crash_attribution.RunnerCrash(
-        runner_id, at, at, frozenset(filter(None, jobs)), suspected
+def _crash(context, runner_id, pool, jobs, at, until=None, *, suspected=False):
+    context.crashes.append(
+        crash_attribution.RunnerCrash(
+            runner_id,
+            pool,
+            at,
+            at if until is None else until,
+            frozenset(filter(None, jobs.split(","))),
+            suspected,
+        )
     )
 
 
-@given("{count:d} runners")
-def step_runners(context, count):
-    context.runner_count, context.crashes = count, []
+@given('{count:d} runners, {size:d} of them in pool "p"')
+def step_runners(context, count, size):
+    context.runner_count, context.pool_size = count, size
+    context.crashes = []
 
 
-@given('runner "{runner}" crashes at {at:g} s while jobs "{jobs}" start')
-def step_crash(context, runner, at, jobs):
-    context.crashes.append(_crash(runner, at, jobs.split(",")))
+@given(
+    'runner "{runner}" of pool "{pool}" crashes at {at:g} s while jobs'
+    ' "{jobs}" start'
+)
+def step_crash(context, runner, pool, at, jobs):
+    _crash(context, runner, pool, jobs, at)
 
 
-@given('runner "{runner}" crashes at {at:g} s while jobs "" start')
-def step_idle_crash(context, runner, at):
-    context.crashes.append(_crash(runner, at, []))
+@given(
+    'runner "{runner}" of pool "{pool}" crashes at {at:g} s while jobs ""'
+    " start"
+)
+def step_idle_crash(context, runner, pool, at):
+    _crash(context, runner, pool, "", at)
+
+
+@given(
+    'runner "{runner}" of pool "{pool}" falls silent between {at:g} s and'
+    " {until:g} s"
+)
+def step_silent(context, runner, pool, at, until):
+    _crash(context, runner, pool, "c", at, until)
+
+
+@given(
+    'idle runner "{runner}" of pool "{pool}" crashes between {at:g} s and'
+    " {until:g} s"
+)
+def step_idle(context, runner, pool, at, until):
+    _crash(context, runner, pool, "", at, until)
 
 
 @given("no other runner crashes")
@@ -34,22 +64,30 @@
     pass
 
 
-@given('{count:d} other runners crash at {at:g} s while jobs "{job}" start')
-def step_many(context, count, at, job):
+@given(
+    '{count:d} other runners of pool "{pool}" crash at {at:g} s while jobs'
+    ' "{job}" start'
+)
+def step_many(context, count, pool, at, job):
     for number in range(count):
-        context.crashes.append(_crash(f"s{number}", at, [job]))
+        _crash(context, f"s{number}", pool, job, at)
 
 
 @given('1 suspected job crashes runner "{runner}" at {at:g} s')
 def step_suspected(context, runner, at):
-    context.crashes.append(_crash(runner, at, ["s"], suspected=True))
+    _crash(context, runner, "p", "s", at, suspected=True)
 
 
 def _check_cause(context, cause, job, *, on_trial):
     first, *others = context.crashes
     coinciding = crash_attribution.coinciding_crashes(first, others)
     found = crash_attribution.find_cause(
-        job, first, coinciding, context.runner_count, on_trial=on_trial
+        job,
+        first,
+        coinciding,
+        runner_count=context.runner_count,
+        pool_size=context.pool_size,
+        on_trial=on_trial,
     )
     assert found.value == cause, found
 
