Try a suspected task on a runner that may take it

A suspected task was placed on the emptiest runner that admits it, also if that has as many tasks of its step as it may have.

The judge also remembered the crash of a silent idle runner ten times a second for as long as its entry stayed. It excused no task, as the time of the crash was right, which a new scenario shows; it is now judged only while it has runs.

--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -72,6 +72,11 @@
         """Job, occurrence and index of the step."""
         return self.job_id, self.occurrence, self.step_index
 
+    def fills_share_of(self, runner_id: str) -> bool:
+        """Whether a runner has as many tasks of the step as it may have."""
+        most = self.step.max_per_runner
+        return 0 < most <= self.task_count_by_runner.get(runner_id, 0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskPlacement:
@@ -172,7 +177,7 @@
         if room <= 0:
             break
         need = capacity_needed(request.step)
-        if _is_hopeless(request, need, too_large):
+        if _fits_no_runner(request, need, too_large):
             continue
         max_count = len(request.waiting_indexes)
         if not request.step.gang:
@@ -195,7 +200,7 @@
     return placements
 
 
-def _is_hopeless(
+def _fits_no_runner(
     request: StepRequest,
     need: job_models.Capacity,
     too_large: list[job_models.Capacity],
@@ -312,8 +317,13 @@
     if request.isolated_s is not None:
         need = request.step.need
         cpu = 0 if request.step.fills else need.cpu
-        fitting = [b for b in admitting if b.fits(need, cpu)]
-        admitting = sorted(fitting, key=lambda b: b.cpu)[-1:]
+        fitting = [
+            balance
+            for balance in admitting
+            if balance.fits(need, cpu)
+            and not request.fills_share_of(balance.runner.runner_id)
+        ]
+        admitting = sorted(fitting, key=lambda balance: balance.cpu)[-1:]
     placements = _place_greedily(request, max_count, admitting)
     _record_starts(placements, isolated)
     return placements
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -163,7 +163,8 @@
         runner = self._scheduler_state.runner_by_id.get(runner_id)
         if runner is None or now < runner.lease_end().at:
             return
-        self._crash_judge.judge_runners((runner,), now)
+        if runner.run_by_task:
+            self._crash_judge.judge_runners((runner,), now)
         if not runner.listed:
             self.handle_runner_gone(runner_id, "silent past its lease", now)
             return
--- a/tests/policy/crash_attribution.feature
+++ b/tests/policy/crash_attribution.feature
@@ -106,3 +106,9 @@
     Given 2 runners of a pool with starts 0.05 s ago
     When suspected tasks of jobs "a" look for runners
     Then other tasks may start on 2 runners
+
+  Scenario: A suspected task passes over a runner that may have no more of its step
+    Guards against a trial that waits although another runner may take the task.
+    Given 2 runners of a pool without recent starts
+    When a suspected task is placed whose step has one task a runner and one on the emptiest
+    Then it is placed on the other runner
--- a/tests/policy/steps/crash_attribution_steps.py
+++ b/tests/policy/steps/crash_attribution_steps.py
@@ -4,8 +4,10 @@
 from behave import then
 from behave import when
 
+from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import crash_attribution
 from azurevane._internal.policy import isolated_starts
+from azurevane._internal.policy import task_placement
 
 
 def _crash(context, runner_id, pool, jobs, at, until=None, *, suspected=False):
@@ -180,3 +182,40 @@
         if context.starts.admits(runner, "other", None)
     ]
     assert len(admitting) == count, admitting
+
+
+@when(
+    "a suspected task is placed whose step has one task a runner and one on"
+    " the emptiest"
+)
+def step_place(context):
+    step = job_models.Step(
+        2, job_models.Capacity(1000, 500), 1.0, max_per_runner=1
+    )
+    request = task_placement.StepRequest(
+        job_id="a",
+        occurrence=0,
+        step_index=0,
+        team="",
+        step=step,
+        waiting_indexes=(1,),
+        task_count_by_runner={"r0": 1},
+        isolated_s=crash_attribution.PROMPT_S,
+    )
+    runners = [
+        task_placement.RunnerCapacity(
+            runner_id, "", frozenset(), job_models.Capacity(cpu, 4000)
+        )
+        for runner_id, cpu in zip(
+            context.runner_ids, (32000, 20000), strict=True
+        )
+    ]
+    context.placements = task_placement.place_tasks(
+        [request], runners, {}, isolated=context.starts
+    )
+
+
+@then("it is placed on the other runner")
+def step_other_runner(context):
+    runner_ids = [placement.runner_id for placement in context.placements]
+    assert runner_ids == ["r1"], runner_ids
--- a/tests/scheduler/crash_loop.feature
+++ b/tests/scheduler/crash_loop.feature
@@ -64,6 +64,19 @@
     And 1.0 s pass
     Then no task is suspected
 
+  Scenario: A runner that stays silent excuses no task
+    Guards against a task whose crashes all stay undecided.
+    Given tasks that run 20.0 s
+    And task 0 of job "00000000000000c1" crashes its runner after 0.01 s
+    When job "00000000000000c2" of 1 tasks is submitted
+    And 1.0 s pass
+    And a busy runner is cut off
+    And 8.0 s pass
+    And job "00000000000000c1" of 6 tasks is submitted
+    And 5.0 s pass
+    Then job "00000000000000c1" is "failed"
+    And at most 3 runners crashed under task 0 of job "00000000000000c1"
+
   Scenario: A rack that loses power again and again convicts no task
     Given each crash lasts 1.0 s
     When 40 jobs are submitted over 8.0 s while a rack loses power 5 times, 1.6 s apart
--- a/tests/scheduler/steps/crash_steps.py
+++ b/tests/scheduler/steps/crash_steps.py
@@ -142,15 +142,20 @@
     assert response.status == 200, response
 
 
+def _busy_runner(context):
+    runners = context.world.platform.runner_by_address.values()
+    return next(runner for runner in runners if runner.task_by_name)
+
+
 @when("a busy runner crashes for {down:g} s")
 def step_busy_crashes(context, down):
     platform = context.world.platform
-    runner = next(
-        runner
-        for runner in platform.runner_by_address.values()
-        if runner.task_by_name
-    )
-    platform.crash_host(runner, down_s=down)
+    platform.crash_host(_busy_runner(context), down_s=down)
+
+
+@when("a busy runner is cut off")
+def step_busy_cut_off(context):
+    _busy_runner(context).reachable = False
 
 
 @when("the leader is cut off for {seconds:g} s")
