--- a/src/azurevane/_internal/policy/crash_attribution.py
+++ b/src/azurevane/_internal/policy/crash_attribution.py
@@ -166,7 +166,7 @@
     @property
     def suspected(self) -> bool:
         """Whether the task may have crashed a runner."""
-        return bool(self.attempts or self.uncertain_attempts)
+        return bool(self.all_attempts)
 
     @property
     def needs_trial(self) -> bool:
--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -102,10 +102,6 @@
             leader.scheduler_state, self._table, move_s, scheduling
         )
 
-    def list_hosts_soon(self) -> None:
-        """Read the list of hosts in the next pass, as a runner is gone."""
-        self._list_due_at = float("-inf")
-
     @property
     def table(self) -> host_table.HostTable:
         """Hosts as the platform lists them."""
