Count the stops that a previous leader may have sent

Cause: a runner lists a task as running until its stop ends. The leader stops the tasks of a draining runner in the order of their assignment, a new one in the order of their indexes, so a handover within a stop makes the new leader stop another task of the step.

Change: a run that a new leader finds on its runner counts as unavailable for the budget of its step until the longest stop has passed.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -117,6 +117,7 @@
             previous_extend_until,
             lease_s=self.lease_s,
             lease_max_s=settings.bounds.runner_lease_max_s,
+            runner_stop_s=settings.bounds.runner_stop_s,
         )
         self.runner_events = runner_events.RunnerEventHandler(
             self.scheduler_state
--- a/src/azurevane/_internal/scheduler/preemptor.py
+++ b/src/azurevane/_internal/scheduler/preemptor.py
@@ -177,7 +177,9 @@
                 step.need.gpu,
             ),
             0.0 if step.long_running else lost_s * step.need.cpu,
-            not step.gang and not run.is_copy and availability.may_stop(run),
+            not step.gang
+            and not run.is_copy
+            and availability.may_stop(run, now),
             stopped_at,
         )
 
@@ -197,7 +199,7 @@
         }
         for victim in victims:
             stopped = stopped_by_name[victim.task]
-            if not availability.may_stop(stopped):
+            if not availability.may_stop(stopped, now):
                 # Another one of the same step was stopped just before.
                 continue
             self._stopped_at_by_task[victim.task] = now
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -52,6 +52,7 @@
     *,
     lease_s: float,
     lease_max_s: float,
+    runner_stop_s: float,
 ) -> state_module.SchedulerState:
     """Return the state of a leader that knows only of previous leases.
 
@@ -60,11 +61,13 @@
             leases, in monotonic seconds.
         lease_s: length of the leases that leaders grant, in seconds.
         lease_max_s: longest lease that a runner grants, in seconds.
+        runner_stop_s: longest time that a runner takes to stop a run.
     """
     state = state_module.SchedulerState(
         previous_extend_until + runner_state.longest_lease_s(lease_s),
         lease_s,
         lease_max_s,
+        runner_stop_s,
     )
     # A published lease may be one that only the runner's maximum bounds.
     latest = previous_extend_until + runner_state.longest_lease_s(lease_max_s)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -434,7 +434,12 @@
             run.checkpoint = running.checkpoint
         if run.phase is _Phase.ASSIGNED:
             run.phase = _Phase.RUNNING
-            run.inherited = False
+            if run.inherited:
+                run.inherited = False
+                # The runner lists a task as running until its stop ends.
+                run.earlier_stop_until = (
+                    now + self._scheduler_state.runner_stop_s
+                )
             run.acknowledged_at = run.acknowledged_at or now
             run.unconfirmed_since = 0.0
             if run.job.status.ended:
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -77,6 +77,8 @@
         stop_acknowledged_at: when the runner accepted the stop command,
             or 0.
         stop_sent_at: when the stop command was last sent, or 0.
+        earlier_stop_until: until when a stop command that a previous leader
+            sent may still end the run.
         not_before: earliest time of the next start.
         waiting_since: when the task began to wait for a run.
         not_serving_since: since when a long-running task isn't serving.
@@ -87,6 +89,7 @@
         "attempt",
         "begun_clock_s",
         "checkpoint",
+        "earlier_stop_until",
         "failed_attempts",
         "failed_on",
         "fresh_run_s",
@@ -150,6 +153,7 @@
         self.unconfirmed_since = 0.0
         self.stop_acknowledged_at = 0.0
         self.stop_sent_at = 0.0
+        self.earlier_stop_until = 0.0
 
     @property
     def occupies_capacity(self) -> bool:
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -47,6 +47,7 @@
             host is about to be moved or maintained.
         lease_s: length of the leases that leaders grant, in seconds.
         lease_max_s: longest lease that a runner grants, in seconds.
+        runner_stop_s: longest time that a runner takes to stop a run.
         unreached_until: time until which a runner that this leader has not
             reached yet may execute commands of the previous leader.
         unreached_until_by_runner: the same for runners whose lease expiry
@@ -72,6 +73,7 @@
         unreached_until: float,
         lease_s: float = runner_state.RUNNER_LEASE_S,
         lease_max_s: float = runner_state.RUNNER_LEASE_S,
+        runner_stop_s: float = 0.0,
     ) -> None:
         self.config: site.SiteConfig | None = None
         self.zones_out: frozenset[str] = frozenset()
@@ -81,6 +83,7 @@
         self.draining_runners: set[str] = set()
         self.lease_s = lease_s
         self.lease_max_s = lease_max_s
+        self.runner_stop_s = runner_stop_s
         self.unreached_until = unreached_until
         self.unreached_until_by_runner: dict[str, float] = {}
         self.restart_lease_by_runner: dict[str, float] = {}
--- a/src/azurevane/_internal/scheduler/wave_manager.py
+++ b/src/azurevane/_internal/scheduler/wave_manager.py
@@ -278,5 +278,5 @@
             if run.phase is not runs.Phase.RUNNING:
                 continue
             should_stop = late or run.step.long_running
-            if should_stop and availability.may_stop(run):
+            if should_stop and availability.may_stop(run, now):
                 self._scheduler_state.stop_run(run, "host maintenance", now)
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -37,6 +37,7 @@
     need: dict[str, int]
     outcome: str = "done"
     timer: Any = None
+    stopping: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
         unreachable_from: names of entry hosts whose calls don't arrive.
         command_delay_s: commands are executed this much later, without an
             answer.
+        stop_s: time that it takes to stop a task.
         response_delay_s: responses to commands arrive this much later, also
             after a crash.
         slowness: multiple of the planned time that tasks take.
@@ -109,7 +111,7 @@
         # Earlier capacities, each with the time until which it counts.
         self._earlier_capacities: list[tuple[float, dict[str, int]]] = []
         self._lease_max_s = lease_max_s
-        self._stop_s = stop_s
+        self.stop_s = stop_s
         self.started_at_ms = started_at_ms
         self._clock_rate = clock_rate
         self._guards_capacity = guards_capacity
@@ -306,8 +308,9 @@
         if task is not None and task.attempt == attempt:
             if task.timer is not None and task.timer.active():
                 task.timer.cancel()
+            task.stopping = True
             task.timer = self._reactor.callLater(
-                self._stop_s, self._end_task, task, "stopped"
+                self.stop_s, self._end_task, task, "stopped"
             )
         else:
             stopped = self._ended_attempt_by_task.get(name, 0)
@@ -399,7 +402,7 @@
             crash_by_task=self._crash_by_task,
             capacity=self.capacity,
             lease_max_s=self._lease_max_s,
-            stop_s=self._stop_s,
+            stop_s=self.stop_s,
             started_at_ms=started_at_ms,
             clock_rate=self._clock_rate,
             guards_capacity=self._guards_capacity,
--- a/tests/scheduler/hosts.feature
+++ b/tests/scheduler/hosts.feature
@@ -45,6 +45,19 @@
     And the scheduler made fewer than 2 of its tasks unavailable at once
     And all long-running tasks run
 
+  Scenario: A new leader counts the stops that the previous one sent
+    Guards against two unavailable tasks of a step that may lack one: a runner
+    lists a task as running until its stop ends.
+    Given runners take 0.9 s to stop a task
+    When a job of 3 long-running tasks with a budget of 1 is submitted
+    And 12.0 s pass
+    And wave 1 of a host with 2 of its tasks is requested
+    And 16.0 s pass
+    And wave 2 of a host with 2 of its tasks is requested
+    And the leader is told to stop once it has stopped a task
+    Then at most 1 of its tasks is stopped at a time during 16.0 s
+    And all long-running tasks run
+
   Scenario: A new leader continues the wave of a killed one
     When a wave of 6 hosts within 30 s with 1 down at once is requested
     And 3.0 s pass
--- a/tests/scheduler/steps/availability_steps.py
+++ b/tests/scheduler/steps/availability_steps.py
@@ -50,9 +50,9 @@
 
 @then("task {index:d} may be stopped")
 def step_may(context, index):
-    assert availability.may_stop(context.members[index])
+    assert availability.may_stop(context.members[index], 0.0)
 
 
 @then("task {index:d} may not be stopped")
 def step_may_not(context, index):
-    assert not availability.may_stop(context.members[index])
+    assert not availability.may_stop(context.members[index], 0.0)
--- a/tests/scheduler/steps/host_steps.py
+++ b/tests/scheduler/steps/host_steps.py
@@ -28,16 +28,16 @@
     assert len(names) > count, names
 
 
-def _request_wave(context, names, within_s, cap):
+def _request_wave(context, names, within_s, cap, number=1):
     context.wave_hosts = names
     value = {
-        "wave": 1,
+        "wave": number,
         "machines": names,
         "durationS": within_s,
         "cap": cap,
     }
     context.world.platform.store.put(
-        "op", "wave/1", json.dumps(value).encode()
+        "op", f"wave/{number}", json.dumps(value).encode()
     )
 
 
@@ -100,6 +100,35 @@
     context.world.platform.host_command_delay_s = seconds
 
 
+@given("runners take {seconds:g} s to stop a task")
+def step_slow_stops(context, seconds):
+    for runner in context.world.platform.runner_by_address.values():
+        runner.stop_s = seconds
+
+
+@when("wave {number:d} of a host with {count:d} of its tasks is requested")
+def step_wave_of_host(context, number, count):
+    name = next(
+        name
+        for name, host in context.world.platform.host_by_name.items()
+        if host.runner and len(host.runner.task_by_name) == count
+    )
+    _request_wave(context, [name], within_s=12, cap=1, number=number)
+
+
+@when("the leader is told to stop once it has stopped a task")
+def step_stop_after_stop(context):
+    world = context.world
+    name = world.leader_name
+    host = world.host_by_name[name]
+    jobs = host.leader.scheduler_state.live_job_by_id.values()
+    while not any(
+        run.stop_acknowledged_at for job in jobs for run in job.all_runs()
+    ):
+        world.advance_time(site_world.STEP_S)
+    host.stop(lambda: world.kill_host(name))
+
+
 @when("the leader is told to stop once it has sent a command for a host")
 def step_stop_after_command(context):
     world = context.world
@@ -152,6 +181,24 @@
     assert most_unavailable < count, most_unavailable
 
 
+@then(
+    "at most {count:d} of its tasks is stopped at a time during {seconds:g} s"
+)
+def step_stopped_at_a_time(context, count, seconds):
+    world = context.world
+    end = world.clock.seconds() + seconds
+    most = 0
+    while world.clock.seconds() < end:
+        world.advance_time(site_world.STEP_S)
+        kept = sum(
+            name.startswith(_LONG_RUNNING_JOB_ID) and not task.stopping
+            for runner in world.platform.runner_by_address.values()
+            for name, task in runner.task_by_name.items()
+        )
+        most = max(most, context.long_running_count - kept)
+    assert 0 < most <= count, most
+
+
 @then("all long-running tasks run")
 def step_long_running_tasks_run(context):
     running = [
