--- a/tests/scheduler/steps/large_fleet_steps.py
+++ b/tests/scheduler/steps/large_fleet_steps.py
@@ -98,6 +98,7 @@
         NOW,
         lease_s=LEASE_S,
         lease_max_s=LEASE_MAX_S,
+        runner_stop_s=0.0,
     )
 
 
