Read the partitions and states side by side at a takeover

Cause: a new leader read the states page by page, then a version, the list of partitions and 16 partitions one after the other.

Change: the partitions of the jobs' table are known, so neither a version nor a list is read first; the changes are followed from the earliest read on. Ranges are read side by side, eight at a time, which a link of 5 Mbit/s carries within the timeout of a read.

--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -7,6 +7,7 @@
 from urllib import parse
 
 import msgspec
+from twisted.internet import defer
 
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
@@ -26,6 +27,8 @@
 PAGE_ROWS = 100
 # Covers a page of the largest usual rows on a slow link.
 READ_TIMEOUT_S = 4.0
+# Pages of so many reads arrive within READ_TIMEOUT_S on a slow link.
+MAX_PARALLEL_READS = 8
 # Limit of the platform's protocol; conditions count as entries too.
 MAX_TRANSACTION_ENTRIES = 100
 
@@ -39,6 +42,21 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowRange:
+    """Rows of a partition whose keys lie in a range.
+
+    Attributes:
+        first: smallest key; empty for no bound.
+        end: key before which the range ends; empty for no bound.
+    """
+
+    table: str
+    partition: str
+    first: str = ""
+    end: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
     """A row as stored, or the absence of one.
@@ -111,7 +129,6 @@
     more: bool = msgspec.field(name="hasMore", default=False)
     # The store's monotonic clock, not the time of day.
     now_ms: float = msgspec.field(name="nowMs", default=0.0)
-    parts: list[str] = []
 
 
 def _decode_row(row: _Row) -> Row:
@@ -234,8 +251,8 @@
         rows = tuple(_decode_row(row) for row in answer.rows)
         return ReadResult(rows, answer.version, answer.more)
 
-    async def read_partition(self, table: str, partition: str) -> ReadResult:
-        """Read all rows of a partition, as of the first page's version.
+    async def read_range(self, row_range: RowRange) -> ReadResult:
+        """Read all rows of a range, as of the first page's version.
 
         Rows of later pages may be newer than that version.
 
@@ -243,10 +260,14 @@
             CallFailed: no usable response.
         """
         rows: list[Row] = []
-        version, first = 0, ""
+        version, first = 0, row_range.first
         while True:
             page = await self.read_page(
-                table, partition, first, timeout_s=READ_TIMEOUT_S
+                row_range.table,
+                row_range.partition,
+                first,
+                row_range.end,
+                timeout_s=READ_TIMEOUT_S,
             )
             version = version or page.version
             rows.extend(page.rows)
@@ -255,23 +276,23 @@
             # Smallest key greater than the last one.
             first = page.rows[-1].row_key.key + "\x00"
 
-    async def list_partitions(self, table: str) -> tuple[str, ...]:
-        """Return the names of a table's partitions.
+    async def read_ranges(
+        self, row_ranges: Sequence[RowRange]
+    ) -> tuple[ReadResult, ...]:
+        """Read ranges side by side, since each read waits for the store.
 
         Raises:
-            CallFailed: no usable response.
+            CallFailed: no usable response to one of the reads.
         """
-        names: list[str] = []
-        while True:
-            query = {"table": table}
-            if names:
-                query["after"] = names[-1]
-            _, answer = await self._send_request(
-                b"GET", f"/azurevane/rows-parts?{parse.urlencode(query)}"
-            )
-            names.extend(answer.parts)
-            if not answer.more or not answer.parts:
-                return tuple(names)
+        slots = defer.DeferredSemaphore(MAX_PARALLEL_READS)
+        reads = [
+            slots.run(defer.ensureDeferred, self.read_range(row_range))
+            for row_range in row_ranges
+        ]
+        try:
+            return tuple(await defer.gatherResults(reads, consumeErrors=True))
+        except defer.FirstError as first_error:
+            raise first_error.subFailure.value from first_error
 
     async def wait_for_changes(
         self, table: str, after: int, wait_s: float
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 import functools
+import itertools
 import logging
 from typing import Any
 
@@ -323,9 +324,7 @@
         """Read the stored states, then follow the tables until stopped."""
         while not self.stopped:
             try:
-                states = await self._store.read_partition(
-                    records.STATE_TABLE, records.LEADER_PARTITION
-                )
+                reads = await self._store.read_ranges(records.state_ranges())
                 break
             except exceptions.CallFailed as failure:
                 logger.info(
@@ -336,7 +335,7 @@
                 )
         if self.stopped:
             return
-        for row in states.rows:
+        for row in itertools.chain.from_iterable(read.rows for read in reads):
             self._row_writer.record_version(row)
             number = records.wave_number(row.row_key.key)
             if number is None:
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -1,10 +1,13 @@
 """Encoding of the rows of a job: submission, state, cancellation, refusal."""
 
+import itertools
+import string
 import zlib
 
 import msgspec
 
 from azurevane._internal.models import job as job_models
+from azurevane._internal.platform import store
 from azurevane._internal.policy import crash_attribution
 from azurevane._internal.scheduler import runs as runs_module
 from azurevane._internal.utils import json_decoding
@@ -13,6 +16,7 @@
 # partition gets more transactions than it can process.
 JOBS_TABLE = "azurevane-jobs"
 STATE_TABLE = "azurevane-state"
+JOB_PARTITIONS = tuple(string.hexdigits[:16])
 # The leader writes its rows in one transaction with the condition on its own
 # row, so they share one partition.
 LEADER_PARTITION = ""
@@ -115,6 +119,15 @@
     return job_id[0].lower()
 
 
+def state_ranges() -> list[store.RowRange]:
+    """Return ranges that together hold all rows of ``STATE_TABLE``."""
+    bounds = ["", *JOB_PARTITIONS[1:], ""]
+    return [
+        store.RowRange(STATE_TABLE, LEADER_PARTITION, first, end)
+        for first, end in itertools.pairwise(bounds)
+    ]
+
+
 def wave_key(number: int) -> str:
     """Return the key of the row that holds a wave's progress."""
     return f"{_WAVE_PREFIX}{number}"
--- a/src/azurevane/_internal/scheduler/site_tables.py
+++ b/src/azurevane/_internal/scheduler/site_tables.py
@@ -61,7 +61,7 @@
             records.JOBS_TABLE,
             self._handle_job_snapshot,
             self._handle_job_changes,
-            partitioned=True,
+            partitions=records.JOB_PARTITIONS,
         )
 
     def stop(self) -> None:
@@ -75,7 +75,7 @@
         on_snapshot: Callable[[Sequence[store.Row]], None],
         on_changes: Callable[[Sequence[store.Row]], None],
         *,
-        partitioned: bool = False,
+        partitions: Sequence[str] = ("",),
         pause_s: float = 0.0,
     ) -> None:
         follower = table_follower.TableFollower(
@@ -85,7 +85,7 @@
             wait_s=FEED_WAIT_S,
             on_snapshot=on_snapshot,
             on_changes=on_changes,
-            partitioned=partitioned,
+            partitions=partitions,
             pause_s=pause_s,
         )
         self._followers.append(follower)
