Keep listening to a write that is overdue while it is repeated

Cause: a transaction without a response for six times the usual time was given up and sent again.

Change: utils/repeated_call sends an overdue call again and returns the first response of any attempt. The store's client says whether a write is overdue without any response since (unresponsive), which refuses further submissions at once as before.

--- a/src/azurevane/_internal/callers/job_store.py
+++ b/src/azurevane/_internal/callers/job_store.py
@@ -35,8 +35,6 @@
         self._client = client
         self._seconds = seconds
         self._sleep = sleep
-        # When the latest write was sent that got no response in time.
-        self._unanswered_write_sent_at = float("-inf")
 
     async def write_rows(
         self,
@@ -49,7 +47,7 @@
         Returns:
             The version conflict, if a row has another version.
         """
-        if self._client.last_response_at < self._unanswered_write_sent_at:
+        if self._client.unresponsive:
             # The outcome of another write would be unknown as well.
             raise request_refused.RequestRefused(
                 503, "store doesn't respond", STORE_UNAVAILABLE_RETRY_S
@@ -57,7 +55,6 @@
         deadline = self._seconds() + WRITE_TIMEOUT_S
         unknown_failure = ""
         while (remaining_s := deadline - self._seconds()) > 0:
-            sent_at = self._seconds()
             try:
                 outcome = await self._client.transact(
                     expected_by_row_key,
@@ -78,8 +75,6 @@
                     continue
                 # Repeating the write shows whether this one took effect.
                 unknown_failure = str(failure)
-                if failure.timed_out:
-                    self._unanswered_write_sent_at = sent_at
         raise request_refused.RequestRefused(
             504, unknown_failure, None, verdict.Verdict.MAY_HAVE_RUN
         )
--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -84,7 +84,7 @@
             reactor, process_lag=self._process_lag
         )
         self._store = store.StoreClient(
-            self._client, settings.store_address, reactor.seconds
+            self._client, settings.store_address, reactor
         )
         self.admission = admission_control.AdmissionControl(
             settings.host_name, reactor.seconds
--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 from collections.abc import Callable, Sequence
 import dataclasses
+import functools
 from typing import Any
 from urllib import parse
 
@@ -15,6 +16,7 @@
 from azurevane._internal.platform import http_client
 from azurevane._internal.utils import json_decoding
 from azurevane._internal.utils import latency
+from azurevane._internal.utils import repeated_call
 
 # The store usually answers within about 10 ms. A slow store takes about 50
 # times as long.
@@ -146,9 +148,6 @@
 class StoreClient:
     """Sends transactions and reads to the store; each host has one client.
 
-    Args:
-        seconds: returns monotonic time.
-
     Attributes:
         last_response_at: monotonic time of the last response, whatever its
             status.
@@ -158,13 +157,21 @@
         self,
         client: http_client.HttpClient,
         address: host_settings.Address,
-        seconds: Callable[[], float],
+        reactor: Any,
     ) -> None:
         self._client = client
         self._address = address
-        self._seconds = seconds
+        self._reactor = reactor
+        self._seconds: Callable[[], float] = reactor.seconds
         self._write_latency = latency.LatencyEstimate(TYPICAL_WRITE_S)
-        self.last_response_at = seconds()
+        # When the latest overdue write was sent.
+        self._overdue_sent_at = float("-inf")
+        self.last_response_at = self._seconds()
+
+    @property
+    def unresponsive(self) -> bool:
+        """Whether a write is overdue and nothing has arrived since it."""
+        return self.last_response_at < self._overdue_sent_at
 
     async def transact(
         self,
@@ -176,8 +183,9 @@
     ) -> Committed | Conflict:
         """Write and delete rows atomically if all expected versions match.
 
-        A response that takes several times as long as usual is treated as
-        lost.
+        The request is sent again when its response takes several times as
+        long as usual, and the first response is returned. So a conflict may
+        come from the request itself.
 
         Args:
             expected_by_row_key: version that each row must have; 0 for a
@@ -202,18 +210,27 @@
             ],
             "delete": [_encode_row_key(row_key) for row_key in deletions],
         }
-        began_at = self._seconds()
-        timeout_s = self._write_latency.timeout_s(max_wait_s)
-        try:
-            status, answer = await self._send_request(
-                b"POST", "/azurevane/rows-tx", body, timeout_s
-            )
-        except exceptions.CallFailed:
-            waited_s = self._seconds() - began_at
-            if waited_s >= timeout_s:
-                self._write_latency.record_timeout(waited_s)
-            raise
-        self._write_latency.record_response(self._seconds() - began_at)
+        call = repeated_call.RepeatedCall(
+            self._reactor,
+            functools.partial(self._send_transaction, body),
+            overdue_after_s=lambda: self._write_latency.timeout_s(max_wait_s),
+            on_overdue=self._handle_overdue_write,
+            deadline=self._seconds() + max_wait_s,
+        )
+        return await call.run()
+
+    def _handle_overdue_write(self, sent_at: float) -> None:
+        self._overdue_sent_at = sent_at
+        self._write_latency.record_timeout(self._seconds() - sent_at)
+
+    async def _send_transaction(
+        self, body: Any, timeout_s: float
+    ) -> Committed | Conflict:
+        sent_at = self._seconds()
+        status, answer = await self._send_request(
+            b"POST", "/azurevane/rows-tx", body, timeout_s
+        )
+        self._write_latency.record_response(self._seconds() - sent_at)
         if status == 412:
             rows = [_decode_row(row) for row in answer.rows]
             return Conflict({row.row_key: row for row in rows})
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -33,6 +33,14 @@
     And 6.0 s pass
     Then all submitted jobs are "completed"
 
+  Scenario: A response that is later than usual isn't given up
+    The submission is stored, read and assigned in three responses. A leader
+    that gave up its renewals would lose its lead before.
+    Given hosts stay in their pools
+    When the store takes 0.7 s for each response
+    And job "00000000000000b8" of 1 task is submitted within 0.8 s
+    Then a task of job "00000000000000b8" starts within 1.5 s
+
   Scenario: A new leader reads a slow store without waiting for each read
     The release, the takeover, the reads of states, jobs and runners and the
     assignment take seven responses, the delay before a takeover 0.3 s.
