Keep the lead while the store is slow when told to stop

Cause: a leader that is told to stop released its row at once. In a slow store the release, the takeover, the reads of the next leader and its first assignments take seven responses and more, each of 0.2 to 0.74 s, in which nothing starts.

Change: a leader whose latest write took over 0.15 s (ten times the usual) keeps the lead until the store is fast again, and hands over 1 s before the host has to end in any case. A host that can't reach the store behaves as before. The step that makes a handover fail takes the new argument.

--- a/src/azurevane/_internal/daemons/site_host.py
+++ b/src/azurevane/_internal/daemons/site_host.py
@@ -51,6 +51,8 @@
 LAST_REQUESTS_WAIT_S = 0.3
 # Interval at which a host that stops looks whether requests are left.
 IDLE_CHECK_INTERVAL_S = 0.05
+# Part of the grace period in which a leader's row is released.
+HANDOVER_TIME_S = 1.0
 # Part of the grace period that is reserved for the exit of the process.
 STOP_MARGIN_S = 1.0
 IDLE_CONNECTION_TIMEOUT_S = 15.0
@@ -250,7 +252,8 @@
         """Stop gracefully.
 
         The host fails its readiness check until the load balancer has
-        removed it, answers the requests already received, and then ends.
+        removed it, answers the requests already received, hands over the
+        lead, and then ends.
 
         Args:
             on_stopped: called when the process may end.
@@ -271,7 +274,7 @@
                 "azurevane-host", self._resource.in_flight
             ),
         )
-        self.candidate.resign()
+        self.candidate.resign(self._stopping_at + left_s - HANDOVER_TIME_S)
 
     def _stop_listening(self) -> None:
         # Requests that have arrived on open connections are still answered.
@@ -280,7 +283,8 @@
             self._callers_port.stopListening()
 
     def _end_if_idle(self) -> None:
-        if self._resource.in_flight:
+        hands_over = self.leader is not None and self._store.slow
+        if self._resource.in_flight or hands_over:
             self._reactor.callLater(IDLE_CHECK_INTERVAL_S, self._end_if_idle)
             return
         self._end()
--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -24,6 +24,8 @@
 # Time of a transaction and a round trip while the store is healthy; the
 # estimate of the write latency starts from it.
 TYPICAL_WRITE_S = 0.015
+# Ten times the usual time, also across availability zones.
+SLOW_WRITE_S = 0.15
 # The protocol allows five times as many rows per page, but a page of that
 # size would take seconds on a slow link.
 PAGE_ROWS = 100
@@ -166,6 +168,7 @@
         self._write_latency = latency.LatencyEstimate(TYPICAL_WRITE_S)
         # When the latest overdue write was sent.
         self._overdue_sent_at = float("-inf")
+        self._last_write_took_s = 0.0
         self.last_response_at = self._seconds()
 
     @property
@@ -173,6 +176,11 @@
         """Whether a write is overdue and nothing has arrived since it."""
         return self.last_response_at < self._overdue_sent_at
 
+    @property
+    def slow(self) -> bool:
+        """Whether the latest response to a write came late."""
+        return self._last_write_took_s > SLOW_WRITE_S
+
     async def transact(
         self,
         expected_by_row_key: dict[RowKey, int],
@@ -230,7 +238,8 @@
         status, answer = await self._send_request(
             b"POST", "/azurevane/rows-tx", body, timeout_s
         )
-        self._write_latency.record_response(self._seconds() - sent_at)
+        self._last_write_took_s = self._seconds() - sent_at
+        self._write_latency.record_response(self._last_write_took_s)
         if status == 412:
             rows = [_decode_row(row) for row in answer.rows]
             return Conflict({row.row_key: row for row in rows})
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -120,13 +120,30 @@
         background.spawn(self._follower.run(), f"follow {leadership.TABLE}")
         self._ticker.start(CANDIDATE_TICK_INTERVAL_S)
 
-    def resign(self) -> None:
-        """Attempt no more takeovers, and hand over a current term."""
+    def resign(self, deadline: float) -> None:
+        """Attempt no more takeovers, and hand over a current term.
+
+        In a slow store nothing starts for seconds while the lead changes, so
+        a leader keeps it until the store is fast again.
+
+        Args:
+            deadline: monotonic time at which a term is handed over in any
+                case.
+        """
         self._resigned = True
         if self.leader is not None:
             background.spawn(
-                self.leader.hand_over_leadership(), "hand over leadership"
+                self._hand_over(self.leader, deadline), "hand over leadership"
+            )
+
+    async def _hand_over(
+        self, leader: leader_module.Leader, deadline: float
+    ) -> None:
+        while self._store.slow and self._reactor.seconds() < deadline:
+            await twisted_task.deferLater(
+                self._reactor, CANDIDATE_TICK_INTERVAL_S, lambda: None
             )
+        await leader.hand_over_leadership()
 
     def abort(self) -> None:
         """Stop at once without a handover, as when the process is killed."""
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -50,6 +50,18 @@
     And 2.0 s pass
     Then pool "press" has more than 3 hosts
 
+  Scenario: A leader that is told to stop keeps the lead while the store is slow
+    Nothing would start for several responses while the lead changes.
+    Given hosts stay in their pools
+    When the store takes 0.7 s for each response
+    And 2.0 s pass
+    And the leader is told to stop
+    And job "00000000000000bb" of 1 task is submitted within 0.8 s
+    Then a task of job "00000000000000bb" starts within 1.6 s
+    When the store takes 0.0 s for each response
+    And 1.5 s pass
+    Then another host leads
+
   Scenario: A new leader reads a slow store without waiting for each read
     The release, the takeover, the reads of states, jobs and runners and the
     assignment take seven responses, the delay before a takeover 0.3 s.
--- a/tests/scheduler/steps/stop_steps.py
+++ b/tests/scheduler/steps/stop_steps.py
@@ -49,7 +49,7 @@
 
 @when("the next hand-over fails")
 def step_hand_over_fails(context):
-    def fail():
+    def fail(deadline):
         raise RuntimeError("unexpected")
 
     _leader(context).candidate.resign = fail
