--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -550,23 +550,6 @@
     rate: float
 
 
-@catalogue.event(6082)
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunPreempted(catalogue.Event):
-    """Run stopped to make room for an urgent task of priority 0."""
-
-    task: str
-    attempt: int
-    runner: str
-    priority: int
-    fills: bool
-    lost_core_s: float
-    for_task: str
-    for_queue: str
-    for_age_s: float
-    victims: int
-
-
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/policy/__init__.py
+++ b/src/azurevane/_internal/policy/__init__.py
@@ -8,8 +8,8 @@
 - azurevane-control: ``lease_renewal``, ``task_sizes``, ``worker_index``
   and ``worker_placement``;
 - azurevane-host: ``fair_shares``, ``job_order``, ``pacing``, ``pool_sizing``,
-  ``preemption``, ``runner_health``, ``start_window``, ``task_placement``
-  and ``wave_steps``.
+  ``runner_health``, ``start_window``, ``task_placement`` and
+  ``wave_steps``.
 
 ``budgets``, ``buffers``, ``moves`` and ``waves`` are used by tests and
 benchmarks only.
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -30,7 +30,6 @@
 from azurevane._internal.scheduler import job_rows
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import planner as planner_module
-from azurevane._internal.scheduler import preemptor
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import records
 from azurevane._internal.scheduler import renewals
@@ -137,14 +136,6 @@
             self._copy_planner = copy_planner.CopyPlanner(
                 self.scheduler_state, self._planner
             )
-        self._preemptor: preemptor.Preemptor | None = None
-        if settings.scheduling.preemption:
-            self._preemptor = preemptor.Preemptor(
-                self.scheduler_state,
-                self._planner,
-                settings.bounds.checkpoint_s,
-                self.now(),
-            )
         advice: advice_calls.AdviceCalls | None = None
         if settings.advisor_address is not None:
             advice = advice_calls.AdviceCalls(client, settings.advisor_address)
@@ -515,8 +506,6 @@
         self._start_limiter.record_left_over(left_over)
         if self._copy_planner is not None and not left_over:
             self._copy_planner.plan(began_at, self._unix_time())
-        if self._preemptor is not None and not left_over:
-            self._preemptor.preempt(began_at)
         ended_at = self.now()
         self._plan_not_before = ended_at + PLANNING_PAUSE_RATIO * (
             ended_at - began_at
--- a/src/azurevane/_internal/settings/scheduling.py
+++ b/src/azurevane/_internal/settings/scheduling.py
@@ -14,7 +14,6 @@
     "fair_shares": (
         "Order jobs under scarcity by the capacity that their teams used."
     ),
-    "preemption": "Stop tasks for urgent jobs of queues that may preempt.",
     "learned_run_times": (
         "Learn run times of images and speeds of runners from their tasks."
     ),
