--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -41,7 +41,6 @@
     runner: str
     free_cpu: int
     waited_s: float
-    share_factor: float = 1.0
 
 
 @catalogue.event(6004)
@@ -504,29 +503,6 @@
     steps: int
 
 
-@catalogue.event(6080)
-@dataclasses.dataclass(frozen=True, slots=True)
-class TeamsCompete(catalogue.Event):
-    """More waits for a service than fits; shares of teams order its jobs."""
-
-    service: str
-    waiting_cpu: int
-    free_cpu: int
-    waiting_memory: int
-    free_memory: int
-    teams: int
-    highest_factors: str
-    account_age_s: float
-
-
-@catalogue.event(6081)
-@dataclasses.dataclass(frozen=True, slots=True)
-class TeamsCompeteNoMore(catalogue.Event):
-    """All that waits for a service fits again."""
-
-    service: str
-
-
 @catalogue.event(6075)
 @dataclasses.dataclass(frozen=True, slots=True)
 class BusyPeriodChanged(catalogue.Event):
--- a/src/azurevane/_internal/policy/__init__.py
+++ b/src/azurevane/_internal/policy/__init__.py
@@ -7,7 +7,7 @@
   ``shares``;
 - azurevane-control: ``lease_renewal``, ``task_sizes``, ``worker_index``
   and ``worker_placement``;
-- azurevane-host: ``fair_shares``, ``job_order``, ``pacing``, ``pool_sizing``,
+- azurevane-host: ``job_order``, ``pacing``, ``pool_sizing``,
   ``runner_health``, ``start_window``, ``task_placement`` and
   ``wave_steps``.
 
--- a/src/azurevane/_internal/policy/job_order.py
+++ b/src/azurevane/_internal/policy/job_order.py
@@ -11,8 +11,6 @@
 oldest ones get a twentieth of what becomes free once they have waited a
 minute. Within each class, jobs that have begun come first, so that few are
 partly done, and then the most urgent.
-While teams compete for too little capacity, the time left to a job of a team
-that has had more than its share counts as longer (``fair_shares``).
 
 Designed for bursts that exceed the capacity of a pool. Under such a load,
 ordering by urgency alone starts each job at the last moment and makes most
@@ -41,11 +39,6 @@
 # doesn't keep the others from it.
 MAX_OVERDUE_JOBS = 8
 
-# Added to the time left to each job before it is multiplied by its team's
-# factor, so that the factor also tells apart jobs that must start now. About
-# the least time in which a runner is freed for one of them under load.
-SHARE_SLACK_S = 0.25
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobOrderInput:
@@ -60,8 +53,6 @@
         begun: whether any of its tasks was ever started.
         objective_at: time by which the job should have ended.
         remaining_s: run time of the longest chain of unfinished steps.
-        share_factor: factor on the time left, above 1 for a team that has
-            had more than its share of the capacity under scarcity.
         overdue: whether it is one of ``overdue_jobs``.
     """
 
@@ -72,7 +63,6 @@
     arrived_at: float
     objective_at: float
     remaining_s: float
-    share_factor: float = 1.0
     overdue: bool = False
 
 
@@ -89,9 +79,7 @@
         job.priority,
         deadline_class,
         not job.begun,
-        job.arrived_at
-        if late
-        else (start_by - now + SHARE_SLACK_S) * job.share_factor,
+        job.arrived_at if late else start_by - now,
     )
 
 
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -38,7 +38,6 @@
 from azurevane._internal.scheduler import runner_link
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
-from azurevane._internal.scheduler import share_order
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
 from azurevane._internal.scheduler import store_clock
@@ -125,9 +124,6 @@
         self._planner = planner_module.Planner(
             self.scheduler_state,
             settings.bounds.runner_stop_s,
-            share_order.ShareOrder(self.scheduler_state)
-            if settings.scheduling.fair_shares
-            else None,
         )
         if settings.scheduling.learned_run_times:
             self.scheduler_state.learn_run_times()
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -101,7 +101,6 @@
             longer than those that leaders grant.
         restart_leases_until: the same for any runner, where there are too
             many to name them; 0 if there are none.
-        account_by_team: what the runs of each team held on average.
     """
 
     may_extend_leases: bool
@@ -109,7 +108,6 @@
     command_by_host: dict[str, recent_commands.RecentCommand]
     expiry_by_runner: dict[str, float]
     restart_lease_by_runner: dict[str, float]
-    account_by_team: dict[str, list[int]]
     restart_leases_until: float = 0.0
 
 
@@ -151,7 +149,6 @@
     )
 
 
-_NO_ACCOUNTS = msgspec.Raw(b"{}")
 _NO_ESTIMATE = msgspec.Raw(b"null")
 
 
@@ -178,9 +175,6 @@
     )
     # The same for any runner, where there are too many to name them.
     restart_leases_until: float = 0.0
-    # What the teams' runs held on average. Decoded by itself, so that another
-    # form of it doesn't make the row unreadable.
-    usage: msgspec.Raw = _NO_ACCOUNTS
     # Decoded by itself, so that another version of it doesn't make the row
     # unreadable.
     admission: msgspec.Raw = _NO_ESTIMATE
@@ -352,7 +346,6 @@
             expiry_by_runner=self._renewal.expiry_by_runner,
             restart_lease_by_runner=self._renewal.restart_lease_by_runner,
             restart_leases_until=self._renewal.restart_leases_until,
-            account_by_team=_decode_accounts(self._renewal.usage),
         )
         renewal = _RenewalRow(
             token,
@@ -364,7 +357,6 @@
             extends_leases_until=previous.extends_leases_until,
             restart_lease_by_runner=previous.restart_lease_by_runner,
             restart_leases_until=previous.restart_leases_until,
-            usage=self._renewal.usage,
         )
         return Takeover(
             self._leader_row_version,
@@ -387,7 +379,6 @@
     extends_leases_until: float = 0.0,
     restart_lease_by_runner: dict[str, float] | None = None,
     restart_leases_until: float = 0.0,
-    account_by_team: dict[str, list[int]] | None = None,
     estimate: admission.AdmissionEstimate | None = None,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
@@ -400,7 +391,6 @@
         restart_lease_by_runner: until when restarted runners may hold leases
             of before their restart was known, by the same clock.
         restart_leases_until: the same for any runner; 0 if there are none.
-        account_by_team: what the runs of each team held on average.
         estimate: estimate by which the entry hosts admit jobs.
     """
     return msgspec.json.encode(
@@ -413,7 +403,6 @@
             extends_leases_until=extends_leases_until,
             restart_lease_by_runner=restart_lease_by_runner or {},
             restart_leases_until=restart_leases_until,
-            usage=_encode_accounts(account_by_team),
             admission=(
                 _NO_ESTIMATE
                 if estimate is None
@@ -423,22 +412,6 @@
     )
 
 
-def _encode_accounts(
-    account_by_team: dict[str, list[int]] | None,
-) -> msgspec.Raw:
-    if not account_by_team:
-        return _NO_ACCOUNTS
-    return msgspec.Raw(msgspec.json.encode(account_by_team))
-
-
-def _decode_accounts(usage: msgspec.Raw) -> dict[str, list[int]]:
-    """Return the accounts; none if another version has another form."""
-    try:
-        return msgspec.json.decode(usage, type=dict[str, list[int]])
-    except msgspec.MsgspecError:
-        return {}
-
-
 def decode_pending_jobs(value: bytes) -> dict[str, int] | None:
     """Return the number of jobs of each queue that haven't started.
 
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Collection, Sequence
 import dataclasses
-import itertools
 import logging
 
 from azurevane._internal.events import catalogue
@@ -16,7 +15,6 @@
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import scheduler_state as state_module
-from azurevane._internal.scheduler import share_order as share_order_module
 
 logger = logging.getLogger(__name__)
 
@@ -37,22 +35,17 @@
 
     Args:
         runner_stop_s: time that a run may take to save its state and stop.
-        share_order: how the shares of teams change the order, if they do.
     """
 
     def __init__(
         self,
         scheduler_state: state_module.SchedulerState,
         runner_stop_s: float,
-        share_order: share_order_module.ShareOrder | None = None,
     ) -> None:
-        self._share_order = share_order
         self._scheduler_state = scheduler_state
         self._runner_stop_s = runner_stop_s
         self._passes = 0
         self._set_aside_until: dict[str, float] = {}
-        # Factors on the time left of the service that is planned.
-        self._factor_by_team: dict[str, float] = {}
         # Attempt number and checkpoint shared by the members of a gang.
         self._gang_attempt_by_step: dict[
             tuple[str, int, int], tuple[int, str]
@@ -71,8 +64,6 @@
         Returns:
             The number of services left over.
         """
-        if self._share_order is not None:
-            self._share_order.advance_accounts(now)
         if self._set_aside_until:
             self._bring_back_jobs(now)
         self._stop_draining_runs(now)
@@ -113,9 +104,7 @@
         error_by_job: dict[str, str] = {}
         for job in live_jobs.values():
             try:
-                job_order.order_key(
-                    job.order_input(self._share_factor(job)), now
-                )
+                job_order.order_key(job.order_input(), now)
                 for occurrence, index in job.ready_steps(unix_now):
                     self._step_request(job, occurrence, index, now)
             except Exception as error:
@@ -257,15 +246,12 @@
         most_cpu = max(capacity.free.cpu for capacity in capacities)
         most_memory = max(capacity.free.memory for capacity in capacities)
         requests_by_job: dict[str, list[task_placement.StepRequest]] = {}
-        all_fit = True
         for job in jobs:
             requests = requests_by_job[job.job.id] = []
             for occurrence, index in job.ready_steps(unix_now):
                 step = job.job.steps[index]
                 cpu = 0 if step.fills else step.need.cpu
                 fits = cpu <= most_cpu and step.need.memory <= most_memory
-                if not fits:
-                    all_fit = False
                 if (
                     not fits
                     and not job.job.advised
@@ -276,7 +262,7 @@
                 if request is not None:
                     requests += isolation.split_request(job, request, now)
         waiting = [job for job in jobs if requests_by_job[job.job.id]]
-        self._sort_jobs(waiting, requests_by_job, capacities, all_fit, now)
+        self._sort_jobs(waiting, now)
         # Runners that are kept for suspected tasks go to the likeliest first.
         waiting.sort(key=lambda job: not job.awaits_trial(now))
         return [
@@ -285,33 +271,15 @@
             for request in requests_by_job[job.job.id]
         ]
 
-    def _sort_jobs(
-        self,
-        jobs: list[runs.JobState],
-        requests_by_job: dict[str, list[task_placement.StepRequest]],
-        capacities: Sequence[task_placement.RunnerCapacity],
-        all_fit: bool,
-        now: float,
-    ) -> None:
-        self._factor_by_team = {}
-        if self._share_order is not None and jobs:
-            self._factor_by_team = self._share_order.factors(
-                self._scheduler_state.service_of(jobs[0].job),
-                itertools.chain.from_iterable(requests_by_job.values()),
-                capacities,
-                all_fit,
-                now,
-            )
-        inputs = [job.order_input(self._share_factor(job)) for job in jobs]
+    @staticmethod
+    def _sort_jobs(jobs: list[runs.JobState], now: float) -> None:
+        inputs = [job.order_input() for job in jobs]
         for index in job_order.overdue_jobs(inputs, now):
             inputs[index] = dataclasses.replace(inputs[index], overdue=True)
         keys = [job_order.order_key(item, now) for item in inputs]
         order = sorted(range(len(jobs)), key=keys.__getitem__)
         jobs[:] = [jobs[index] for index in order]
 
-    def _share_factor(self, job: runs.JobState) -> float:
-        return self._factor_by_team.get(job.job.team, 1.0)
-
     def _step_request(
         self, job: runs.JobState, occurrence: int, index: int, now: float
     ) -> task_placement.StepRequest | None:
@@ -425,7 +393,6 @@
                 runner.id,
                 free_cpu,
                 round(now - job.arrived_at, 3),
-                round(self._share_factor(job), 2),
             ),
         )
 
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -82,7 +82,6 @@
     state.restart_leases_until = min(
         clock.certainly_passed_at(previous.restart_leases_until), latest
     )
-    state.usage.restore(previous.account_by_team)
     # The takeover has kept them in the renewal row.
     state.publish_expiries(previous.expiry_by_runner)
     return state
@@ -167,7 +166,6 @@
                 if restart_leases_until > now
                 else 0.0
             ),
-            account_by_team=state.usage.stored_accounts(),
             estimate=(
                 self._estimator.estimate(now, self._max_estimate_bytes)
                 if self._estimator is not None and all_read
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -355,9 +355,7 @@
             )
         return self._remaining_s
 
-    def order_input(
-        self, share_factor: float = 1.0
-    ) -> job_order.JobOrderInput:
+    def order_input(self) -> job_order.JobOrderInput:
         """Return the properties that decide the job's position."""
         return job_order.JobOrderInput(
             priority=self.job.priority,
@@ -367,7 +365,6 @@
             arrived_at=self.arrived_at,
             objective_at=self.objective_at,
             remaining_s=self.remaining_s,
-            share_factor=share_factor,
         )
 
     def is_hopeless(self, now: float) -> bool:
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -19,7 +19,6 @@
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import superseded_runs
-from azurevane._internal.scheduler import usage_account
 
 logger = logging.getLogger(__name__)
 
@@ -65,7 +64,6 @@
         advice_by_step: advisor's latest response for each step name.
         pending_advice_steps: names of steps whose advice was requested and
             has not arrived.
-        usage: accounts of what teams have held.
     """
 
     def __init__(
@@ -96,7 +94,6 @@
         self.copy_outcomes = copies.CopyOutcomes()
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
-        self.usage = usage_account.UsageAccount(self._used_by_team)
         self._changed_job_by_id: dict[str, runs.JobState] = {}
         self._commands: list[commands.Command] = []
         self._services_to_plan: set[str] = set()
--- a/src/azurevane/_internal/settings/scheduling.py
+++ b/src/azurevane/_internal/settings/scheduling.py
@@ -11,9 +11,6 @@
 
 _HELP_BY_NAME = {
     "admission": "Reject jobs that can't end in time to be of use.",
-    "fair_shares": (
-        "Order jobs under scarcity by the capacity that their teams used."
-    ),
     "learned_run_times": (
         "Learn run times of images and speeds of runners from their tasks."
     ),
