--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -41,6 +41,13 @@
     And job "00000000000000b8" of 1 task is submitted within 0.8 s
     Then a task of job "00000000000000b8" starts within 1.5 s
 
+  Scenario: Most of a rise of demand in a slow store is served that can be
+    Guards against waits for the store that no rule needs, one after the other.
+    When 8 jobs are sent over 5.0 s
+    And the store takes 0.2 s for each response
+    And 40 jobs are sent over 5.0 s
+    Then at least 0.8 of those that can be are completed in time
+
   Scenario: Hosts move to a pool as soon as a slow store names them
     The submission and the renewal that names the hosts take two responses,
     the leader's write before it one.
