Count moves that wait for their renewal as hosts on their way

Cause: since passes go on while commands wait for the renewal that names their hosts, a pool that is short is short again in the next pass, as only accepted moves count as incoming. In a slow store a pool that wanted five hosts got all eight of the site.

Change: the table knows the pool that each commanded host joins.

Result: the scenario on hosts in a slow store, with the bound added that its job fills five hosts, failed before (eight) and passes.

--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -185,20 +185,23 @@
         commands = self.waves.plan_commands(now)
         # A standby host may be due for maintenance and wanted by a pool; it
         # gets only one of the commands.
-        self._table.commanded_hosts.update(
-            command.host.name for command in commands
-        )
+        self._record_commanded(commands)
         moves = self._moves.plan_commands(self.waves.due_host_names(), now)
+        self._record_commanded(moves)
+        return commands + moves
+
+    def _record_commanded(
+        self, commands: list[host_commands.HostCommand]
+    ) -> None:
         self._table.commanded_hosts.update(
-            command.host.name for command in moves
+            (command.host.name, command.pool) for command in commands
         )
-        return commands + moves
 
     def _release_hosts(
         self, commands: list[host_commands.HostCommand]
     ) -> None:
         for command in commands:
-            self._table.commanded_hosts.discard(command.host.name)
+            self._table.commanded_hosts.pop(command.host.name, None)
             if not command.wave:
                 self._table.end_drain(command.host)
 
@@ -215,7 +218,7 @@
             if decided_at < send_before and leader.may_send_commands():
                 outcome = await self._call_platform(command, send_before)
         finally:
-            self._table.commanded_hosts.discard(host.name)
+            self._table.commanded_hosts.pop(host.name, None)
         self._handle_outcome(command, outcome)
         catalogue.emit(
             logger,
--- a/src/azurevane/_internal/scheduler/host_table.py
+++ b/src/azurevane/_internal/scheduler/host_table.py
@@ -30,7 +30,8 @@
         maintenance_until: hosts in maintenance, and its earliest end.
         paused_until: until when hosts get no command, after one that wasn't
             accepted or that a previous leader sent.
-        commanded_hosts: hosts with a command that is planned or in flight.
+        commanded_hosts: hosts with a command that is planned or in flight,
+            and the pool that each joins; empty for maintenance.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         self.incoming_by_host: dict[str, tuple[str, float]] = {}
         self.maintenance_until: dict[str, float] = {}
         self.paused_until: dict[str, float] = {}
-        self.commanded_hosts: set[str] = set()
+        self.commanded_hosts: dict[str, str] = {}
         self._unregistered_since: dict[str, float] = {}
         # When a command for a host was accepted.
         self._commanded_at_by_host: dict[str, float] = {}
@@ -193,9 +194,10 @@
         count_by_pool: dict[str, int] = {}
         for name, host in self.host_by_name.items():
             incoming = self.incoming_by_host.get(name)
-            if incoming is None and not self._awaits_registration(host, now):
+            pool = incoming[0] if incoming else self.commanded_hosts.get(name)
+            if not pool and not self._awaits_registration(host, now):
                 continue
-            pool = incoming[0] if incoming else host.pool
+            pool = pool or host.pool
             count_by_pool[pool] = count_by_pool.get(pool, 0) + 1
         return count_by_pool
 
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -50,12 +50,13 @@
 
   Scenario: Hosts move to a pool as soon as a slow store names them
     The submission and the renewal that names the hosts take two responses,
-    the leader's write before it one.
+    the leader's write before it one. The job fills five hosts.
     When 8.0 s pass
     And the store takes 0.75 s for each response
     And job "00000000000000b9" of 80 tasks is submitted
     And 2.0 s pass
     Then pool "press" has more than 3 hosts
+    And pool "press" has fewer than 7 hosts
 
   Scenario: A leader that is told to stop keeps the lead while the store is slow
     Nothing would start for several responses while the lead changes. The
--- a/tests/scheduler/steps/host_steps.py
+++ b/tests/scheduler/steps/host_steps.py
@@ -28,6 +28,12 @@
     assert len(names) > count, names
 
 
+@then('pool "{pool}" has fewer than {count:d} hosts')
+def step_pool_bounded(context, pool, count):
+    names = [machine.name for machine in _hosts_in(context, pool)]
+    assert len(names) < count, names
+
+
 def _request_wave(context, names, within_s, cap, number=1):
     context.wave_hosts = names
     value = {
