--- a/src/azurevane/_internal/scheduler/host_manager.py
+++ b/src/azurevane/_internal/scheduler/host_manager.py
@@ -9,6 +9,7 @@
 from azurevane._internal.events import catalogue
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import scheduling_settings
+from azurevane._internal.models import site
 from azurevane._internal.platform import host_calls
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import host_command_limit
@@ -130,12 +131,16 @@
         )
         self._table.update_hosts(hosts, asked_at=asked_at, now=listed_at)
 
-    def run_planning_pass(self) -> None:
+    def run_planning_pass(self, wave_by_number: dict[int, site.Wave]) -> None:
         """Plan commands, and send them once they are stored with a renewal.
 
         The list of hosts may be as old as the last one that was read, and
         commands of earlier passes may still be on their way to the store.
+
+        Args:
+            wave_by_number: waves that the operators ask for.
         """
+        self.waves.set_waves(wave_by_number)
         if (
             not self._leader.may_send_commands()
             or not self._table.host_by_name
@@ -172,9 +177,11 @@
         )
         try:
             await self._leader.confirm_leadership()
-        except row_writer.NotLeader:
+        except Exception as error:
             self._release_hosts(commands)
-            return
+            if isinstance(error, row_writer.NotLeader):
+                return
+            raise
         for command in commands:
             background.spawn(
                 self._send_command(command, announced_until),
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -349,8 +349,12 @@
         while not self.stopped:
             if self._site_tables.loaded:
                 background.spawn(manager.read_list_if_due(), "list hosts")
-                manager.waves.set_waves(self._wave_by_number)
-                background.run_step("manage hosts", manager.run_planning_pass)
+                background.run_step(
+                    "manage hosts",
+                    functools.partial(
+                        manager.run_planning_pass, self._wave_by_number
+                    ),
+                )
             await twisted_task.deferLater(
                 self._reactor,
                 host_manager.HOST_PLANNING_INTERVAL_S,
