Remove a bound that only preemption read

Found on reading the change once more: preemption was the only reader of the work between two checkpoints, so its field and its decoding were dead. The settings decoder ignores unknown fields.

--- a/src/azurevane/_internal/models/host_settings.py
+++ b/src/azurevane/_internal/models/host_settings.py
@@ -35,7 +35,6 @@
         early_start_s: maximum time that a start may precede its due time.
         remote_slowdown: factor on the run time of tasks that don't run in
             the rack of their data.
-        checkpoint_s: work between two checkpoints.
         restore_s: time to resume from a checkpoint.
         harm_s: time that a serving task may miss its latency target.
         hosts_fenced: whether the platform enforces fencing tokens.
@@ -52,7 +51,6 @@
     job_kept_s: float
     early_start_s: float
     remote_slowdown: float
-    checkpoint_s: float
     restore_s: float
     harm_s: float
     hosts_fenced: bool
--- a/src/azurevane/_internal/platform/node_settings.py
+++ b/src/azurevane/_internal/platform/node_settings.py
@@ -23,7 +23,6 @@
     status_s: float = msgspec.field(name="status_s", default=120.0)
     early_ms: float = msgspec.field(name="early_ms", default=250.0)
     remote_slowdown: float = 1.5
-    checkpoint_s: float = 2.0
     restore_ms: float = 600.0
     harm_ms: float = 4000.0
     fencing_enforced: bool = False
@@ -129,7 +128,6 @@
         job_kept_s=bounds.status_s,
         early_start_s=bounds.early_ms / 1000,
         remote_slowdown=bounds.remote_slowdown,
-        checkpoint_s=bounds.checkpoint_s,
         restore_s=bounds.restore_ms / 1000,
         harm_s=bounds.harm_ms / 1000,
         hosts_fenced=bounds.fencing_enforced,
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -30,7 +30,6 @@
     job_kept_s=120.0,
     early_start_s=0.25,
     remote_slowdown=1.5,
-    checkpoint_s=2.0,
     restore_s=0.6,
     harm_s=4.0,
     hosts_fenced=False,
