Send first starts before a slow store has their assignments

A rule needs the write only before a later leader starts the task elsewhere. While writes take longer than 0.05 s, the renewal row names the runners that may get tasks. The first start of a task there is sent at once; its assignment is stored behind it. A new leader holds the tasks that may run without a record until each named runner has listed its runs or lost its lease, takes over what it finds, and keeps the names until all states are stored (docs/design/unstored-starts.md).

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -503,6 +503,42 @@
     steps: int
 
 
+@catalogue.event(6077)
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnstoredStartsChanged(catalogue.Event):
+    """Starts are sent before they are stored on named runners, or no more."""
+
+    allowed: bool
+    runners: int
+
+
+@catalogue.event(6078)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartsHeld(catalogue.Event):
+    """Starts wait for runners that may have runs no job's state tells of."""
+
+    runners: int
+
+
+@catalogue.event(6079)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldStartsReleased(catalogue.Event):
+    """Last runner that starts were held for has listed or lost its runs."""
+
+    last_runner: str
+    reason: str
+
+
+@catalogue.event(6080)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunAdopted(catalogue.Event):
+    """Run of a previous leader found on a runner, without a stored record."""
+
+    task: str
+    attempt: int
+    runner: str
+
+
 @catalogue.event(6075)
 @dataclasses.dataclass(frozen=True, slots=True)
 class BusyPeriodChanged(catalogue.Event):
--- a/src/azurevane/_internal/scheduler/commands.py
+++ b/src/azurevane/_internal/scheduler/commands.py
@@ -8,11 +8,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartCommand:
-    """Starts a run; sent once the run's assignment is stored."""
+    """Starts a run.
+
+    Attributes:
+        first_attempt: whether no attempt of the task was assigned before.
+    """
 
     runner_id: str
     run: runs.Run
     message: messages.StartTask
+    first_attempt: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/azurevane/_internal/scheduler/copy_planner.py
+++ b/src/azurevane/_internal/scheduler/copy_planner.py
@@ -207,7 +207,9 @@
             self._planner.advice_ticket(placement.request, runner.id),
         )
         self._scheduler_state.queue_command(
-            commands.StartCommand(runner.id, copy, message)
+            commands.StartCommand(
+                runner.id, copy, message, first_attempt=False
+            )
         )
         remaining_s = decision.remaining_s
         catalogue.emit(
--- a/src/azurevane/_internal/scheduler/host_table.py
+++ b/src/azurevane/_internal/scheduler/host_table.py
@@ -153,7 +153,7 @@
     def update_idle_runners(self, now: float) -> None:
         """Update since when runners have had no tasks."""
         for runner in self._scheduler_state.runner_by_id.values():
-            if runner.run_by_task or runner.need_by_orphan:
+            if self._scheduler_state.maybe_has_runs(runner):
                 self.idle_since.pop(runner.id, None)
             else:
                 self.idle_since.setdefault(runner.id, now)
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -41,6 +41,7 @@
 from azurevane._internal.scheduler import site_tables
 from azurevane._internal.scheduler import start_limiter
 from azurevane._internal.scheduler import store_clock
+from azurevane._internal.scheduler import unstored_starts
 from azurevane._internal.utils import process_lag as process_lag_module
 
 logger = logging.getLogger(__name__)
@@ -147,6 +148,11 @@
         self._row_writer.record_version(
             store.Row(RENEWAL_ROW_KEY, b"", takeover_commit.version)
         )
+        self._unstored_starts = unstored_starts.UnstoredStarts(
+            self.scheduler_state,
+            previous.unstored_runners,
+            settings.store_row_bytes,
+        )
         self._host_manager = self._make_host_manager(previous)
         self._renewals = renewals.Renewals(
             token,
@@ -177,6 +183,7 @@
             store_client,
             self._job_rows,
             self.runner_events,
+            on_jobs_loaded=self._unstored_starts.handle_jobs_loaded,
             on_jobs_changed=self.request_planning,
             on_runners_changed=self._handle_runners_changed,
             on_loaded=self._handle_loaded,
@@ -298,12 +305,14 @@
         self.store_clock = store_clock.StoreClock.from_response(
             outcome.store_time_s, sent_at=sent_at, handled_at=self.now()
         )
+        self._unstored_starts.record_write(sent_at, self.now())
         if RENEWAL_ROW_KEY not in row_keys:
             # The other hosts see only renewals, so no other write keeps them
             # from taking over.
             return
         self._confirmed_at = max(self._confirmed_at, sent_at)
         self._renewals.handle_stored()
+        self._unstored_starts.handle_names_stored()
 
     # Start and stop.
 
@@ -491,13 +500,30 @@
             else:
                 self._command_sender.send_command(command)
         if starts:
-            self._command_sender.send_starts_after(
-                self._row_writer.flush(), starts
-            )
+            self._send_starts(starts)
         elif job_failed:
             # Its callers read the stored state.
             self._row_writer.flush().addErrback(lambda _: None)
 
+    def _send_starts(self, starts: list[commands.StartCommand]) -> None:
+        """Send starts once they are stored, or at once where that is safe."""
+        now = self.now()
+        at_once = [
+            command
+            for command in starts
+            if self._unstored_starts.allows(command, now)
+        ]
+        waiting = [command for command in starts if command not in at_once]
+        if waiting:
+            self._command_sender.send_starts_after(
+                self._row_writer.flush(), waiting
+            )
+        if at_once:
+            self._unstored_starts.track(at_once, self._row_writer.flush())
+            self._command_sender.send_starts_after(
+                defer.succeed(None), at_once
+            )
+
     def _plan(self) -> None:
         began_at = self.now()
         left_over = self._planner.plan(
@@ -545,9 +571,22 @@
             "release runs", lambda: self._release_silent_runs(now)
         )
         background.run_step("update links", self._command_sender.update_links)
+        background.run_step(
+            "unstored starts", lambda: self._update_unstored_starts(now)
+        )
         self.scheduler_state.request_full_plan()
         self.request_planning()
 
+    def _update_unstored_starts(self, now: float) -> None:
+        if self._row_writer.write_began_at is not None:
+            self._unstored_starts.record_write(
+                self._row_writer.write_began_at, now
+            )
+        if self._unstored_starts.renewal_due(now):
+            self._renew()
+        if self._unstored_starts.settle_previous_runners(now):
+            self._unstored_starts.forget_previous_runners(self.store_changes())
+
     def _release_silent_runs(self, now: float) -> None:
         self.runner_events.release_unregistered_runs(now)
         for runner_id, state in list(
@@ -579,5 +618,6 @@
             {}
             if manager is None
             else manager.recent_commands.unexpired(self.store_now()),
+            self._unstored_starts.names_to_store(self.now()),
             all_read=self._site_tables.loaded,
         )
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -6,6 +6,7 @@
 on condition that both still have the versions that it has seen.
 """
 
+from collections.abc import Collection
 import dataclasses
 from typing import TypeVar
 
@@ -101,6 +102,8 @@
             longer than those that leaders grant.
         restart_leases_until: the same for any runner, where there are too
             many to name them; 0 if there are none.
+        unstored_runners: ids of the runners that may have runs of which no
+            job's state tells.
     """
 
     may_extend_leases: bool
@@ -109,6 +112,7 @@
     expiry_by_runner: dict[str, float]
     restart_lease_by_runner: dict[str, float]
     restart_leases_until: float = 0.0
+    unstored_runners: tuple[str, ...] = ()
 
 
 def takeover_delay_s(processors: float, link_mbps: float) -> float:
@@ -175,6 +179,8 @@
     )
     # The same for any runner, where there are too many to name them.
     restart_leases_until: float = 0.0
+    # Ids of the runners that may have runs of which no job's state tells.
+    unstored_runners: tuple[str, ...] = ()
     # Decoded by itself, so that another version of it doesn't make the row
     # unreadable.
     admission: msgspec.Raw = _NO_ESTIMATE
@@ -346,6 +352,7 @@
             expiry_by_runner=self._renewal.expiry_by_runner,
             restart_lease_by_runner=self._renewal.restart_lease_by_runner,
             restart_leases_until=self._renewal.restart_leases_until,
+            unstored_runners=self._renewal.unstored_runners,
         )
         renewal = _RenewalRow(
             token,
@@ -357,6 +364,7 @@
             extends_leases_until=previous.extends_leases_until,
             restart_lease_by_runner=previous.restart_lease_by_runner,
             restart_leases_until=previous.restart_leases_until,
+            unstored_runners=previous.unstored_runners,
         )
         return Takeover(
             self._leader_row_version,
@@ -379,6 +387,7 @@
     extends_leases_until: float = 0.0,
     restart_lease_by_runner: dict[str, float] | None = None,
     restart_leases_until: float = 0.0,
+    unstored_runners: Collection[str] = (),
     estimate: admission.AdmissionEstimate | None = None,
 ) -> bytes:
     """Return the value of the row that the leader renews periodically.
@@ -391,6 +400,8 @@
         restart_lease_by_runner: until when restarted runners may hold leases
             of before their restart was known, by the same clock.
         restart_leases_until: the same for any runner; 0 if there are none.
+        unstored_runners: ids of the runners that may have runs of which no
+            job's state tells.
         estimate: estimate by which the entry hosts admit jobs.
     """
     return msgspec.json.encode(
@@ -403,6 +414,7 @@
             extends_leases_until=extends_leases_until,
             restart_lease_by_runner=restart_lease_by_runner or {},
             restart_leases_until=restart_leases_until,
+            unstored_runners=tuple(unstored_runners),
             admission=(
                 _NO_ESTIMATE
                 if estimate is None
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -287,7 +287,9 @@
         waiting = tuple(
             run.name.index
             for run in step_runs
-            if run.phase is runs.Phase.WAITING and run.not_before <= now
+            if run.phase is runs.Phase.WAITING
+            and run.not_before <= now
+            and not run.maybe_started
         )
         step = job.job.steps[index]
         if not waiting or (step.gang and len(waiting) < step.count):
@@ -371,6 +373,7 @@
         key = request.occurrence, request.step_index
         run = job.runs_by_step[key][placement.index]
         runner = self._scheduler_state.runner_by_id[placement.runner_id]
+        first_attempt = not run.last_attempt
         attempt, checkpoint = run.last_attempt + 1, run.checkpoint
         if request.step.gang:
             attempt, checkpoint = self._gang_attempt(job, key)
@@ -383,7 +386,7 @@
             run.name, attempt, job.job.spec, checkpoint, ticket
         )
         self._scheduler_state.queue_command(
-            commands.StartCommand(runner.id, run, message)
+            commands.StartCommand(runner.id, run, message, first_attempt)
         )
         catalogue.emit(
             logger,
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -166,7 +166,9 @@
     """
     tasks = []
     if not state.status.ended or state.runs_occupying_capacity():
-        tasks = [_encode_task(run) for run in state.all_runs() if run.attempt]
+        tasks = [
+            _encode_task(run) for run in state.all_runs() if run.last_attempt
+        ]
     record = _EncodedRecord(state.status.value, tasks)
     if state.run_ratio_by_step:
         record = _EncodedEndedRecord(
--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -4,7 +4,7 @@
 from the encoding of a renewal until one without it is stored.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from azurevane._internal.scheduler import admission_estimate
 from azurevane._internal.scheduler import leadership
@@ -120,12 +120,15 @@
         now: float,
         clock: store_clock.StoreClock,
         command_by_host: dict[str, recent_commands.RecentCommand],
+        unstored_runners: Collection[str] = (),
         *,
         all_read: bool,
     ) -> bytes:
         """Return the value of the next renewal.
 
         Args:
+            unstored_runners: ids of the runners that may have runs of which
+                no job's state tells.
             all_read: whether all jobs and runners have been read.
         """
         state = self._scheduler_state
@@ -166,6 +169,7 @@
                 if restart_leases_until > now
                 else 0.0
             ),
+            unstored_runners=unstored_runners,
             estimate=(
                 self._estimator.estimate(now, self._max_estimate_bytes)
                 if self._estimator is not None and all_read
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -66,6 +66,8 @@
         closed: whether nothing is written any more.
         rejected_by_store: whether the store rejected the last write or closed
             its connection.
+        write_began_at: when the write that isn't stored yet was first sent,
+            or None while there is none.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self._running = False
         self.closed = False
         self.rejected_by_store = False
+        self.write_began_at: float | None = None
 
     def record_version(self, row: store.Row) -> None:
         """Record the version of a row that was read."""
@@ -166,8 +169,12 @@
                 values.pop(first, None)
                 values = {first: encoder(), **values}
             batch = _first_batch(values)
-            if not await self._write_batch(batch):
-                return False
+            self.write_began_at = self._seconds()
+            try:
+                if not await self._write_batch(batch):
+                    return False
+            finally:
+                self.write_began_at = None
             for row_key in batch:
                 del values[row_key]
         return True
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -49,6 +49,9 @@
         run = None if job is None else job.find_run(ended.task)
         if run is None:
             return
+        if run.maybe_started:
+            run.settle_unstored_start()
+            self._scheduler_state.mark_job_changed(run.job)
         current = False
         for task_run in run.job.runs_of_task(ended.task):
             if (
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -142,6 +142,7 @@
             return
         self._release_lost_runner(runner, reason, now)
         del self._scheduler_state.runner_by_id[runner_id]
+        self._scheduler_state.stop_awaiting_runner(runner_id, reason)
 
     def handle_runners_crashed(
         self, reason_by_runner: Mapping[str, str], now: float
@@ -381,6 +382,8 @@
         now: float,
     ) -> None:
         """Compare the runs assigned to a runner with those it reports."""
+        if runner.id in self._scheduler_state.awaited_runners:
+            self._adopt_runs(runner, report)
         running_by_task = {item.task: item for item in report.running}
         for run in list(runner.run_by_task.values()):
             running = running_by_task.get(run.name)
@@ -397,6 +400,26 @@
             self._stop_orphaned_run(runner, running)
         self._adjust_paces(runner)
 
+    def _adopt_runs(
+        self, runner: runner_state.RunnerState, report: messages.RunnerReport
+    ) -> None:
+        """Take over runs that a previous leader started without a record."""
+        for running in report.running:
+            job = self._scheduler_state.live_job_by_id.get(running.task.job_id)
+            run = None if job is None else job.find_run(running.task)
+            if (
+                run is not None
+                and run.maybe_started
+                and run.phase is _Phase.WAITING
+                and running.attempt == runs.UNSTORED_ATTEMPT
+                and not run.job.status.ended
+            ):
+                self._scheduler_state.adopt_run(run, runner)
+        if report.complete:
+            self._scheduler_state.stop_awaiting_runner(
+                runner.id, "it has listed its runs"
+            )
+
     def _adjust_paces(self, runner: runner_state.RunnerState) -> None:
         """Set the speed of the tasks that use spare processor time.
 
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -41,6 +41,8 @@
     JobStatus.CANCELLED,
 }
 _CAPACITY_PHASES = (Phase.ASSIGNED, Phase.RUNNING, Phase.STOPPING)
+# Only the first attempt of a task starts before its assignment is stored.
+UNSTORED_ATTEMPT = 1
 # Other tasks of a job wait for so long for one that is to start alone.
 MAX_TRIAL_WAIT_S = 5.0
 _NO_CRASHES = crash_attribution.CrashHistory()
@@ -68,6 +70,8 @@
         pace: speed that the runner last accepted, in percent of full speed.
         inherited: whether a previous leader started the run. The runner
             rejects that leader's commands once it knows this leader.
+        maybe_started: whether a previous leader may have started the first
+            attempt of the task without storing its assignment.
         sent_at: when the start command was last sent, or 0.
         acknowledged_at: when the runner confirmed the start, or 0.
         begun_clock_s: time by the runner's clock when it confirmed the start,
@@ -98,6 +102,7 @@
         "job",
         "last_attempt",
         "load",
+        "maybe_started",
         "measured_from",
         "name",
         "not_before",
@@ -134,6 +139,7 @@
         self.failed_attempts: set[int] = set()
         self.failed_on: set[str] = set()
         self.inherited = False
+        self.maybe_started = False
         self.checkpoint = ""
         self.not_before = 0.0
         self.not_serving_since = now
@@ -178,6 +184,7 @@
             self.job.waiting_count -= 1
         self.phase = Phase.ASSIGNED
         self.inherited = False
+        self.maybe_started = False
         self.runner_id = runner_id
         self.attempt = attempt
         self.last_attempt = max(self.last_attempt, attempt)
@@ -196,6 +203,11 @@
         self.waiting_since = now
         self.unconfirmed_since = 0.0
 
+    def settle_unstored_start(self) -> None:
+        """Note that a previous leader's unstored attempt isn't running."""
+        self.maybe_started = False
+        self.last_attempt = max(self.last_attempt, UNSTORED_ATTEMPT)
+
     def finish(self) -> None:
         """Mark the task as done."""
         if self.phase is Phase.WAITING:
@@ -381,6 +393,23 @@
         remaining_s = margin * self.remaining_s
         return (self.objective_at - now) / remaining_s if remaining_s else 1.0
 
+    def note_unstored_starts(self) -> None:
+        """Hold the tasks that a previous leader may have started."""
+        for run in self.all_runs():
+            if not run.last_attempt and run.phase is Phase.WAITING:
+                run.maybe_started = True
+
+    def settle_unstored_starts(self) -> bool:
+        """Let tasks start that no runner runs; return whether there are any.
+
+        Their next attempts get higher numbers than the previous leader may
+        have used, also if the leader changes again.
+        """
+        held = [run for run in self.all_runs() if run.maybe_started]
+        for run in held:
+            run.settle_unstored_start()
+        return bool(held)
+
     def forget_remaining_time(self) -> None:
         """Let the remaining time be computed anew."""
         self._remaining_s = None
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -61,6 +61,8 @@
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
             may show, so that a later leader relies on it.
+        awaited_runners: ids of the runners that may have runs of previous
+            leaders of which no job's state tells, and haven't listed them.
         advice_by_step: advisor's latest response for each step name.
         pending_advice_steps: names of steps whose advice was requested and
             has not arrived.
@@ -88,6 +90,7 @@
         self.restart_leases_until = 0.0
         self.restart_noticed = False
         self.published_runners: set[str] = set()
+        self.awaited_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
         self.run_times: run_time_learner.RunTimeLearner | None = None
@@ -395,6 +398,53 @@
             state.status = runs.JobStatus.RUNNING
         self.mark_job_changed(state)
 
+    def await_runners(self, runner_ids: Iterable[str]) -> None:
+        """Hold starts until runners have listed the runs of previous leaders.
+
+        To be called when all jobs that those leaders knew have been read.
+        """
+        self.awaited_runners = set(runner_ids)
+        if not self.awaited_runners:
+            return
+        for state in self.job_by_id.values():
+            if not state.status.ended:
+                state.note_unstored_starts()
+        catalogue.emit(logger, events.StartsHeld(len(self.awaited_runners)))
+
+    def adopt_run(
+        self, run: runs.Run, runner: runner_state.RunnerState
+    ) -> None:
+        """Take over a run that a previous leader started without a record."""
+        self.assign_run(run, runner, runs.UNSTORED_ATTEMPT)
+        run.inherited = True
+        catalogue.emit(
+            logger, events.RunAdopted(str(run.name), run.attempt, runner.id)
+        )
+
+    def stop_awaiting_runner(self, runner_id: str, reason: str) -> None:
+        """Note that a runner's runs of previous leaders are known or lost.
+
+        Tasks that no runner runs may start once that holds for all.
+        """
+        if runner_id not in self.awaited_runners:
+            return
+        self.awaited_runners.discard(runner_id)
+        if self.awaited_runners:
+            return
+        catalogue.emit(logger, events.HeldStartsReleased(runner_id, reason))
+        for state in self.job_by_id.values():
+            if state.settle_unstored_starts():
+                self.mark_job_changed(state)
+        self.request_full_plan()
+
+    def maybe_has_runs(self, runner: runner_state.RunnerState) -> bool:
+        """Whether a runner has runs, or hasn't shown that it has none."""
+        return bool(
+            runner.run_by_task
+            or runner.need_by_orphan
+            or runner.id in self.awaited_runners
+        )
+
     def release_run(
         self, run: runs.Run, now: float, not_before: float = 0.0
     ) -> None:
@@ -575,15 +625,24 @@
         if self.config is None:
             return {}
         free: dict[str, job_models.Capacity] = {}
-        orphaned_by_team = superseded_runs.needs_by_team(
-            self.runner_by_id.values(), self.job_by_id
-        )
+        further_needs = [
+            superseded_runs.needs_by_team(
+                self.runner_by_id.values(), self.job_by_id
+            )
+        ]
+        if self.awaited_runners:
+            further_needs.append(
+                superseded_runs.maybe_started_needs_by_team(
+                    self.live_job_by_id.values()
+                )
+            )
         for team in self.config.team_by_name.values():
             used = self._used_by_team.get(team.name, [0, 0, 0])
-            if team.name in orphaned_by_team:
-                used = list(
-                    map(operator.add, used, orphaned_by_team[team.name])
-                )
+            for needs_by_team in further_needs:
+                if team.name in needs_by_team:
+                    used = list(
+                        map(operator.add, used, needs_by_team[team.name])
+                    )
             limits = (team.cap.cpu, team.cap.memory, team.cap.gpu)
             if any(limits):
                 free[team.name] = job_models.Capacity(
--- a/src/azurevane/_internal/scheduler/site_tables.py
+++ b/src/azurevane/_internal/scheduler/site_tables.py
@@ -25,6 +25,8 @@
     """Passes the rows of jobs and runners to a leader until stopped.
 
     Args:
+        on_jobs_loaded: called once when all jobs have been read, before any
+            runner is.
         on_jobs_changed: called after rows of jobs were processed.
         on_runners_changed: called after rows of runners were processed.
         on_loaded: called once when all jobs and runners have been read.
@@ -40,6 +42,7 @@
         job_rows: job_rows.JobRows,
         runner_events: runner_events.RunnerEventHandler,
         *,
+        on_jobs_loaded: Callable[[], None],
         on_jobs_changed: Callable[[], None],
         on_runners_changed: Callable[[], None],
         on_loaded: Callable[[], None],
@@ -48,6 +51,7 @@
         self._client = client
         self._job_rows = job_rows
         self._runner_events = runner_events
+        self._on_jobs_loaded = on_jobs_loaded
         self._on_jobs_changed = on_jobs_changed
         self._on_runners_changed = on_runners_changed
         self._on_loaded = on_loaded
@@ -100,6 +104,7 @@
         if self._jobs_loaded:
             return
         self._jobs_loaded = True
+        self._on_jobs_loaded()
         # The tasks that a runner reports can be matched to their jobs only
         # once all jobs have been read.
         self._follow(
--- a/src/azurevane/_internal/scheduler/superseded_runs.py
+++ b/src/azurevane/_internal/scheduler/superseded_runs.py
@@ -47,3 +47,18 @@
                 count = count_by_runner.get(runner.id, 0)
                 count_by_runner[runner.id] = count + 1
     return count_by_runner
+
+
+def maybe_started_needs_by_team(
+    jobs: Iterable[runs.JobState],
+) -> dict[str, list[int]]:
+    """Return the needs of tasks that may run without a stored assignment."""
+    needs: dict[str, list[int]] = {}
+    for job in jobs:
+        for run in job.all_runs():
+            if run.maybe_started:
+                used = needs.setdefault(job.job.team, [0, 0, 0])
+                used[0] += run.step.need.cpu
+                used[1] += run.step.need.memory
+                used[2] += run.step.need.gpu
+    return needs
--- a/src/azurevane/_internal/scheduler/wave_manager.py
+++ b/src/azurevane/_internal/scheduler/wave_manager.py
@@ -206,8 +206,8 @@
                 # Its runner hasn't registered yet, or was given up.
                 continue
             hosts, load = self._table.pool_load(host.pool)
-            empty = runner is None or (
-                not runner.run_by_task and not runner.need_by_orphan
+            empty = runner is None or not self._scheduler_state.maybe_has_runs(
+                runner
             )
             due.append(
                 wave_steps.DueHost(
--- a/tests/scheduler/large_fleet.feature
+++ b/tests/scheduler/large_fleet.feature
@@ -18,3 +18,9 @@
     Given 3000 runners that restarted 1.0 s ago
     Then its renewal fits into a row of 65536 bytes
     And the next leader assumes for each of them the lease of before
+
+  Scenario: The names of runners that may have unstored runs fit into the row
+    Given 3000 runners with tasks that the leader can't reach
+    And 3000 more that get tasks from a store that is slow
+    Then its renewal fits into a row of 65536 bytes
+    And the next leader waits for the runners that it names
--- a/tests/scheduler/steps/large_fleet_steps.py
+++ b/tests/scheduler/steps/large_fleet_steps.py
@@ -11,6 +11,7 @@
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import scheduler_state
 from azurevane._internal.scheduler import store_clock
+from azurevane._internal.scheduler import unstored_starts
 from support import site_world
 
 NOW = 1000.0
@@ -80,9 +81,9 @@
     return state.runner_by_id.values()
 
 
-def _renew(context):
+def _renew(context, names=()):
     renewal = renewals.Renewals(1, context.state, 0.0, ROW_BYTES)
-    context.row = renewal.encode(NOW, _clock(), {}, all_read=True)
+    context.row = renewal.encode(NOW, _clock(), {}, names, all_read=True)
     view = leadership.LeaderView(
         "entry-2", NOW, delay_s=0.0, jitter_s=0.0, address=None
     )
@@ -91,7 +92,7 @@
     view.update_row(leadership.RENEWAL_KEY, context.row, 2, NOW)
     view.record_view(NOW)
     view.record_term_ended(1, "has ended")
-    previous = view.takeover_due(NOW).previous
+    context.previous = previous = view.takeover_due(NOW).previous
     context.next_state = renewals.make_scheduler_state(
         previous,
         _clock(),
@@ -110,6 +111,25 @@
     _renew(context)
 
 
+@given("{count:d} more that get tasks from a store that is slow")
+def make_slow(context, count):
+    unreachable = dict(context.state.runner_by_id)
+    for runner in _make_state(context, 2 * count):
+        if runner.id in unreachable:
+            context.state.runner_by_id[runner.id] = unreachable[runner.id]
+        runner.fenced = True
+    starts = unstored_starts.UnstoredStarts(context.state, (), ROW_BYTES)
+    starts.record_write(NOW - 1.0, NOW)
+    context.names = starts.names_to_store(NOW)
+    assert len(context.names) > 200, len(context.names)
+    _renew(context, context.names)
+
+
+@then("the next leader waits for the runners that it names")
+def check_awaited(context):
+    assert set(context.previous.unstored_runners) == context.names
+
+
 @given("{count:d} runners that restarted {ago:g} s ago")
 def make_restarted(context, count, ago):
     for runner in _make_state(context, count):
--- a/tests/support/series_run.py
+++ b/tests/support/series_run.py
@@ -42,10 +42,12 @@
 
     Args:
         faults: schedule; by default the seed's own.
+        store_delay_s: by how much the store delays each response.
     """
 
-    def __init__(self, seed, faults=None):
+    def __init__(self, seed, faults=None, store_delay_s=0.0):
         self.seed = seed
+        self._store_delay_s = store_delay_s
         # Hosts draw the delays of takeovers from the shared source.
         random.seed(seed)
         self.random = random.Random(f"jobs {seed}")
@@ -168,6 +170,7 @@
         try:
             world.start()
             began_at = world.clock.seconds()
+            world.platform.store_delay_s = self._store_delay_s
             world.schedule_faults(self.faults)
             for _ in range(self.random.randint(4, 8)):
                 at = self.random.uniform(0.0, fault_schedule.FAULTS_LAST_S)
--- a/tools/leader_soak.py
+++ b/tools/leader_soak.py
@@ -34,6 +34,13 @@
         action="store_true",
         help="search for the smallest schedule that breaks the same rule",
     )
+    parser.add_argument(
+        "--store-delay",
+        type=float,
+        default=0.0,
+        metavar="SECONDS",
+        help="by how much the store delays each response",
+    )
     parser.add_argument("--log", action="store_true", help="show all events")
     return parser.parse_args()
 
@@ -42,14 +49,15 @@
     return {problem.partition(":")[0] for problem in problems}
 
 
-def reduce_schedule(seed, faults, rules):
+def reduce_schedule(seed, faults, rules, store_delay_s):
     """Return a schedule without faults that aren't needed for the failure."""
     size = max(len(faults) // 2, 1)
     while True:
         removed = False
         for first in range(len(faults) - size, -1, -size):
             shorter = faults[:first] + faults[first + size :]
-            problems = series_run.SeriesRun(seed, shorter).run()
+            run = series_run.SeriesRun(seed, shorter, store_delay_s)
+            problems = run.run()
             if rules & rules_broken(problems):
                 faults, removed = shorter, True
         if size == 1 and not removed:
@@ -68,7 +76,8 @@
     began_at, broken = time.monotonic(), []
     for seed in range(first, last + 1):
         faults = fault_schedule.draw_schedule(seed, without)
-        problems = series_run.SeriesRun(seed, faults).run()
+        run = series_run.SeriesRun(seed, faults, options.store_delay)
+        problems = run.run()
         if (seed - first + 1) % PROGRESS_SEEDS == 0:
             print(f"seeds up to {seed}: {len(broken)} broken", flush=True)
         if not problems:
@@ -79,7 +88,10 @@
             print("   ", problem, flush=True)
         if options.reduce:
             rules = rules_broken(problems)
-            for fault in reduce_schedule(seed, faults, rules):
+            shortest = reduce_schedule(
+                seed, faults, rules, options.store_delay
+            )
+            for fault in shortest:
                 print("   ", fault, flush=True)
     took_s = time.monotonic() - began_at
     print(
