Repeat no write early where reads show that the store is slow

Cause: a host repeats a write whose response is overdue by its own earlier writes. One that hadn't written since the store became slow repeated each write after 0.24 s, and a slow partition carries out each copy after the others.

Reads and changes that nothing happened in show how slow the store is, so that they raise the time after which a write is repeated.

Result: the scenario's store gets one transaction a submission (before 2).

--- a/src/azurevane/_internal/platform/store.py
+++ b/src/azurevane/_internal/platform/store.py
@@ -24,6 +24,8 @@
 # Time of a transaction and a round trip while the store is healthy; the
 # estimate of the write latency starts from it.
 TYPICAL_WRITE_S = 0.015
+# Time of a read while the store is healthy, without a transaction.
+TYPICAL_READ_S = 0.01
 # Ten times the usual time, also across availability zones.
 SLOW_WRITE_S = 0.15
 # The protocol allows five times as many rows per page, but a page of that
@@ -177,6 +179,8 @@
         )
         self._seconds: Callable[[], float] = reactor.seconds
         self._write_latency = latency.LatencyEstimate(TYPICAL_WRITE_S)
+        # Of reads, which tell of a slow store also a host that rarely writes.
+        self._read_latency = latency.LatencyEstimate(TYPICAL_READ_S)
         # When the latest overdue write was sent.
         self._overdue_sent_at = float("-inf")
         self._last_write_took_s = 0.0
@@ -232,12 +236,24 @@
         call = repeated_call.RepeatedCall(
             self._reactor,
             functools.partial(self._send_transaction, body),
-            overdue_after_s=lambda: self._write_latency.timeout_s(max_wait_s),
+            overdue_after_s=lambda: self._overdue_after_s(max_wait_s),
             on_overdue=self._handle_overdue_write,
             deadline=self._seconds() + max_wait_s,
         )
         return await call.run()
 
+    def _overdue_after_s(self, max_wait_s: float) -> float:
+        return max(
+            self._write_latency.timeout_s(max_wait_s),
+            self._read_latency.timeout_s(max_wait_s),
+        )
+
+    def _record_read(self, took_s: float) -> None:
+        if took_s > self._read_latency.timeout_s(CALL_TIMEOUT_S):
+            self._read_latency.record_timeout(took_s)
+        else:
+            self._read_latency.record_response(took_s)
+
     def _handle_overdue_write(self, sent_at: float) -> None:
         self._overdue_sent_at = sent_at
         self._write_latency.record_timeout(self._seconds() - sent_at)
@@ -280,11 +296,13 @@
         if end:
             # Despite its name the parameter is the range's exclusive end.
             query["target"] = end
+        sent_at = self._seconds()
         _, answer = await self._send_request(
             b"GET",
             f"/azurevane/rows-get?{parse.urlencode(query)}",
             timeout_s=timeout_s,
         )
+        self._record_read(self._seconds() - sent_at)
         rows = tuple(_decode_row(row) for row in answer.rows)
         return ReadResult(rows, answer.version, answer.more)
 
@@ -351,6 +369,7 @@
             "after": str(after),
             "waitMs": str(round(wait_s * 1000)),
         }
+        sent_at = self._seconds()
         status, answer = await self._send_request(
             b"GET",
             f"/azurevane/rows-feed?{parse.urlencode(query)}",
@@ -362,6 +381,9 @@
                 f" version {after}"
             )
         rows = tuple(_decode_row(row) for row in answer.rows)
+        if not rows:
+            # The store held the request for all of the time.
+            self._record_read(max(self._seconds() - sent_at - wait_s, 0.0))
         return ReadResult(rows, answer.version)
 
     async def _send_request(
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -41,6 +41,15 @@
     And job "00000000000000b8" of 1 task is submitted within 0.8 s
     Then a task of job "00000000000000b8" starts within 1.5 s
 
+  Scenario: A write isn't repeated while reads show that the store is slow
+    Guards against transactions of which each takes as long again in a store
+    that carries out one after the other.
+    When 2.0 s pass
+    And the store takes 0.4 s for each response
+    And 3.0 s pass
+    And a job of 1 task is submitted to each host
+    Then the store got 1 transaction for each of them
+
   Scenario: Most of a rise of demand in a slow store is served that can be
     Guards against waits for the store that no rule needs, one after the other.
     When 8 jobs are sent over 5.0 s
--- a/tests/scheduler/steps/slow_store_steps.py
+++ b/tests/scheduler/steps/slow_store_steps.py
@@ -1,11 +1,45 @@
 """Steps about a rise of demand while the store is slow."""
 
+import collections
+
 from behave import then
 from behave import when
 
+from azurevane._internal.scheduler import records
 from support import slow_rise
 
 
+@when("a job of 1 task is submitted to each host")
+def step_submit_to_each(context):
+    world = context.world
+    store = world.platform.store
+    context.submissions = []
+    handle_request = store.handle_request
+
+    def count_request(method, path, query, body):
+        if path.endswith("rows-tx"):
+            context.submissions += [
+                entry["key"]
+                for entry in body["setKeys"]
+                if entry["table"] == records.JOBS_TABLE
+            ]
+        return handle_request(method, path, query, body)
+
+    store.handle_request = count_request
+    phase = {"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 500}
+    for number, host in enumerate(world.host_by_name):
+        job_id = f"{number:x}00000000000000d"
+        response = world.submit_job(context.queue, job_id, [phase], host=host)
+        assert response.status == 200, response
+
+
+@then("the store got {count:d} transaction for each of them")
+def step_transactions(context, count):
+    by_job = collections.Counter(context.submissions)
+    assert len(by_job) == len(context.world.host_by_name), by_job
+    assert set(by_job.values()) == {count}, by_job
+
+
 @when("{count:d} jobs are sent over {seconds:g} s")
 def step_send_jobs(context, count, seconds):
     world = context.world
