Take late jobs of a slow store for no end of a busy period

Cause: the rate of arrivals falls where a window of 0.4 s has no job, as jobs are read up to 0.2 s late. With a store that takes 0.74 s for a submission they are read over a second late and in groups, so the rate fell to nothing in the middle of busy periods.

--- a/src/azurevane/_internal/policy/arrival_rate.py
+++ b/src/azurevane/_internal/policy/arrival_rate.py
@@ -13,9 +13,9 @@
 # A change is searched for in windows of these lengths: the short ones show a
 # strong change at once, the long ones a weak change of a low rate.
 WINDOWS_S = (0.2, 0.4, 0.8, 1.6)
-# Jobs may be read this late, which must not pass for a fall: it isn't searched
-# for in windows that are less than twice as long.
-MAX_READ_DELAY_S = 0.2
+# Jobs are usually read less late than this, which must not pass for a fall: it
+# isn't searched for in windows that are less than twice as long.
+USUAL_READ_DELAY_S = 0.2
 # A window shows a change if the bound on its probability without one, here
 # e to the power of minus this, is below 1 in 100.
 MIN_SURPRISE = 4.6
@@ -73,17 +73,25 @@
         else:
             self._recent.append(at)
 
-    def update(self, now: float) -> float:
-        """Look for a change of the rate; return the rate in jobs a second."""
-        while self._recent and self._recent[0] < now - WINDOWS_S[-1]:
+    def update(self, now: float, read_delay_s: float = 0.0) -> float:
+        """Look for a change of the rate; return the rate in jobs a second.
+
+        Args:
+            read_delay_s: by how much later than usual jobs are read now, so
+                that those of the latest time aren't known yet.
+        """
+        known_until = now - read_delay_s
+        while self._recent and self._recent[0] < known_until - WINDOWS_S[-1]:
             self._recent.popleft()
-        rate = self._mean_rate(now)
+        rate = self._mean_rate(now, known_until)
         for window_s in WINDOWS_S:
-            if self._find_change(window_s, rate, now):
-                rate = self._mean_rate(now)
+            if self._find_rise(window_s, rate, now) or self._find_fall(
+                window_s, rate, known_until
+            ):
+                rate = self._mean_rate(now, known_until)
                 break
         self.rate = rate
-        self.demand_rate = max(rate, self._least_recent_rate(now))
+        self.demand_rate = max(rate, self._least_recent_rate(known_until))
         return rate
 
     def load(self, rate: float, arriving_s: float) -> tuple[float, ...]:
@@ -97,13 +105,17 @@
             rate *= arriving_s / self.mean_path_s
         return tuple(rate * part for part in self.mean_work)
 
-    def _mean_rate(self, now: float) -> float:
-        span_s = now - self.changed_at
+    def _mean_rate(self, now: float, known_until: float) -> float:
+        span_s = known_until - self.changed_at
         if span_s > MAX_SPAN_S:
             self._count *= MAX_SPAN_S / span_s
-            self.changed_at = now - MAX_SPAN_S
+            self.changed_at = known_until - MAX_SPAN_S
             span_s = MAX_SPAN_S
-        return self._count / max(span_s, MIN_SPAN_S)
+        if span_s < MIN_SPAN_S:
+            # All that is known came later.
+            return self._count / max(now - self.changed_at, MIN_SPAN_S)
+        later = sum(at > known_until for at in self._recent)
+        return max(self._count - later, 0.0) / span_s
 
     def _least_recent_rate(self, now: float) -> float:
         """Return the highest lower bound that a window shows."""
@@ -114,29 +126,40 @@
             least = max(least, (count - math.sqrt(count)) / window_s)
         return least
 
-    def _find_change(self, window_s: float, rate: float, now: float) -> bool:
+    def _find_rise(self, window_s: float, rate: float, now: float) -> bool:
         start = now - window_s
         if start < self.changed_at:
             return False
         jobs = [at for at in self._recent if at >= start]
         expected = max(rate, LEAST_RATE) * window_s
-        if len(jobs) > expected:
-            if len(jobs) < MIN_JOBS:
-                return False
-            if _surprise(len(jobs), expected) < MIN_SURPRISE:
-                return False
-            # The first job only marks the beginning.
-            self.changed_at, self._count = jobs[0], len(jobs) - 1.0
-            return True
+        if len(jobs) < MIN_JOBS or len(jobs) <= expected:
+            return False
+        if _surprise(len(jobs), expected) < MIN_SURPRISE:
+            return False
+        # The first job only marks the beginning.
+        self.changed_at, self._count = jobs[0], len(jobs) - 1.0
+        return True
+
+    def _find_fall(
+        self, window_s: float, rate: float, known_until: float
+    ) -> bool:
+        start = known_until - window_s
+        if start < self.changed_at or window_s < 2 * USUAL_READ_DELAY_S:
+            return False
+        since_start = sum(at >= start for at in self._recent)
+        later = sum(at > known_until for at in self._recent)
+        in_window = since_start - later
+        if in_window > max(rate, LEAST_RATE) * window_s:
+            return False
         before_s = start - self.changed_at
         if before_s >= 4 * window_s:
             # The window is no part of what it is compared to.
-            rate = (self._count - len(jobs)) / before_s
-        if rate < LEAST_RATE or window_s < 2 * MAX_READ_DELAY_S:
+            rate = (self._count - since_start) / before_s
+        if rate < LEAST_RATE:
             return False
-        if _surprise(len(jobs), rate * window_s) < MIN_SURPRISE:
+        if _surprise(in_window, rate * window_s) < MIN_SURPRISE:
             return False
-        self.changed_at, self._count = start, float(len(jobs))
+        self.changed_at, self._count = start, float(since_start)
         return True
 
 
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -276,7 +276,12 @@
             self._scheduler_state.live_job_by_id
         )
         self._recorded_job_ids.update(job.job.id for job in new_jobs)
-        self._busy_periods.record_arrivals(map(self._arrival, new_jobs), now)
+        overdue_since = self._scheduler_state.write_overdue_since
+        self._busy_periods.record_arrivals(
+            map(self._arrival, new_jobs),
+            now,
+            known_until=now if overdue_since is None else overdue_since,
+        )
 
     def _arrival(self, job: runs.JobState) -> busy_periods.Arrival:
         work, run_s_by_step = host_packing.Load(), []
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -305,7 +305,9 @@
         self.store_clock = store_clock.StoreClock.from_response(
             outcome.store_time_s, sent_at=sent_at, handled_at=self.now()
         )
-        self._unstored_starts.record_write(sent_at, self.now())
+        if self.now() - sent_at > store.SLOW_WRITE_S:
+            self._unstored_starts.record_slow_write(self.now())
+        self.scheduler_state.write_overdue_since = None
         if RENEWAL_ROW_KEY not in row_keys:
             # The other hosts see only renewals, so no other write keeps them
             # from taking over.
@@ -584,10 +586,10 @@
         self.request_planning()
 
     def _update_unstored_starts(self, now: float) -> None:
-        if self._row_writer.write_began_at is not None:
-            self._unstored_starts.record_write(
-                self._row_writer.write_began_at, now
-            )
+        began_at = self._row_writer.write_began_at
+        if began_at is not None and now - began_at > store.SLOW_WRITE_S:
+            self._unstored_starts.record_slow_write(now)
+            self.scheduler_state.write_overdue_since = began_at
         if self._unstored_starts.renewal_due(now):
             self._renew()
         if self._unstored_starts.settle_previous_runners(now):
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -61,6 +61,8 @@
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
             may show, so that a later leader relies on it.
+        write_overdue_since: when the write was sent that the slow store
+            hasn't answered yet, or None. Jobs of since then may not be known.
         awaited_runners: ids of the runners that may have runs of previous
             leaders of which no job's state tells, and haven't listed them.
         advice_by_step: advisor's latest response for each step name.
@@ -90,6 +92,7 @@
         self.restart_leases_until = 0.0
         self.restart_noticed = False
         self.published_runners: set[str] = set()
+        self.write_overdue_since: float | None = None
         self.awaited_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
--- a/src/azurevane/_internal/scheduler/unstored_starts.py
+++ b/src/azurevane/_internal/scheduler/unstored_starts.py
@@ -20,9 +20,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A write that takes longer than this delays a start by more than a leader
-# change in the same seconds would cost.
-SLOW_WRITE_S = 0.05
 # Writes count as slow for this long after the last slow one.
 SLOW_STORE_MEMORY_S = 3.0
 # Part of the renewal row that the names of runners may take.
@@ -58,10 +55,9 @@
         self._encoded_names: frozenset[str] = self._previous_runners
         self._unstored_count_by_runner: dict[str, int] = {}
 
-    def record_write(self, sent_at: float, now: float) -> None:
-        """Record that a write has taken until now, or isn't stored yet."""
-        if now - sent_at > SLOW_WRITE_S:
-            self._slow_until = now + SLOW_STORE_MEMORY_S
+    def record_slow_write(self, now: float) -> None:
+        """Record that a slow write was stored now, or isn't stored yet."""
+        self._slow_until = now + SLOW_STORE_MEMORY_S
 
     def store_slow(self, now: float) -> bool:
         """Whether writes take so long that starts don't wait for them."""
--- a/tests/policy/arrival_rate.feature
+++ b/tests/policy/arrival_rate.feature
@@ -9,6 +9,14 @@
     Given jobs that arrive at 25 a second for 4.5 s and then at 0.5 a second
     Then 0.8 s after the fall the rate is between 0 and 7 a second
 
+  Scenario: Jobs that a slow store delays aren't taken for a fall
+    Guards against hosts that leave a pool in the middle of its busy period.
+    Jobs are read up to 2.05 s late in passes of 0.25 s; the end shows after that
+    delay, a window of 0.8 s and a further pass.
+    Given jobs that arrive at 20 a second for 8 s, read 1.1 s late each 0.7 s
+    Then between 2.5 s and 8.5 s the rate is always at least 8 a second
+    And from 11.1 s on the rate is at most 4 a second
+
   Scenario: A steady rate is estimated from seconds, not from moments
     Given jobs that arrive at 10 a second for 20 s and then at 10 a second
     Then after 8 s the estimate is off by over 40 percent in 0.05 of the time
--- a/tests/policy/steps/arrival_rate_steps.py
+++ b/tests/policy/steps/arrival_rate_steps.py
@@ -10,6 +10,7 @@
 from azurevane._internal.policy import arrival_rate
 from azurevane._internal.policy import host_packing
 from azurevane._internal.policy import pool_sizing
+from azurevane._internal.scheduler import busy_periods
 from support import pool_load
 
 SEEDS = range(4)
@@ -37,6 +38,56 @@
         context.estimates_by_seed.append(estimates)
 
 
+@given(
+    "jobs that arrive at {rate:g} a second for {seconds:g} s, read {late:g} s"
+    " late each {each:g} s"
+)
+def make_late_arrivals(context, rate, seconds, late, each):
+    context.estimates_by_seed = []
+    for seed in range(20):
+        rng = random.Random(seed)
+        periods = busy_periods.BusyPeriods(1.8, forecast=False)
+        arrivals = [
+            busy_periods.Arrival("press", at, host_packing.Load(1.0), 1.0)
+            for at in sorted(
+                rng.uniform(0.0, seconds) for _ in range(int(rate * seconds))
+            )
+        ]
+        estimates, read = [], 0
+        for tick in range(int((seconds + 6.0) / 0.25)):
+            now = tick * 0.25
+            known_until = now // each * each - late
+            new = [a for a in arrivals[read:] if a.at <= known_until]
+            read += len(new)
+            periods.record_arrivals(new, now)
+            load = periods.arriving("press", now)
+            # Once the period is longer than a job, its load is its rate.
+            estimates.append((now, load.tasks))
+        context.estimates_by_seed.append(estimates)
+
+
+def _estimates_between(context, first, last):
+    return [
+        rate
+        for estimates in context.estimates_by_seed
+        for now, rate in estimates
+        if first <= now <= last
+    ]
+
+
+@then(
+    "between {first:g} s and {last:g} s the rate is always at least {low:g} a"
+    " second"
+)
+def check_least(context, first, last, low):
+    assert min(_estimates_between(context, first, last)) >= low
+
+
+@then("from {first:g} s on the rate is at most {high:g} a second")
+def check_fallen(context, first, high):
+    assert max(_estimates_between(context, first, float("inf"))) <= high
+
+
 def _estimates_at(context, after_s):
     at = context.change_at + after_s
     return sorted(
--- a/tests/scheduler/steps/large_fleet_steps.py
+++ b/tests/scheduler/steps/large_fleet_steps.py
@@ -119,7 +119,7 @@
             context.state.runner_by_id[runner.id] = unreachable[runner.id]
         runner.fenced = True
     starts = unstored_starts.UnstoredStarts(context.state, (), ROW_BYTES)
-    starts.record_write(NOW - 1.0, NOW)
+    starts.record_slow_write(NOW)
     context.names = starts.names_to_store(NOW)
     assert len(context.names) > 200, len(context.names)
     _renew(context, context.names)
