Gather the changes of some milliseconds for a write to a slow store

Cause: a write began with the first change and left those of the same moment to the next one.

After a slow write the next one waits for 5 % of its time, 0.05 s at most, unless a renewal is due. A new leader's first tick comes a tick later, since its takeover counts as a renewal.

--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -144,6 +144,7 @@
             on_committed=self._handle_committed,
             on_leadership_lost=lambda: self.stop("another host holds the row"),
             first_row_key=RENEWAL_ROW_KEY,
+            last_write_s=self.now() - taken_over_at,
         )
         self._row_writer.record_version(
             store.Row(RENEWAL_ROW_KEY, b"", takeover_commit.version)
@@ -338,7 +339,9 @@
         self._site_tables.handle_states_known()
         self._ticker = twisted_task.LoopingCall(self._tick)
         self._ticker.clock = self._reactor
-        self._ticker.start(LEADER_TICK_INTERVAL_S)
+        # The takeover counts as a renewal, and the first write is to tell of
+        # what the runners report.
+        self._ticker.start(LEADER_TICK_INTERVAL_S, now=False)
         background.spawn(
             self._job_rows.delete_ended_jobs(), "delete ended jobs"
         )
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -24,6 +24,11 @@
 MAX_BATCH_ROWS = (store.MAX_TRANSACTION_ENTRIES - 1) // 2
 # Half of the store's limit on the size of a transaction.
 MAX_BATCH_BYTES = 512 * 1024
+# A write waits for further changes for this part of the time that the last one
+# took, and no longer than the maximum. In a slow store they would otherwise
+# wait for a whole further write.
+GATHERING_SHARE = 0.05
+MAX_GATHERING_S = 0.05
 # Delay before a failed write is repeated; it doubles up to the maximum.
 INITIAL_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
@@ -61,6 +66,7 @@
         on_leadership_lost: called once when another host leads.
         first_row_key: row that is written before all others, also before
             those of a flush that has begun.
+        last_write_s: how long the last write took, in seconds.
 
     Attributes:
         closed: whether nothing is written any more.
@@ -82,6 +88,7 @@
         ],
         on_leadership_lost: Callable[[], None],
         first_row_key: store.RowKey | None = None,
+        last_write_s: float = 0.0,
     ) -> None:
         self._client = client
         self._leader_row_key, self._leader_version = leader_row
@@ -97,6 +104,7 @@
         self.closed = False
         self.rejected_by_store = False
         self.write_began_at: float | None = None
+        self._last_write_s = last_write_s
 
     def record_version(self, row: store.Row) -> None:
         """Record the version of a row that was read."""
@@ -139,6 +147,7 @@
     async def _write_until_flushed(self) -> None:
         try:
             while self._waiting_flushes and not self.closed:
+                await self._gather_changes()
                 waiting, self._waiting_flushes = self._waiting_flushes, []
                 dirty, self._dirty = self._dirty, {}
                 try:
@@ -161,6 +170,14 @@
         if self.closed:
             self._fail_waiting_flushes()
 
+    async def _gather_changes(self) -> None:
+        """Wait a little for further changes if the last write was slow."""
+        urgent = self._first_row_key in self._dirty
+        if urgent or self._last_write_s <= store.SLOW_WRITE_S:
+            return
+        gathering_s = GATHERING_SHARE * self._last_write_s
+        await self._sleep(min(gathering_s, MAX_GATHERING_S))
+
     async def _write_all(self, dirty: dict[store.RowKey, RowEncoder]) -> bool:
         values = {row_key: encoder() for row_key, encoder in dirty.items()}
         while values:
@@ -214,6 +231,7 @@
                 retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
             self.rejected_by_store = False
+            self._last_write_s = self._seconds() - sent_at
             if isinstance(outcome, store.Committed):
                 self._handle_committed(batch, outcome, sent_at)
                 return True
