Limit the starts that are sent, not those that wait for the store

Cause: the limit on starts in progress, 32 for a new leader, counted the starts from their decision, so that in a slow store 32 of them began per write. And a write that confirms nothing left a new leader without the right to send what it had just stored: its takeover was 1.8 s old by then.

The limit counts starts from their sending; those that the store has and that it holds back wait in their order. A pass that leaves services out is followed by another one while the limit allows. In a slow store every write carries a renewal.

--- a/src/azurevane/_internal/scheduler/command_sender.py
+++ b/src/azurevane/_internal/scheduler/command_sender.py
@@ -1,12 +1,12 @@
 """Sends commands to runners, and requests for advice to the advisor."""
 
+import collections
 from collections.abc import Sequence
 import logging
 from typing import Any
 
 from twisted.internet import defer
 from twisted.internet import task as twisted_task
-from twisted.python import failure
 
 from azurevane import exceptions
 from azurevane._internal.models import runner_messages as messages
@@ -51,6 +51,10 @@
         self._lease_s = lease_s
         self._link_by_id: dict[str, runner_link.RunnerLink] = {}
         self._start_limiter = limiter
+        self._unsent_starts: collections.deque[commands.StartCommand] = (
+            collections.deque()
+        )
+        self._sending_starts = False
 
     def stop(self) -> None:
         """Stop all links; nothing is sent any more."""
@@ -83,17 +87,29 @@
         starts: Sequence[commands.StartCommand],
     ) -> None:
         """Send start commands once their assignments are stored."""
-        self._start_limiter.record_decided(len(starts))
 
         def send(_: None) -> None:
-            for command in starts:
-                background.spawn(self._send_start(command), "start")
+            self._unsent_starts.extend(starts)
+            self._send_starts()
+
+        # On a change of the leader, the next one starts the tasks.
+        stored.addCallbacks(send, lambda _: None)
 
-        def give_up(_: failure.Failure) -> None:
-            # This host no longer leads; the next leader starts the tasks.
-            self._start_limiter.record_abandoned(len(starts))
+    @property
+    def unsent_start_count(self) -> int:
+        """Number of starts that may be sent but aren't yet."""
+        return len(self._unsent_starts)
 
-        stored.addCallbacks(send, give_up)
+    def _send_starts(self) -> None:
+        if self._sending_starts:
+            # A start that is given up at once calls this again.
+            return
+        self._sending_starts = True
+        while self._unsent_starts and self._start_limiter.may_send():
+            command = self._unsent_starts.popleft()
+            self._start_limiter.record_sent()
+            background.spawn(self._send_start(command), "start")
+        self._sending_starts = False
 
     async def _send_start(self, command: commands.StartCommand) -> None:
         link = self._link_by_id.get(command.runner_id)
@@ -106,6 +122,7 @@
         finally:
             took_s = self._leader.now() - began_at
             self._start_limiter.record_outcome(took_s)
+            self._send_starts()
 
     def _runner_closed(self, command: commands.StartCommand) -> bool:
         """Whether its runner was closed while a start waited for the store."""
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -143,7 +143,7 @@
             sleep=runner_link.make_sleep(reactor),
             on_committed=self._handle_committed,
             on_leadership_lost=lambda: self.stop("another host holds the row"),
-            first_row_key=RENEWAL_ROW_KEY,
+            first_row=(RENEWAL_ROW_KEY, self._encode_renewal),
             last_write_s=self.now() - taken_over_at,
         )
         self._row_writer.record_version(
@@ -537,10 +537,14 @@
 
     def _plan(self) -> None:
         began_at = self.now()
-        left_over = self._planner.plan(
-            began_at, self._unix_time(), self._start_limiter.available()
+        max_starts = self._start_limiter.available(
+            self._command_sender.unsent_start_count
         )
+        left_over = self._planner.plan(began_at, self._unix_time(), max_starts)
         self._start_limiter.record_left_over(left_over)
+        if left_over and max_starts:
+            # Further starts may be stored together with those of this pass.
+            self.request_planning()
         if self._copy_planner is not None and not left_over:
             self._copy_planner.plan(began_at, self._unix_time())
         ended_at = self.now()
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -64,8 +64,9 @@
             sent, its result and the keys of its rows. The write confirms
             that this host led at that time.
         on_leadership_lost: called once when another host leads.
-        first_row_key: row that is written before all others, also before
-            those of a flush that has begun.
+        first_row: row that is written before all others, also before those
+            of a flush that has begun, and its encoder. In a slow store every
+            write has it, since the next one will come late.
         last_write_s: how long the last write took, in seconds.
 
     Attributes:
@@ -87,7 +88,7 @@
             [float, store.Committed, Collection[store.RowKey]], None
         ],
         on_leadership_lost: Callable[[], None],
-        first_row_key: store.RowKey | None = None,
+        first_row: "tuple[store.RowKey, RowEncoder] | None" = None,
         last_write_s: float = 0.0,
     ) -> None:
         self._client = client
@@ -96,7 +97,7 @@
         self._sleep = sleep
         self._on_committed = on_committed
         self._on_leadership_lost = on_leadership_lost
-        self._first_row_key = first_row_key
+        self._first_row = first_row
         self._version_by_row_key: dict[store.RowKey, int] = {}
         self._dirty: dict[store.RowKey, RowEncoder] = {}
         self._waiting_flushes: list[defer.Deferred[None]] = []
@@ -170,10 +171,14 @@
         if self.closed:
             self._fail_waiting_flushes()
 
+    @property
+    def _slow(self) -> bool:
+        return self._last_write_s > store.SLOW_WRITE_S
+
     async def _gather_changes(self) -> None:
         """Wait a little for further changes if the last write was slow."""
-        urgent = self._first_row_key in self._dirty
-        if urgent or self._last_write_s <= store.SLOW_WRITE_S:
+        urgent = self._first_row and self._first_row[0] in self._dirty
+        if urgent or not self._slow:
             return
         gathering_s = GATHERING_SHARE * self._last_write_s
         await self._sleep(min(gathering_s, MAX_GATHERING_S))
@@ -181,10 +186,7 @@
     async def _write_all(self, dirty: dict[store.RowKey, RowEncoder]) -> bool:
         values = {row_key: encoder() for row_key, encoder in dirty.items()}
         while values:
-            first = self._first_row_key
-            if first is not None and (encoder := self._dirty.pop(first, None)):
-                values.pop(first, None)
-                values = {first: encoder(), **values}
+            values = self._with_first_row(values)
             batch = _first_batch(values)
             self.write_began_at = self._seconds()
             try:
@@ -196,6 +198,18 @@
                 del values[row_key]
         return True
 
+    def _with_first_row(
+        self, values: dict[store.RowKey, bytes | None]
+    ) -> dict[store.RowKey, bytes | None]:
+        if self._first_row is None:
+            return values
+        key, encoder = self._first_row
+        due = self._dirty.pop(key, None) is not None or key in values
+        if not due and not self._slow:
+            return values
+        others = {other: values[other] for other in values if other != key}
+        return {key: encoder(), **others}
+
     async def _write_batch(
         self, batch: dict[store.RowKey, bytes | None]
     ) -> bool:
--- a/src/azurevane/_internal/scheduler/start_limiter.py
+++ b/src/azurevane/_internal/scheduler/start_limiter.py
@@ -14,8 +14,7 @@
     """Applies the limit of a start window; times are monotonic seconds.
 
     Attributes:
-        in_progress: number of starts that were decided and have no outcome
-            yet.
+        in_progress: number of starts that were sent and have no outcome yet.
     """
 
     def __init__(self, process_lag: process_lag_module.ProcessLag) -> None:
@@ -26,17 +25,24 @@
         self._put_off_since: float | None = None
         self.in_progress = 0
 
-    def available(self) -> int:
-        """Return how many more starts may begin now."""
-        return self._window.available(self.in_progress)
+    def available(self, unsent: int) -> int:
+        """Return how many more starts may be decided now.
 
-    def record_decided(self, count: int) -> None:
-        """Count starts that were decided."""
-        self.in_progress += count
+        Those that wait for the store don't count, as neither the processor
+        nor the link is busy with them.
 
-    def record_abandoned(self, count: int) -> None:
-        """Count starts that aren't sent because this host leads no more."""
-        self.in_progress -= count
+        Args:
+            unsent: number of starts that may be sent but aren't yet.
+        """
+        return self._window.available(self.in_progress + unsent)
+
+    def may_send(self) -> bool:
+        """Whether a further start may be sent now."""
+        return self.in_progress < self._window.limit
+
+    def record_sent(self) -> None:
+        """Count a start that is sent now."""
+        self.in_progress += 1
 
     def record_outcome(self, took_s: float) -> None:
         """Count a start's outcome.
--- a/tests/scheduler/slow_store.feature
+++ b/tests/scheduler/slow_store.feature
@@ -114,3 +114,18 @@
     When the store loses its next 1 responses
     And a submission is sent and 0.3 s pass
     Then every host accepts a job
+
+  Scenario: A new leader starts what waits with one write
+    Guards against a limit on starts in progress that counts those which wait
+    for the store, of which it allows a new leader 32. The reads and one write
+    with the assignments and a renewal take two responses.
+    Given hosts stay in their pools
+    And tasks that run 30.0 s
+    When the leader's partition of the store goes down
+    And job "00000000000000bc" of 160 tasks is submitted
+    And the leader is killed
+    And the leader's partition of the store works again
+    And the store takes 0.6 s for each response
+    And another host has taken the lead
+    And 1.5 s pass
+    Then more than 100 tasks of job "00000000000000bc" have started
--- a/tests/scheduler/steps/slow_store_steps.py
+++ b/tests/scheduler/steps/slow_store_steps.py
@@ -6,6 +6,7 @@
 from behave import when
 
 from azurevane._internal.scheduler import records
+from support import site_world
 from support import slow_rise
 
 
@@ -40,6 +41,19 @@
     assert set(by_job.values()) == {count}, by_job
 
 
+@when("another host has taken the lead")
+def step_wait_for_leader(context):
+    world = context.world
+    while world.leader_name is None:
+        world.advance_time(site_world.STEP_S)
+
+
+@then('more than {count:d} tasks of job "{job_id}" have started')
+def step_many_started(context, count, job_id):
+    starts = context.world.task_starts(job_id)
+    assert len(starts) > count, len(starts)
+
+
 @when("{count:d} jobs are sent over {seconds:g} s")
 def step_send_jobs(context, count, seconds):
     world = context.world
