--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -451,34 +451,6 @@
     limit: int
 
 
-@catalogue.event(6070)
-@dataclasses.dataclass(frozen=True, slots=True)
-class CopyStarted(catalogue.Event):
-    """Second run of a task assigned beside its slow one."""
-
-    task: str
-    attempt: int
-    runner: str
-    slow_attempt: int
-    slow_runner: str
-    reason: str
-    running_s: float
-    remaining_s: float | None
-    typical_s: float
-    percent: int
-    progress_age_s: float | None
-
-
-@catalogue.event(6071)
-@dataclasses.dataclass(frozen=True, slots=True)
-class CopyDecided(catalogue.Event):
-    """One of two runs of a task ended; the task is done or has one left."""
-
-    task: str
-    attempt: int
-    outcome: str
-
-
 @catalogue.event(6072)
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunTimeLearned(catalogue.Event):
--- a/src/azurevane/_internal/metrics/site_instruments.py
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -136,30 +136,6 @@
     return 1
 
 
-@instruments.instrument(
-    "azurevane.copy.started",
-    "counter",
-    "{run}",
-    events.CopyStarted,
-    ("reason",),
-)
-def _copy_started(event: events.CopyStarted) -> float:
-    """Second runs started beside slow ones."""
-    return 1
-
-
-@instruments.instrument(
-    "azurevane.copy.decided",
-    "counter",
-    "{run}",
-    events.CopyDecided,
-    ("outcome",),
-)
-def _copy_decided(event: events.CopyDecided) -> float:
-    """Tasks with two runs of which one ended, by what followed."""
-    return 1
-
-
 @instruments.instrument(
     "azurevane.run.lost",
     "counter",
--- a/src/azurevane/_internal/models/scheduling_settings.py
+++ b/src/azurevane/_internal/models/scheduling_settings.py
@@ -14,11 +14,9 @@
         admission: reject jobs that can't end in time to be of use.
         learned_run_times: learn the run times of images and the speeds of
             runners from ended and running tasks.
-        copies: run copies of tasks that the job marks as speculative.
         forecast: move hosts to a pool before its next busy period.
     """
 
     admission: bool = False
     learned_run_times: bool = False
-    copies: bool = False
     forecast: bool = False
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -179,19 +179,15 @@
             entry = runner.entry
             runners = runners_by_service.setdefault(entry.service, _Runners())
             capacity, free = entry.capacity, runner.free_capacity()
-            room, long_running_count, copy_count = capacity, 0, 0
+            room, long_running_count = capacity, 0
             for run in runner.run_by_task.values():
                 need = task_placement.capacity_needed(run.step)
                 if run.step.long_running:
                     room -= need
                     long_running_count += 1
-                elif run.is_copy:
-                    # Copies use what is there; no host is fetched for them.
-                    free += need
-                    copy_count += 1
             used = room - free
             runners.running += host_packing.Load(
-                len(runner.run_by_task) - long_running_count - copy_count,
+                len(runner.run_by_task) - long_running_count,
                 used.cpu,
                 used.memory,
                 used.gpu,
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -24,7 +24,6 @@
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import command_sender
 from azurevane._internal.scheduler import commands
-from azurevane._internal.scheduler import copy_planner
 from azurevane._internal.scheduler import host_command_limit
 from azurevane._internal.scheduler import host_manager
 from azurevane._internal.scheduler import job_rows
@@ -128,11 +127,6 @@
         )
         if settings.scheduling.learned_run_times:
             self.scheduler_state.learn_run_times()
-        self._copy_planner: copy_planner.CopyPlanner | None = None
-        if settings.scheduling.copies:
-            self._copy_planner = copy_planner.CopyPlanner(
-                self.scheduler_state, self._planner
-            )
         advice: advice_calls.AdviceCalls | None = None
         if settings.advisor_address is not None:
             advice = advice_calls.AdviceCalls(client, settings.advisor_address)
@@ -545,8 +539,6 @@
         if left_over and max_starts:
             # Further starts may be stored together with those of this pass.
             self.request_planning()
-        if self._copy_planner is not None and not left_over:
-            self._copy_planner.plan(began_at, self._unix_time())
         ended_at = self.now()
         self._plan_not_before = ended_at + PLANNING_PAUSE_RATIO * (
             ended_at - began_at
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -320,28 +320,6 @@
             },
         )
 
-    def copy_request(
-        self, run: runs.Run, key: tuple[int, int], now: float
-    ) -> task_placement.StepRequest:
-        """Return the request to place a copy of a running task."""
-        job = run.job
-        allowed = None
-        if job.job.advised:
-            allowed = self._allowed_runners(job, *key, now)
-        return task_placement.StepRequest(
-            job_id=job.job.id,
-            occurrence=key[0],
-            step_index=key[1],
-            team=job.job.team,
-            step=run.step,
-            waiting_indexes=(run.name.index,),
-            task_count_by_runner=self._scheduler_state.task_count_by_runner(
-                job, key
-            ),
-            allowed_runners=allowed,
-            bearable_slowness=job.bearable_slowness(now),
-        )
-
     def _allowed_runners(
         self, job: runs.JobState, occurrence: int, index: int, now: float
     ) -> frozenset[str]:
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -47,18 +47,18 @@
     checkpoint: str
 
 
-class _CopiedTask(_Task, array_like=True):
-    """A task that had a copy; rows of other tasks lack these fields."""
+class _RetriedTask(_Task, array_like=True):
+    """A task with a higher attempt; rows of other tasks lack this field."""
 
     last_attempt: int = 0
-    # Run beside that of the task, if there is one.
-    copy_attempt: int = 0
-    copy_runner_id: str = ""
 
 
-class _SuspectedTask(_CopiedTask, array_like=True):
+class _SuspectedTask(_RetriedTask, array_like=True):
     """A task that may have crashed runners, or the first one of its gang."""
 
+    # Earlier versions stored a second run of the task here.
+    unused_attempt: int = 0
+    unused_runner_id: str = ""
     crashed_attempts: list[int] = []
     uncertain_attempts: list[int] = []
 
@@ -209,14 +209,13 @@
     history = run.job.crash_history(run)
     if run.last_attempt == run.attempt and not history.suspected:
         return _Task(*fields)
-    copy = run.job.copy_by_task.get(run.name)
-    copy_fields = (0, "") if copy is None else (copy.attempt, copy.runner_id)
     if not history.suspected:
-        return _CopiedTask(*fields, run.last_attempt, *copy_fields)
+        return _RetriedTask(*fields, run.last_attempt)
     return _SuspectedTask(
         *fields,
         run.last_attempt,
-        *copy_fields,
+        0,
+        "",
         sorted(history.attempts),
         sorted(history.uncertain_attempts),
     )
@@ -261,7 +260,3 @@
         elif phase is not runs_module.Phase.WAITING:
             run.assign(task.runner_id, task.attempt)
             run.inherited = True
-            if task.copy_attempt:
-                copy = run.make_copy(task.copy_runner_id, task.copy_attempt)
-                copy.inherited = True
-                state.copy_by_task[run.name] = copy
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -52,14 +52,11 @@
         if run.maybe_started:
             run.settle_unstored_start()
             self._scheduler_state.mark_job_changed(run.job)
-        current = False
-        for task_run in run.job.runs_of_task(ended.task):
-            if (
-                task_run.occupies_capacity
-                and task_run.attempt == ended.attempt
-                and task_run.runner_id == runner.id
-            ):
-                run, current = task_run, True
+        current = (
+            run.occupies_capacity
+            and run.attempt == ended.attempt
+            and run.runner_id == runner.id
+        )
         ran_s = now - run.acknowledged_at if run.acknowledged_at else 0.0
         catalogue.emit(
             logger,
@@ -150,10 +147,10 @@
     def _record_failure(self, run: runs.Run, attempt: int, now: float) -> None:
         """Count a failed attempt.
 
-        The last one allowed fails the job, unless a copy of the task goes on.
+        The last one allowed fails the job, unless the step allows several
+        runs of a task and another one goes on.
         """
-        task_runs = run.job.runs_of_task(run.name)
-        if run.step.long_running or task_runs[0].phase is _Phase.DONE:
+        if run.step.long_running or run.phase is _Phase.DONE:
             return
         run.failed_attempts.add(attempt)
         self._scheduler_state.mark_job_changed(run.job)
@@ -163,10 +160,7 @@
             members = run.job.runs_by_step[key]
         failed = set().union(*(member.failed_attempts for member in members))
         exhausted = len(failed) >= run.job.job.attempts
-        if run.step.speculative and any(
-            other.occupies_capacity and other.maybe_begun
-            for other in task_runs
-        ):
+        if run.step.speculative and run.occupies_capacity and run.maybe_begun:
             return
         if exhausted and not run.job.status.ended:
             self._scheduler_state.end_job(
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -1,5 +1,6 @@
 """State of jobs and of the runs of their tasks."""
 
+import collections
 from collections.abc import Callable, Iterator
 import enum
 
@@ -54,10 +55,7 @@
     Attributes:
         runner_id: runner of the current run, empty while there is none.
         last_attempt: highest number of any attempt of the task. It exceeds
-            ``attempt`` once a copy was started beside the run.
-        fresh_run_s: typical run time that a copy on a sound runner is
-            expected to need, 0 for other runs.
-        is_copy: whether the run was started beside another one of its task.
+            ``attempt`` if a previous leader may have used a number.
         failed_attempts: numbers of the attempts that failed.
         failed_on: ids of the runners on which the task failed or stalled,
             as far as this leader knows.
@@ -96,9 +94,7 @@
         "earlier_stop_until",
         "failed_attempts",
         "failed_on",
-        "fresh_run_s",
         "inherited",
-        "is_copy",
         "job",
         "last_attempt",
         "load",
@@ -133,8 +129,6 @@
         self.phase = Phase.WAITING
         self.attempt = 0
         self.last_attempt = 0
-        self.is_copy = False
-        self.fresh_run_s = 0.0
         self.runner_id = ""
         self.failed_attempts: set[int] = set()
         self.failed_on: set[str] = set()
@@ -212,28 +206,9 @@
         """Mark the task as done."""
         if self.phase is Phase.WAITING:
             self.job.waiting_count -= 1
-        self.discard()
-
-    def discard(self) -> None:
-        """End the run while its task is done or has another run."""
         self.phase = Phase.DONE
         self.runner_id = ""
 
-    def make_copy(self, runner_id: str, attempt: int) -> "Run":
-        """Return a further run of the task, beside this one.
-
-        Both share what is known of earlier attempts.
-        """
-        copy = Run(self.job, self.name, self.step, 0.0)
-        copy.phase = Phase.ASSIGNED
-        copy.is_copy = True
-        copy.failed_attempts = self.failed_attempts
-        copy.failed_on = self.failed_on
-        copy.checkpoint = self.checkpoint
-        copy.assign(runner_id, attempt)
-        self.last_attempt = max(self.last_attempt, attempt)
-        return copy
-
     def whole_run_s(self, now: float) -> float | None:
         """Return the run time of a run that ends now.
 
@@ -290,11 +265,8 @@
         beyond_share: whether its team had used up its share of submissions
             when the job arrived.
         runs_by_step: runs of the tasks of each (occurrence, step index).
-        copy_by_task: second run of each task that has two.
-        speculative: whether copies of some of its tasks may run.
-        run_s_by_step: runners and run times of ended tasks of the steps
-            whose tasks may be copied, or all if run times are learned, by
-            (occurrence, step index).
+        run_s_by_step: runners and run times of ended tasks, if run times are
+            learned, by (occurrence, step index).
         run_ratio_by_step: ratio of actual to declared run time of each step
             of an ended job, 0 where it isn't known; empty if none is.
         unfinished_by_step: number of tasks not done, by the same key.
@@ -334,8 +306,6 @@
                     )
                     for i in range(step.count)
                 ]
-        self.copy_by_task: dict[job_models.TaskName, Run] = {}
-        self.speculative = any(step.speculative for step in job.steps)
         self.run_s_by_step: dict[tuple[int, int], list[tuple[str, float]]] = {}
         self.unfinished_by_step = {
             key: len(runs) for key, runs in self.runs_by_step.items()
@@ -427,9 +397,7 @@
 
     def runs_occupying_capacity(self) -> list[Run]:
         """Return the runs that may use capacity of a runner."""
-        occupying = [run for run in self.all_runs() if run.occupies_capacity]
-        occupying += self.copy_by_task.values()
-        return occupying
+        return [run for run in self.all_runs() if run.occupies_capacity]
 
     def find_run(self, name: job_models.TaskName) -> Run | None:
         """Return the run of a task, or None if the job has no such task."""
@@ -438,23 +406,13 @@
             return None
         return runs[name.index]
 
-    def runs_of_task(self, name: job_models.TaskName) -> list[Run]:
-        """Return the run of a task, and its copy if there is one."""
-        run = self.find_run(name)
-        task_runs = [] if run is None else [run]
-        if name in self.copy_by_task:
-            task_runs.append(self.copy_by_task[name])
-        return task_runs
-
     def task_count_by_runner(self, key: tuple[int, int]) -> dict[str, int]:
-        """Return how many runs of a step each runner has, copies included."""
-        count_by_runner: dict[str, int] = {}
-        for run in self.runs_by_step[key]:
-            for task_run in (run, self.copy_by_task.get(run.name)):
-                if task_run is not None and task_run.occupies_capacity:
-                    count = count_by_runner.get(task_run.runner_id, 0)
-                    count_by_runner[task_run.runner_id] = count + 1
-        return count_by_runner
+        """Return how many runs of a step each runner has."""
+        return collections.Counter(
+            run.runner_id
+            for run in self.runs_by_step[key]
+            if run.occupies_capacity
+        )
 
     def crash_history(self, run: Run) -> crash_attribution.CrashHistory:
         """Return the crashes under a run's task, or under its gang."""
@@ -497,29 +455,8 @@
 
     def starts_suspected_task(self) -> bool:
         """Whether a suspected task has a run that hasn't settled yet."""
-        return any(
-            run.occupies_capacity
-            for name in self.crash_history_by_task
-            for run in self.runs_of_task(name)
-        )
-
-    def drop_run(self, run: Run) -> bool:
-        """End one of two runs of a task; the other one goes on.
-
-        Returns:
-            Whether the task has another run. Otherwise nothing is changed.
-        """
-        copy = self.copy_by_task.pop(run.name, None)
-        if copy is None:
-            return False
-        if run is not copy:
-            key = run.name.occurrence, run.name.step
-            self.runs_by_step[key][run.name.index] = copy
-            copy.is_copy = False
-            copy.last_attempt = max(copy.last_attempt, run.last_attempt)
-            copy.checkpoint = max(copy.checkpoint, run.checkpoint)
-        run.discard()
-        return True
+        suspected = map(self.find_run, self.crash_history_by_task)
+        return any(run and run.occupies_capacity for run in suspected)
 
     def ready_steps(self, unix_now: float) -> list[tuple[int, int]]:
         """Return (occurrence, step index) of each step that may start.
@@ -548,9 +485,6 @@
         if not run.step.gang:
             members = [members[run.name.index]]
         for member in members:
-            copy = self.copy_by_task.pop(member.name, None)
-            if copy is not None:
-                copy.discard()
             if member.phase is not Phase.DONE:
                 member.finish()
                 self.record_task_done(key)
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -11,7 +11,6 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
-from azurevane._internal.policy import copies
 from azurevane._internal.policy import job_order
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import records
@@ -56,7 +55,6 @@
         restart_leases_until: the same for any runner, where there were too
             many to name them.
         run_times: learned run times, or None if the declared ones are used.
-        copy_outcomes: whether copies of tasks were faster.
         restart_noticed: whether a restart was noticed that the renewal row
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
@@ -97,7 +95,6 @@
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
         self.run_times: run_time_learner.RunTimeLearner | None = None
-        self.copy_outcomes = copies.CopyOutcomes()
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed_job_by_id: dict[str, runs.JobState] = {}
@@ -451,40 +448,15 @@
     def release_run(
         self, run: runs.Run, now: float, not_before: float = 0.0
     ) -> None:
-        """Take a run off its runner.
-
-        Its task waits for another run, unless it has one beside this run.
-        """
+        """Take a run off its runner; its task waits for another run."""
         self._remove_from_runner(run)
-        attempt = run.attempt
-        if run.job.drop_run(run):
-            self._log_copy_decided(run.name, attempt, "the other goes on")
-        else:
-            run.release(now, not_before)
-            self._end_job_if_exhausted(run, now)
+        run.release(now, not_before)
+        self._end_job_if_exhausted(run, now)
         self.mark_job_changed(run.job)
         self._drop_job_if_inactive(run.job)
 
-    @staticmethod
-    def _log_copy_decided(
-        task: job_models.TaskName, attempt: int, outcome: str
-    ) -> None:
-        catalogue.emit(logger, events.CopyDecided(str(task), attempt, outcome))
-
-    def _record_copy_outcome(
-        self, copy: runs.Run, won: bool, now: float
-    ) -> None:
-        """Count whether a copy was faster, if it shows that."""
-        ran_s = now - copy.acknowledged_at if copy.acknowledged_at else 0.0
-        if copy.fresh_run_s and (won or ran_s >= copy.fresh_run_s):
-            key = copy.job.job.behaviour_key(copy.step)
-            self.copy_outcomes.record(key, won=won)
-
     def _end_job_if_exhausted(self, run: runs.Run, now: float) -> None:
-        """End the job of a task that may not start again.
-
-        A task whose attempts are used up goes on while a copy of it runs.
-        """
+        """End the job of a task that may not start again."""
         history = run.job.crash_history(run)
         if history.exhausted and not run.job.status.ended:
             crash_count = len(history.all_attempts)
@@ -511,7 +483,7 @@
     ) -> dict[str, int]:
         """Return how many runs of a step each runner has.
 
-        Copies count, as do runs that are being stopped as superseded.
+        Runs that are being stopped as superseded count.
         """
         count_by_runner = job.task_count_by_runner(key)
         if not job.job.steps[key[1]].max_per_runner:
@@ -525,17 +497,6 @@
             )
         return count_by_runner
 
-    def start_copy(
-        self, run: runs.Run, runner: runner_state.RunnerState
-    ) -> runs.Run:
-        """Assign a second run of a running task to another runner."""
-        copy = run.make_copy(runner.id, run.last_attempt + 1)
-        run.job.copy_by_task[run.name] = copy
-        runner.add_run(copy)
-        self._count_usage(copy, 1)
-        self.mark_job_changed(run.job)
-        return copy
-
     def finish_run(self, run: runs.Run, attempt: int, now: float) -> None:
         """Mark a task as done; its job completes with its last task.
 
@@ -543,14 +504,7 @@
             attempt: attempt that ended so. A later one may still run.
         """
         state = run.job
-        members = state.runs_of_task(run.name)
-        if run.name in state.copy_by_task:
-            copy = state.copy_by_task[run.name]
-            by_copy = copy.attempt == attempt
-            self._record_copy_outcome(copy, by_copy, now)
-            self._log_copy_decided(
-                run.name, attempt, "done by copy" if by_copy else "done"
-            )
+        members = [run]
         if run.step.gang:
             members = state.runs_by_step[run.name.occurrence, run.name.step]
         for member in members:
--- a/src/azurevane/_internal/scheduler/unstored_starts.py
+++ b/src/azurevane/_internal/scheduler/unstored_starts.py
@@ -126,7 +126,6 @@
             and command.runner_id in self._encoded_names
             and not step.gang
             and not step.long_running
-            and not step.speculative
             and not job.crash_history_by_task
         )
 
--- a/src/azurevane/_internal/settings/scheduling.py
+++ b/src/azurevane/_internal/settings/scheduling.py
@@ -14,7 +14,6 @@
     "learned_run_times": (
         "Learn run times of images and speeds of runners from their tasks."
     ),
-    "copies": "Run copies of tasks whose jobs allow them.",
     "forecast": "Move hosts to a pool before its next busy period.",
 }
 
--- a/tests/settings/scheduling.feature
+++ b/tests/settings/scheduling.feature
@@ -12,7 +12,7 @@
       """
       [scheduling]
       admission = yes
-      copies = no
+      forecast = no
       """
     Then only "admission" is in use
 
@@ -28,7 +28,7 @@
     Given a settings file
       """
       [scheduling]
-      copies = some
+      forecast = some
       """
     Then the file is rejected with "'some' is not a boolean"
 
