--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -451,30 +451,6 @@
     limit: int
 
 
-@catalogue.event(6072)
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunTimeLearned(catalogue.Event):
-    """Expected ratio of actual to declared run time changed by a tenth."""
-
-    tasks: str
-    ratio: float
-    previous_ratio: float
-    spread: float
-    tail_share: float
-    runs: int
-
-
-@catalogue.event(6073)
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerSpeedChanged(catalogue.Event):
-    """Runner turned so slow that it gets no tasks, or no longer is."""
-
-    runner: str
-    slowness: float
-    very_slow: bool
-    steps: int
-
-
 @catalogue.event(6077)
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnstoredStartsChanged(catalogue.Event):
--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -141,10 +141,6 @@
         """Number of times that its steps run."""
         return max(self.repeats, 1)
 
-    def behaviour_key(self, step: Step) -> str:
-        """Return what tasks that behave as a step's do have in common."""
-        return f"image {step.image}" if step.image else f"queue {self.queue}"
-
     def due_at(self, occurrence: int) -> float:
         """Return the Unix time at which an occurrence may start."""
         if not self.repeats:
--- a/src/azurevane/_internal/models/scheduling_settings.py
+++ b/src/azurevane/_internal/models/scheduling_settings.py
@@ -12,11 +12,8 @@
 
     Attributes:
         admission: reject jobs that can't end in time to be of use.
-        learned_run_times: learn the run times of images and the speeds of
-            runners from ended and running tasks.
         forecast: move hosts to a pool before its next busy period.
     """
 
     admission: bool = False
-    learned_run_times: bool = False
     forecast: bool = False
--- a/src/azurevane/_internal/policy/job_order.py
+++ b/src/azurevane/_internal/policy/job_order.py
@@ -148,18 +148,16 @@
 def critical_path_s(
     steps: Sequence[job_models.Step],
     unfinished: Sequence[bool] | None = None,
-    run_s: Sequence[float] | None = None,
 ) -> float:
-    """Return the run time of the longest chain of dependent steps.
+    """Return the declared run time of the longest chain of steps.
 
     Args:
         unfinished: for each step, whether its run time counts; all count
             if omitted.
-        run_s: expected run time of each step; the declared ones if omitted.
     """
     path_s: list[float] = []
     for index, step in enumerate(steps):
-        own_s = step.estimate_s if run_s is None else run_s[index]
+        own_s = step.estimate_s
         if unfinished is not None and not unfinished[index]:
             own_s = 0.0
         before_s = max((path_s[i] for i in step.after), default=0.0)
@@ -167,15 +165,7 @@
     return max(path_s, default=0.0)
 
 
-def objective_s(
-    queue: site.Queue,
-    steps: Sequence[job_models.Step],
-    run_s: Sequence[float] | None = None,
-) -> float:
-    """Return the time in which a job should end, in seconds.
-
-    Args:
-        run_s: expected run time of each step; the declared ones if omitted.
-    """
-    path_s = critical_path_s(steps, run_s=run_s)
+def objective_s(queue: site.Queue, steps: Sequence[job_models.Step]) -> float:
+    """Return the time in which a job should end, in seconds."""
+    path_s = critical_path_s(steps)
     return queue.objective_factor * path_s + queue.objective_extra_s
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -14,7 +14,6 @@
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import isolated_starts
-from azurevane._internal.policy import runner_speeds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,14 +21,12 @@
     """Free capacity of a runner that may start tasks.
 
     Attributes:
-        slowness: multiple of the usual time that tasks take there.
     """
 
     runner_id: str
     rack: str
     labels: frozenset[str]
     free: job_models.Capacity
-    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,8 +44,6 @@
         avoided_runners_by_index: by task index, IDs of runners on which
             the task isn't started while the step has any other candidate,
             even a full one. The caller drops them after some time.
-        bearable_slowness: slowness of a runner with which the job still
-            meets its objective.
         isolated_s: time for which nothing else may start on the runner of
             tasks that may crash it, None for other tasks.
     """
@@ -64,7 +59,6 @@
     avoided_runners_by_index: dict[int, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
-    bearable_slowness: float = 1.0
     isolated_s: float | None = None
 
     @property
@@ -412,7 +406,7 @@
                 )
             else:
                 remote = bool(step.data_rack) and runner.rack != step.data_rack
-                rank = (remote, _slowness(runner, request), balance.cpu)
+                rank = (remote, balance.cpu)
             if best is None or rank < best_rank:
                 best, best_rank = balance, rank
         if best is None and avoided:
@@ -428,12 +422,6 @@
     return placements
 
 
-def _slowness(runner: RunnerCapacity, request: StepRequest) -> float:
-    """Return the slowness of a runner that matters to a request's job."""
-    bearable = max(request.bearable_slowness, runner_speeds.SLOW)
-    return runner.slowness if runner.slowness > bearable else 1.0
-
-
 def _count_by_rack(
     candidates: list[_RunnerBalance], count_by_runner: dict[str, int]
 ) -> dict[str, int]:
--- a/src/azurevane/_internal/scheduler/admission_estimate.py
+++ b/src/azurevane/_internal/scheduler/admission_estimate.py
@@ -164,7 +164,7 @@
                 continue
             step = job.job.steps[index]
             unfinished_count += count
-            run_s = self._scheduler_state.expected_run_s(job.job, step)
+            run_s = step.estimate_s
             cpu += 0.0 if step.fills else count * run_s * step.need.cpu
             memory += count * run_s * step.need.memory
         if not unfinished_count:
--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -280,19 +280,17 @@
         )
 
     def _arrival(self, job: runs.JobState) -> busy_periods.Arrival:
-        work, run_s_by_step = host_packing.Load(), []
+        work = host_packing.Load()
         for step in job.job.steps:
             need = task_placement.capacity_needed(step)
-            run_s = self._scheduler_state.expected_run_s(job.job, step)
-            run_s_by_step.append(run_s)
             work += host_packing.Load(
                 1, need.cpu, need.memory, need.gpu
-            ).scaled(step.count * run_s)
+            ).scaled(step.count * step.estimate_s)
         return busy_periods.Arrival(
             self._scheduler_state.service_of(job.job),
             job.arrived_at,
             work,
-            job_order.critical_path_s(job.job.steps, run_s=run_s_by_step),
+            job_order.critical_path_s(job.job.steps),
         )
 
     def _add_waiting(
@@ -311,8 +309,7 @@
                 continue
             share = 1.0
             if spread_s:
-                run_s = self._scheduler_state.expected_run_s(job.job, step)
-                share = min(run_s / spread_s, 1.0)
+                share = min(step.estimate_s / spread_s, 1.0)
             waiting.add(step, count, share)
 
 
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -125,8 +125,6 @@
             self.scheduler_state,
             settings.bounds.runner_stop_s,
         )
-        if settings.scheduling.learned_run_times:
-            self.scheduler_state.learn_run_times()
         advice: advice_calls.AdviceCalls | None = None
         if settings.advisor_address is not None:
             advice = advice_calls.AdviceCalls(client, settings.advisor_address)
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -8,7 +8,6 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.policy import job_order
-from azurevane._internal.policy import runner_speeds
 from azurevane._internal.policy import task_placement
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import isolation
@@ -213,7 +212,6 @@
                 runner
                 for runner in usable
                 if now >= runner.health.paused_until
-                and runner.speed.slowness(now) <= runner_speeds.VERY_SLOW
             ]
             if 2 * len(healthy) >= len(usable):
                 # Otherwise most runners are unhealthy, so the jobs rather
@@ -311,7 +309,6 @@
             waiting_indexes=waiting,
             task_count_by_runner=count_by_runner,
             allowed_runners=allowed,
-            bearable_slowness=job.bearable_slowness(now),
             avoided_runners_by_index={
                 index: frozenset(step_runs[index].failed_on)
                 for index in waiting
@@ -411,5 +408,4 @@
         runner.entry.rack,
         runner.entry.labels,
         runner.free_capacity(),
-        runner.speed.slowness(now),
     )
--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -66,9 +66,6 @@
 class _Record(msgspec.Struct, array_like=True):
     status: str
     tasks: list[_SuspectedTask]
-    # Of an ended job, if run times are learned: ratio of actual to declared
-    # run time of each step.
-    run_ratio_by_step: list[float] = []
 
 
 class _EncodedRecord(msgspec.Struct, array_like=True):
@@ -76,10 +73,6 @@
     tasks: list[_Task]
 
 
-class _EncodedEndedRecord(_EncodedRecord, array_like=True):
-    run_ratio_by_step: list[float]
-
-
 class Refusal(msgspec.Struct, frozen=True):
     """A job that was refused and not stored; times are Unix seconds.
 
@@ -170,10 +163,6 @@
             _encode_task(run) for run in state.all_runs() if run.last_attempt
         ]
     record = _EncodedRecord(state.status.value, tasks)
-    if state.run_ratio_by_step:
-        record = _EncodedEndedRecord(
-            state.status.value, tasks, state.run_ratio_by_step
-        )
     value = msgspec.json.encode(record)
     if len(value) <= max_bytes:
         return value
@@ -234,7 +223,6 @@
     """
     record = _decode_record(value)
     state.status = runs_module.JobStatus(record.status)
-    state.run_ratio_by_step = record.run_ratio_by_step
     for task in record.tasks:
         run = state.find_run(
             job_models.TaskName(
--- a/src/azurevane/_internal/scheduler/run_ends.py
+++ b/src/azurevane/_internal/scheduler/run_ends.py
@@ -73,8 +73,6 @@
         self._crash_judge.handle_run_end(runner, run, ended, current=current)
         self._update_health(runner, run, ended.reason, now)
         if ended.reason is messages.EndReason.DONE:
-            if current:
-                self._record_run_time(run, runner, now)
             self._handle_done(run, ended.attempt, current=current, now=now)
             return
         if current:
@@ -86,33 +84,6 @@
         if ended.reason is messages.EndReason.FAILED:
             self._record_failure(run, ended.attempt, now)
 
-    def _record_run_time(
-        self, run: runs.Run, runner: runner_state.RunnerState, now: float
-    ) -> None:
-        """Record the run time for other tasks of the step or the image."""
-        run_s = run.whole_run_s(now)
-        run_times = self._scheduler_state.run_times
-        if run_s is None or run.job.status.ended:
-            return
-        if run_times is not None:
-            counts = run_times.record_run(
-                run,
-                runner,
-                run_s,
-                now,
-                slow_among_others=runner_state.is_slow_among_others(
-                    runner, self._scheduler_state.runner_by_id.values(), now
-                ),
-            )
-        else:
-            counts = run.step.speculative
-        if not counts:
-            return
-        key = run.name.occurrence, run.name.step
-        run.job.run_s_by_step.setdefault(key, []).append(
-            (run.runner_id, run_s)
-        )
-
     def _update_health(
         self,
         runner: runner_state.RunnerState,
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -393,8 +393,6 @@
                 self._stop_if_stalled(runner, run, now)
             elif report.complete:
                 self._handle_unreported_run(runner, run, sent_at, now)
-        if self._scheduler_state.run_times is not None:
-            self._scheduler_state.run_times.observe_runner(runner, now)
         runner.need_by_orphan.clear()
         for running in runner_state.find_orphaned_runs(runner, report):
             self._stop_orphaned_run(runner, running)
@@ -482,9 +480,7 @@
         if run.phase is not _Phase.RUNNING or exempt:
             return
         unchanged_s = now - run.progress_at
-        expected_s = self._scheduler_state.expected_run_s(
-            run.job.job, run.step
-        )
+        expected_s = run.step.estimate_s
         if not runner_health.is_stalled(unchanged_s, expected_s):
             return
         run.failed_on.add(runner.id)
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -1,6 +1,5 @@
 """State of a runner: its entry, lease, capacity and health."""
 
-from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -8,7 +7,6 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
 from azurevane._internal.policy import runner_health
-from azurevane._internal.policy import runner_speeds
 from azurevane._internal.scheduler import runs as runs_module
 
 # Length of the lease that covers all runs on a runner. A shorter lease
@@ -81,8 +79,6 @@
             that aren't assigned to it, by (task, attempt).
         not_before: earliest time of the next start.
         health: record of failures and stalls of the runner's tasks.
-        speed: how slowly its tasks run, if run times are learned.
-        speed_observed_at: when the progress of its runs was last counted.
         last_contact_at: when the runner last responded.
         unreachable: whether the last call to the runner failed.
         reserved_until: until when it starts only tasks that start alone.
@@ -113,8 +109,6 @@
         ] = {}
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
-        self.speed = runner_speeds.RunnerSpeed()
-        self.speed_observed_at = 0.0
         self.last_contact_at = now
         self.unreachable = False
         self._unreachable_since = 0.0
@@ -370,7 +364,6 @@
         self.keep_lease_until(now + longest_lease_s(self._lease_max_s))
         self.not_before = 0.0
         self.health = runner_health.RunnerHealth()
-        self.speed = runner_speeds.RunnerSpeed()
         self.unreachable = False
         self.reserved_until = 0.0
         self.drain_deadline = None
@@ -390,20 +383,6 @@
     return started_at > known_started_at
 
 
-def is_slow_among_others(
-    runner: RunnerState, runners: Iterable[RunnerState], now: float
-) -> bool:
-    """Whether a runner is slow while most of its service's aren't."""
-    if runner.speed.slowness(now) <= runner_speeds.SLOW:
-        return False
-    slow = [
-        other.speed.slowness(now) > runner_speeds.SLOW
-        for other in runners
-        if other.entry.service == runner.entry.service
-    ]
-    return 2 * sum(slow) < len(slow)
-
-
 def find_orphaned_runs(
     runner: RunnerState, report: messages.RunnerReport
 ) -> list[messages.RunningTask]:
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -1,13 +1,12 @@
 """State of jobs and of the runs of their tasks."""
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 import enum
 
 from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import crash_attribution
 from azurevane._internal.policy import job_order
-from azurevane._internal.policy import run_progress
 
 
 class Phase(enum.IntEnum):
@@ -61,8 +60,6 @@
             as far as this leader knows.
         percent: reported progress; 100 while a long-running task serves.
         progress_at: when the reported progress last changed.
-        measured_from: time and percent since which this leader has observed
-            the run's progress, or None.
         load: tail latency of a serving task in milliseconds, otherwise the
             processors in use, in thousandths of a core.
         pace: speed that the runner last accepted, in percent of full speed.
@@ -99,7 +96,6 @@
         "last_attempt",
         "load",
         "maybe_started",
-        "measured_from",
         "name",
         "not_before",
         "not_serving_since",
@@ -144,7 +140,6 @@
         """Reset what is known of the current run."""
         self.percent = 0
         self.progress_at = 0.0
-        self.measured_from: tuple[float, int] | None = None
         self.load = 0.0
         self.pace = 100
         self.sent_at = 0.0
@@ -209,45 +204,8 @@
         self.phase = Phase.DONE
         self.runner_id = ""
 
-    def whole_run_s(self, now: float) -> float | None:
-        """Return the run time of a run that ends now.
-
-        It is None unless this leader has observed the run from its beginning.
-        """
-        if not self.acknowledged_at:
-            return None
-        begun_at = self.acknowledged_at, 0
-        if self.checkpoint and self.measured_from != begun_at:
-            return None
-        if self.measured_from not in (None, begun_at):
-            return None
-        return now - self.acknowledged_at
-
-    def progress(self) -> run_progress.RunProgress:
-        """Return what is known of the progress of a run that has begun."""
-        observed_from, first_percent = self.measured_from or (
-            self.acknowledged_at,
-            0,
-        )
-        return run_progress.RunProgress(
-            self.runner_id,
-            observed_from,
-            first_percent,
-            self.progress_at or observed_from,
-            self.percent,
-        )
-
     def record_progress(self, percent: int, now: float) -> None:
-        """Record the progress that the runner reports.
-
-        The time and progress of a run that resumed from a checkpoint, or
-        that a previous leader started, count from its first report.
-        """
-        if self.measured_from is None:
-            begun_here = self.acknowledged_at and not self.checkpoint
-            self.measured_from = (
-                (self.acknowledged_at, 0) if begun_here else (now, percent)
-            )
+        """Record the progress that the runner reports."""
         if percent != self.percent or not self.progress_at:
             self.progress_at = now
         self.percent = percent
@@ -265,10 +223,6 @@
         beyond_share: whether its team had used up its share of submissions
             when the job arrived.
         runs_by_step: runs of the tasks of each (occurrence, step index).
-        run_s_by_step: runners and run times of ended tasks, if run times are
-            learned, by (occurrence, step index).
-        run_ratio_by_step: ratio of actual to declared run time of each step
-            of an ended job, 0 where it isn't known; empty if none is.
         unfinished_by_step: number of tasks not done, by the same key.
         crash_history_by_task: crashes of runners under tasks that are
             suspected to have caused them; under a gang, by its first task.
@@ -281,11 +235,8 @@
         now: float,
         arrived_at: float,
         objective_at: float,
-        expected_run_s: Callable[[job_models.Step], float] | None = None,
     ) -> None:
         self.job = job
-        self._expected_run_s = expected_run_s
-        self.run_ratio_by_step: list[float] = []
         self.status = JobStatus.QUEUED
         self.arrived_at = arrived_at
         self.objective_at = objective_at
@@ -306,7 +257,6 @@
                     )
                     for i in range(step.count)
                 ]
-        self.run_s_by_step: dict[tuple[int, int], list[tuple[str, float]]] = {}
         self.unfinished_by_step = {
             key: len(runs) for key, runs in self.runs_by_step.items()
         }
@@ -329,11 +279,8 @@
                 bool(self.unfinished_by_step[0, index])
                 for index in range(len(self.job.steps))
             ]
-            run_s = None
-            if self._expected_run_s is not None:
-                run_s = [self._expected_run_s(step) for step in self.job.steps]
             self._remaining_s = job_order.critical_path_s(
-                self.job.steps, unfinished, run_s
+                self.job.steps, unfinished
             )
         return self._remaining_s
 
@@ -357,12 +304,6 @@
         """
         return job_order.is_hopeless(self.order_input(), now)
 
-    def bearable_slowness(self, now: float) -> float:
-        """Return with which slowness of a runner the job ends in time."""
-        margin = 1 + job_order.ESTIMATE_MARGIN_RATIO
-        remaining_s = margin * self.remaining_s
-        return (self.objective_at - now) / remaining_s if remaining_s else 1.0
-
     def note_unstored_starts(self) -> None:
         """Hold the tasks that a previous leader may have started."""
         for run in self.all_runs():
@@ -380,10 +321,6 @@
             run.settle_unstored_start()
         return bool(held)
 
-    def forget_remaining_time(self) -> None:
-        """Let the remaining time be computed anew."""
-        self._remaining_s = None
-
     def record_task_done(self, key: tuple[int, int]) -> None:
         """Count a task of an (occurrence, step index) as done."""
         self.unfinished_by_step[key] -= 1
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 import dataclasses
-import functools
 import logging
 import operator
 
@@ -14,7 +13,6 @@
 from azurevane._internal.policy import job_order
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import records
-from azurevane._internal.scheduler import run_time_learner
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 from azurevane._internal.scheduler import superseded_runs
@@ -54,7 +52,6 @@
             got before its restart was known to a previous leader.
         restart_leases_until: the same for any runner, where there were too
             many to name them.
-        run_times: learned run times, or None if the declared ones are used.
         restart_noticed: whether a restart was noticed that the renewal row
             doesn't tell of yet.
         published_runners: ids of runners whose lease expiry the renewal row
@@ -94,7 +91,6 @@
         self.awaited_runners: set[str] = set()
         self.advice_by_step: dict[str, StepAdvice] = {}
         self.pending_advice_steps: set[str] = set()
-        self.run_times: run_time_learner.RunTimeLearner | None = None
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed_job_by_id: dict[str, runs.JobState] = {}
@@ -211,15 +207,12 @@
             job,
             now=now,
             arrived_at=arrived_at,
-            objective_at=arrived_at + self._objective_s(job),
-            expected_run_s=functools.partial(self.expected_run_s, job),
+            objective_at=arrived_at + job.objective_s,
         )
         self.job_by_id[job.id] = state
         state.beyond_share = self._count_against_share(job, arrived_at)
         if stored_state is not None:
             records.restore_state(state, stored_state)
-            if self.run_times is not None:
-                self.run_times.restore_job(job, state.run_ratio_by_step)
         if state.status.ended:
             # The end time isn't stored, so the retention of the job's rows
             # starts again now.
@@ -244,20 +237,6 @@
             ),
         )
 
-    def _objective_s(self, job: job_models.Job) -> float:
-        """Return the time in which a job should end, in seconds.
-
-        It depends on the job's actual work, which the host that accepted the
-        job knew only as declared.
-        """
-        queue = None
-        if self.config is not None:
-            queue = self.config.queue_by_name.get(job.queue)
-        if self.run_times is None or queue is None:
-            return job.objective_s
-        run_s = [self.expected_run_s(job, step) for step in job.steps]
-        return job_order.objective_s(queue, job.steps, run_s)
-
     def _count_against_share(
         self, job: job_models.Job, arrived_at: float
     ) -> bool:
@@ -300,27 +279,6 @@
         queue = self.config.queue_by_name.get(job.queue)
         return job.service if queue is None else queue.service
 
-    def expected_run_s(
-        self, job: job_models.Job, step: job_models.Step
-    ) -> float:
-        """Return the expected run time of a step's task, in seconds.
-
-        The time is that of a whole run on a sound runner near its data.
-        """
-        if self.run_times is None:
-            return step.estimate_s
-        return self.run_times.expected_run_s(job, step)
-
-    def learn_run_times(self) -> None:
-        """Learn run times from ended runs instead of the declared ones."""
-        self.run_times = run_time_learner.RunTimeLearner(
-            self._forget_remaining_times
-        )
-
-    def _forget_remaining_times(self) -> None:
-        for job in self.live_job_by_id.values():
-            job.forget_remaining_time()
-
     def forget_job(self, job_id: str) -> None:
         """Remove a job whose rows were deleted."""
         self.job_by_id.pop(job_id, None)
@@ -343,10 +301,6 @@
         """Set a job's final status and stop its remaining runs."""
         state.status = status
         state.ended_at = now
-        if self.run_times is not None:
-            ratios = run_time_learner.ratio_by_step(state)
-            state.run_ratio_by_step = ratios
-        state.run_s_by_step.clear()
         self.mark_job_changed(state)
         catalogue.emit(
             logger,
--- a/src/azurevane/_internal/settings/scheduling.py
+++ b/src/azurevane/_internal/settings/scheduling.py
@@ -11,9 +11,6 @@
 
 _HELP_BY_NAME = {
     "admission": "Reject jobs that can't end in time to be of use.",
-    "learned_run_times": (
-        "Learn run times of images and speeds of runners from their tasks."
-    ),
     "forecast": "Move hosts to a pool before its next busy period.",
 }
 
