--- a/src/azurevane/_internal/scheduler/demand.py
+++ b/src/azurevane/_internal/scheduler/demand.py
@@ -272,11 +272,10 @@
             self._scheduler_state.live_job_by_id
         )
         self._recorded_job_ids.update(job.job.id for job in new_jobs)
-        overdue_since = self._scheduler_state.write_overdue_since
         self._busy_periods.record_arrivals(
             map(self._arrival, new_jobs),
             now,
-            known_until=now if overdue_since is None else overdue_since,
+            known_until=self._scheduler_state.write_overdue_since,
         )
 
     def _arrival(self, job: runs.JobState) -> busy_periods.Arrival:
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -511,12 +511,11 @@
     def _send_starts(self, starts: list[commands.StartCommand]) -> None:
         """Send starts once they are stored, or at once where that is safe."""
         now = self.now()
-        at_once = [
-            command
-            for command in starts
-            if self._unstored_starts.allows(command, now)
-        ]
-        waiting = [command for command in starts if command not in at_once]
+        at_once: list[commands.StartCommand] = []
+        waiting: list[commands.StartCommand] = []
+        for command in starts:
+            allowed = self._unstored_starts.allows(command, now)
+            (at_once if allowed else waiting).append(command)
         if waiting:
             self._command_sender.send_starts_after(
                 self._row_writer.flush(), waiting
--- a/src/azurevane/_internal/scheduler/row_writer.py
+++ b/src/azurevane/_internal/scheduler/row_writer.py
@@ -102,6 +102,7 @@
         self._on_committed = on_committed
         self._on_leadership_lost = on_leadership_lost
         self._first_row = first_row
+        self._first_row_key = None if first_row is None else first_row[0]
         self._version_by_row_key: dict[store.RowKey, int] = {}
         self._dirty: dict[store.RowKey, RowEncoder] = {}
         self._waiting_flushes: list[defer.Deferred[None]] = []
@@ -181,8 +182,7 @@
 
     async def _gather_changes(self) -> None:
         """Wait a little for further changes if the last write was slow."""
-        urgent = self._first_row and self._first_row[0] in self._dirty
-        if urgent or not self._slow:
+        if self._first_row_key in self._dirty or not self._slow:
             return
         gathering_s = GATHERING_SHARE * self._last_write_s
         await self._sleep(min(gathering_s, MAX_GATHERING_S))
@@ -191,10 +191,12 @@
         values = {row_key: encoder() for row_key, encoder in dirty.items()}
         while values:
             values = self._with_first_row(values)
-            max_rows = MAX_BATCH_ROWS
-            if self._first_row is not None and self._first_row[0] in values:
-                max_rows = MAX_ROWS_WITH_FIRST
-            batch = _first_batch(values, max_rows)
+            batch = _first_batch(
+                values,
+                MAX_ROWS_WITH_FIRST
+                if self._first_row_key in values
+                else MAX_BATCH_ROWS,
+            )
             self.write_began_at = self._seconds()
             try:
                 if not await self._write_batch(batch):
@@ -268,9 +270,10 @@
         self, batch: Collection[store.RowKey]
     ) -> dict[store.RowKey, int]:
         """Return the rows on whose versions a write depends."""
-        conditional = batch
-        if self._first_row is not None and self._first_row[0] in batch:
-            conditional = (self._first_row[0],)
+        first = self._first_row_key
+        conditional = (
+            batch if first is None or first not in batch else (first,)
+        )
         versions = {key: self._version(key) for key in conditional}
         return {**versions, self._leader_row_key: self._leader_version}
 
--- a/src/azurevane/_internal/scheduler/superseded_runs.py
+++ b/src/azurevane/_internal/scheduler/superseded_runs.py
@@ -1,11 +1,13 @@
-"""Capacity of runs that are being stopped because their task is done.
+"""Capacity of runs that aren't assigned but may use their runner.
 
-Such a run isn't assigned any more, but counts until its runner no longer
-lists it.
+These are runs that are being stopped because their task is done, until their
+runner no longer lists them, and those that a previous leader may have started
+without storing it.
 """
 
 from collections.abc import Iterable, Mapping
 
+from azurevane._internal.models import job as job_models
 from azurevane._internal.scheduler import runner_state
 from azurevane._internal.scheduler import runs
 
@@ -23,19 +25,25 @@
             job = job_by_id.get(task.job_id)
             if job is None:
                 continue
-            needs = needs_by_team.setdefault(job.job.team, [0, 0, 0])
-            needs[0] += need.cpu
-            needs[1] += need.memory
-            needs[2] += need.gpu
+            _add_need(needs_by_team, job.job.team, need)
     return needs_by_team
 
 
+def _add_need(
+    needs_by_team: dict[str, list[int]], team: str, need: job_models.Capacity
+) -> None:
+    needs = needs_by_team.setdefault(team, [0, 0, 0])
+    needs[0] += need.cpu
+    needs[1] += need.memory
+    needs[2] += need.gpu
+
+
 def count_by_runner(
     runners: Iterable[runner_state.RunnerState],
     job_id: str,
     key: tuple[int, int],
 ) -> dict[str, int]:
-    """Return how many such runs of a step each runner has.
+    """Return how many runs of a step each runner is stopping.
 
     Args:
         key: occurrence and index of the step.
@@ -53,12 +61,9 @@
     jobs: Iterable[runs.JobState],
 ) -> dict[str, list[int]]:
     """Return the needs of tasks that may run without a stored assignment."""
-    needs: dict[str, list[int]] = {}
+    needs_by_team: dict[str, list[int]] = {}
     for job in jobs:
         for run in job.all_runs():
             if run.maybe_started:
-                used = needs.setdefault(job.job.team, [0, 0, 0])
-                used[0] += run.step.need.cpu
-                used[1] += run.step.need.memory
-                used[2] += run.step.need.gpu
-    return needs
+                _add_need(needs_by_team, job.job.team, run.step.need)
+    return needs_by_team
