--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An order is carried out late, by a runner that has restarted meanwhile."""
+"""Orders for idle machines get no answer; do their runners work again?"""
 
 import review_site
 from review_site import sleep
@@ -6,108 +6,103 @@
 
 from azurevane._internal.standins import site_runner
 
-# Of the pages: late orders are carried out 2 to 12 s later.
-LATE_S = 4.0
-RESTART_AFTER_S, RESTART_S = 1.6, 0.5
-SHORT, TWICE, WIDE = "1" * 16, "2" * 16, "3" * 16
-PLANS = {
-    SHORT: site_runner.TaskPlan(1.5, "done", {"cpu": 4000}),
-    TWICE: site_runner.TaskPlan(30.0, "done", {"cpu": 2000}),
-    WIDE: site_runner.TaskPlan(40.0, "done", {"cpu": 28000}),
-}
+OUTAGE_S = 5.0
+MACHINES = 8
+SPARE_MACHINES = 2
+# The rule: from 6 s after a task's last run, for 3 s.
+GRACE_S, WITHOUT_RUN_S = 6.0, 3.0
+# Longer than contactMs, and than the calm that the rule asks for.
+CALM_S = 8.0
+OBSERVED_S = 15.0
+LASTING_JOB = "5c0e7a21d94b36f8"
 
 
-def phases(cpu, run_s):
-    """Return the steps of a job of one task."""
-    return [
-        {
-            "count": 1,
-            "cpu": cpu,
-            "memMb": 1000,
-            "estimateMs": round(run_s * 1000),
-        }
-    ]
-
-
-def hold_up_first_start(site):
-    """Let the first start of the job be carried out late, without answer."""
-    platform = site.platform
-    call_runner = platform._handle_runner_call
-    held_up = []
-
-    def carry_out_late(request):
-        runner = platform.runner_by_address[str(request.address)]
-        site.record.write("late start arrives at", runner.id, request.body)
-        answer = runner.handle_request(request.path, request.body)
-        site.record.write("late start:", answer.status, answer.body)
-
-    def handle_runner_call(entry_host, request):
-        name = (request.body or {}).get("task", "")
-        is_start = request.path.endswith("run-start")
-        if is_start and name.startswith(TWICE) and not held_up:
-            runner = platform.runner_by_address[str(request.address)]
-            held_up.append(runner)
-            site.record.write("start held up for", runner.id, request.body)
-            reactor.callLater(LATE_S, carry_out_late, request)
-            return None
-        return call_runner(entry_host, request)
-
-    platform._handle_runner_call = handle_runner_call
-    return held_up
+def plan_task(name, attempt):
+    """Return how long a task runs, and what it needs."""
+    if name.startswith(LASTING_JOB):
+        return site_runner.TaskPlan(5000.0, "done", {"cpu": 2000})
+    return site_runner.TaskPlan(4.0, "done", {"cpu": 16000})
 
 
 async def scenario(site):
     """Return what broke the rule."""
     platform = site.platform
-    platform.plan_task = lambda name, attempt: PLANS[name[:16]]
+    platform.plan_task = plan_task
+    platform.standby_pools.add("reserve")
     site.put_config(
-        [{"name": "r-fit", "pathPrefix": "/fit/", "service": "press"}],
-        [{"name": "press"}],
+        [
+            {"name": "r-fit", "pathPrefix": "/fit/", "service": "press"},
+            {"name": "r-last", "pathPrefix": "/last/", "service": "press"},
+        ],
+        [{"name": "press"}, {"name": "reserve", "standby": True}],
     )
-    for number in range(8):
+    for number in range(MACHINES):
         rack = f"r1-{number // 4}"
         platform.add_host(f"m-{number}", "press", "east", rack)
+    for number in range(SPARE_MACHINES):
+        platform.add_host(f"s-{number}", "reserve", "east", "r2-0")
     for name in ("entry-1", "entry-2", "entry-3"):
         site.start_host(name)
-    held_up = hold_up_first_start(site) if review_site.TROUBLE else []
-    await site.await_ready()
-    await sleep(1.0)
-    await site.submit("entry-1", f"/fit/{SHORT}", phases(4000, 1.5))
-    await sleep(0.2)
-    await site.submit("entry-2", f"/fit/{TWICE}", phases(2000, 30.0))
-    await sleep(0.2)
-    await site.submit("entry-1", f"/fit/{WIDE}", phases(28000, 40.0))
-    await sleep(RESTART_AFTER_S)
-    if review_site.TROUBLE:
-        runner = held_up[0]
-        site.record.write("runner", runner.id, "restarts under its id")
-        platform.restart_runner(runner, restart_s=RESTART_S)
-    await sleep(25.0)
-    return runs_at_once(site)
-
-
-def runs_at_once(site):
-    """Return when a task began on a runner while another one ran it."""
-    broken = []
-    runner_by_task = {}
-    for event, runner, name, attempt in events_in_order(site):
-        if event == "start":
-            other = runner_by_task.get(name)
-            if other is not None:
-                broken.append(
-                    f"{name}: run {attempt} began on {runner}"
-                    f" while {other[0]} had run {other[1]}"
-                )
-            runner_by_task[name] = runner, attempt
-        elif not event.startswith("seen"):
-            runner_by_task.pop(name, None)
-    return broken
+    answer_call = platform._handle_hosts_call
+    silent_until = [0.0]
 
+    def handle_hosts_call(request):
+        what = request.path.rsplit("/", 1)[1], request.body
+        if reactor.seconds() < silent_until[0]:
+            site.record.write("cloud", *what, "not answered, nothing done")
+            return None
+        if request.body:
+            site.record.write("cloud", *what)
+        return answer_call(request)
 
-def events_in_order(site):
-    """Return the events of all runners, without their times."""
-    events = sorted(site.platform.record, key=lambda event: event[0])
-    return [event[1:] for event in events]
+    platform._handle_hosts_call = handle_hosts_call
+    await site.await_ready()
+    phases = [{"count": 16, "cpu": 16000, "memMb": 1000, "estimateMs": 4000}]
+    await site.submit("entry-1", "/fit/1111111111111111", phases)
+    await sleep(5.0)
+    if review_site.TROUBLE:
+        silent_until[0] = reactor.seconds() + OUTAGE_S
+        site.record.write("the machines' API is silent for", OUTAGE_S, "s")
+    await sleep(OUTAGE_S + CALM_S)
+    phases = [
+        {
+            "count": 5,
+            "cpu": 2000,
+            "memMb": 1000,
+            "estimateMs": 700,
+            "antiAffinity": 1,
+            "longRunning": True,
+        }
+    ]
+    await site.submit("entry-2", f"/last/{LASTING_JOB}", phases)
+    await sleep(GRACE_S)
+    return await find_tasks_without_run(site)
+
+
+async def find_tasks_without_run(site):
+    """Return the tasks that no runner runs for as long as the rule says."""
+    names = [f"{LASTING_JOB}.0.0.{index}" for index in range(5)]
+    without = dict.fromkeys(names, reactor.seconds())
+    end = reactor.seconds() + OBSERVED_S
+    late = set()
+    while reactor.seconds() < end:
+        runners = site.running_runners("press")
+        running = {name for each in runners for name in each.task_by_name}
+        for name in names:
+            if name in running:
+                without[name] = reactor.seconds()
+            elif reactor.seconds() - without[name] > WITHOUT_RUN_S:
+                late.add(name)
+        await sleep(0.1)
+    runners = site.running_runners("press")
+    idle = sorted(each.id for each in runners if not each.task_by_name)
+    site.record.write(
+        "runners of the service:", len(runners), "without a task:", *idle
+    )
+    # Each of these would take the task: room, and no other of its step.
+    if len(idle) < 2 * len(late):
+        return []
+    return [f"{name} has no run, though runners are idle" for name in late]
 
 
 review_site.main(scenario, __file__)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A runner goes down and up by turns; do jobs fail for it?"""
+"""A runner turns starts away; are the jobs that wait for it pending?"""
 
 import review_site
 from review_site import sleep
@@ -6,61 +6,81 @@
 
 from azurevane._internal.standins import site_runner
 
-# Of the pages: one of 8 runners goes down and up, period 0.94 s, for 6.5 s.
-PERIOD_S, UP_S, FLAP_S = 0.94, 0.38, 6.5
-JOBS = 20
-ROUTE = {
-    "name": "r-fit",
-    "pathPrefix": "/fit/",
-    "service": "press",
-    "attempts": 2,
-    # All jobs can end in time.
-    "deadlineFactor": 30.0,
-}
-PHASES = [{"count": 1, "cpu": 28000, "memMb": 1000, "estimateMs": 5000}]
+# Of the pages: workers that fail all that they start, for 6.5 s.
+GREY_S = 6.5
+VISIBLE_S, COUNT_AGE_S = 3.0, 2.0
+JOBS = 10
+PHASES = [
+    {
+        "count": 1,
+        "cpu": 2000,
+        "memMb": 1000,
+        "estimateMs": 500,
+        "requirements": "b",
+    }
+]
 
 
 async def scenario(site):
     """Return what broke the rule."""
     platform = site.platform
-    # Every task can be done, wherever it runs.
     platform.plan_task = lambda name, attempt: site_runner.TaskPlan(
-        5.0, "done", {"cpu": 28000}
+        0.5, "done", {"cpu": 2000}
+    )
+    site.put_config(
+        [{"name": "r-fit", "pathPrefix": "/fit/", "service": "press"}],
+        [{"name": "press"}],
     )
-    site.put_config([ROUTE], [{"name": "press"}])
     for number in range(8):
         rack = f"r1-{number // 4}"
         platform.add_host(f"m-{number}", "press", "east", rack)
+    special = platform.host_by_name["m-7"].runner
+    entry = special.entry
+    special.entry = lambda: {**entry(), "labels": ["b", special.rack]}
+    platform.register(special)
     names = ["entry-1", "entry-2", "entry-3"]
     for name in names:
         site.start_host(name)
     await site.await_ready()
-    await sleep(1.0)
+    await sleep(3.0)
+    grey_until = reactor.seconds() + (GREY_S if review_site.TROUBLE else 0.0)
+    start_task = special._start_task
+
+    def start_unless_grey(body):
+        if reactor.seconds() < grey_until:
+            site.record.write("runner", special.id, "503 to", body["task"])
+            return site_runner.Response(503)
+        return start_task(body)
+
+    special._start_task = start_unless_grey
     for number in range(JOBS):
         await site.submit(names[number % 3], f"/fit/{number:016x}", PHASES)
-    host = platform.host_by_name["m-3"]
-    end = reactor.seconds() + (FLAP_S if review_site.TROUBLE else 0.0)
-    while reactor.seconds() < end:
-        if host.runner is not None:
-            site.record.write("runner", host.runner.id, "crashes")
-            platform.crash_host(host.runner, down_s=PERIOD_S - UP_S)
-        await sleep(PERIOD_S)
-    await sleep(25.0)
-    return [line async for line in find_failed_jobs(site)]
+    accepted_at = reactor.seconds()
+    await sleep(VISIBLE_S + COUNT_AGE_S + 0.2)
+    broken = []
+    while reactor.seconds() - accepted_at < GREY_S - 0.3:
+        for name in names:
+            waiting = count_not_begun(platform)
+            status, answer = await site.call(name, "GET", "/fit/")
+            if status == 200 and answer["pending"] < waiting / 2:
+                broken.append(
+                    f"{name} shows {answer['pending']} pending jobs;"
+                    f" {waiting} haven't begun"
+                )
+        await sleep(0.2)
+    await sleep(3.0)
+    site.record.write("jobs not begun at the end:", count_not_begun(platform))
+    return broken
 
 
-async def find_failed_jobs(site):
-    """Yield the jobs that are shown as failed without an end ``failed``."""
-    for number in range(JOBS):
-        job_id = f"{number:016x}"
-        _, answer = await site.call("entry-1", "GET", f"/fit/{job_id}")
-        state = (answer or {}).get("state")
-        failed_ends = sum(
-            event == "failed" and name.startswith(job_id)
-            for _, event, _, name, _ in site.platform.record
-        )
-        if state == "failed" and failed_ends < ROUTE["attempts"]:
-            yield f"{job_id} is failed; {failed_ends} runs ended `failed`"
+def count_not_begun(platform):
+    """Return how many of the jobs have no task that was ever started."""
+    begun = {
+        name.split(".")[0]
+        for _, event, _, name, _ in platform.record
+        if event == "start"
+    }
+    return JOBS - len(begun)
 
 
 review_site.main(scenario, __file__)
