--- a/review/site_3.py
+++ b/review/site_3.py
@@ -130,6 +130,11 @@
     return task.deferLater(reactor, seconds, lambda: None)
 
 
+def spawn(coroutine):
+    """Run a coroutine beside others, until the case ends."""
+    defer.ensureDeferred(coroutine).addErrback(lambda _: None)
+
+
 def _free_network():
     """Return the first three numbers of a loopback network nobody uses."""
     for number in range(os.getpid(), os.getpid() + 5000):
@@ -153,10 +158,23 @@
         hosts: number of entry hosts.
         machines: number of machines, each with a runner.
         kind_by_machine: kinds of the machines that aren't of kind "a".
+        route: further fields of the queue in the configuration.
+        settings: further fields of the entry hosts' settings.
     """
 
-    def __init__(self, folder, *, hosts=3, machines=2, kind_by_machine=None):
+    def __init__(
+        self,
+        folder,
+        *,
+        hosts=3,
+        machines=2,
+        kind_by_machine=None,
+        route=None,
+        settings=None,
+    ):
         self.kind_by_machine = kind_by_machine or {}
+        self._route = route or {}
+        self._settings = settings or {}
         self._out = (folder / "record.txt").open("w")
         self._work = tempfile.TemporaryDirectory()
         self.server = _Server(reactor)
@@ -257,6 +275,7 @@
                     "attempts": 3,
                     "deadlineFactor": 1.6,
                     "targetLatencyMs": 600,
+                    **self._route,
                 }
             ],
             "services": [{"name": "press", "constraints": True}],
@@ -313,11 +332,17 @@
                 "duties": [],
                 "dutyPerS": 64.0,
             },
+            **self._settings,
         }
         path = pathlib.Path(self._work.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.address_by_name[name] = f"{ip}:8340"
-        log = (pathlib.Path(self._work.name) / f"{name}.log").open("ab")
+        self.start_host(name)
+
+    def start_host(self, name):
+        """Start an entry host's process with the settings it had."""
+        folder = pathlib.Path(self._work.name)
+        output = (folder / f"{name}.log").open("ab")
         self.process_by_name[name] = subprocess.Popen(
             [sys.executable, *HOST_ARGUMENTS],
             cwd=ROOT,
@@ -325,10 +350,10 @@
                 "PATH": os.environ.get("PATH", ""),
                 "HOME": os.environ.get("HOME", "/"),
                 "PYTHONPATH": str(ROOT / "target" / "deps"),
-                "AZUREVANE_CONFIG": str(path),
+                "AZUREVANE_CONFIG": str(folder / f"{name}.json"),
             },
-            stdout=log,
-            stderr=log,
+            stdout=output,
+            stderr=output,
         )
 
     def leader(self):
