--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,19 +14,22 @@
 from azurevane._internal.standins import site_runner
 
 # Of the queue, in the words of PROTOCOL.md.
-ADVISOR = {"decideMs": 100, "perItemMs": 10, "validMs": 3000}
+ADVISOR = {"decideMs": 150, "perItemMs": 15, "validMs": 3000}
 MAX_WAITING_CALLS = 32
 JOBS = 80
 # Five times the mean of a queue, as a queue asks in its turn, and the mean.
-BURST_PER_S = 20.0
-MEAN_PER_S = 4.0
+BURST_PER_S = 15.0
+MEAN_PER_S = 3.0
 MACHINES = 8
 WATCHED_S = 60.0
 TASK_S = 0.5
 
 
 class Advisor(resource.Resource):
-    """Answers one call at a time, in the order in which they came."""
+    """Answers one call at a time, in the order in which they came.
+
+    A call whose caller has left is dropped when its turn comes.
+    """
 
     isLeaf = True
 
@@ -57,6 +60,11 @@
             return
         self._busy = True
         request, body, gone = self._waiting.pop(0)
+        if gone:
+            self.left += 1
+            self._busy = False
+            self._take_next()
+            return
         took_ms = ADVISOR["decideMs"] + ADVISOR["perItemMs"] * len(
             body["workers"]
         )
