--- a/review/13/case.py
+++ b/review/13/case.py
@@ -16,7 +16,7 @@
 # Of the queue, in the words of PROTOCOL.md.
 ADVISOR = {"decideMs": 150, "perItemMs": 15, "validMs": 3000}
 MAX_WAITING_CALLS = 32
-JOBS = 80
+JOBS = 66
 # Five times the mean of a queue, as a queue asks in its turn, and the mean.
 BURST_PER_S = 15.0
 MEAN_PER_S = 3.0
