Close the connection of a cancelled call

A call that was cancelled failed, but its exchange stayed in progress without a timer: the connection was never closed, and under a limit on parallel calls its place was never given to a call that waits.

Now a cancellation gives the exchange up as a timeout does.

--- a/src/azurevane/_internal/platform/http_client.py
+++ b/src/azurevane/_internal/platform/http_client.py
@@ -86,6 +86,8 @@
     ) -> Response:
         """Send a request and return the complete response of any status.
 
+        A call that is cancelled closes its connection.
+
         Args:
             body: value to send as JSON, or None for no body.
             timeout_s: time from the call to the end of the response.
@@ -100,7 +102,12 @@
             CallFailed: no complete response arrived; the verdict says
                 whether the request may have run.
         """
-        done: defer.Deferred[Response] = defer.Deferred()
+        peer = self._peer(address)
+
+        def cancel(_: "defer.Deferred[Response]") -> None:
+            peer.give_up(exchange, defer.CancelledError())
+
+        done: defer.Deferred[Response] = defer.Deferred(cancel)
         exchange = http_connections.Exchange(
             _encode_request(address, method, path, body, headers),
             max_parallel,
@@ -109,7 +116,6 @@
             send_before,
             new_connection,
         )
-        peer = self._peer(address)
         timer = _CallTimer(self._reactor, self._lag, timeout_s, peer, exchange)
         peer.begin(exchange)
         try:
--- a/tests/platform/http_client.feature
+++ b/tests/platform/http_client.feature
@@ -94,3 +94,9 @@
     And its open connections go silent
     And /1 is called over a new connection
     Then the call returns /1
+
+  Scenario: A cancelled call makes room for those that wait
+    Guards against a connection and a place that are kept for ever.
+    Given a peer that answers each request with its path
+    When /1 gets no answer, /2 waits for its end and it is cancelled
+    Then the call of /1 fails and that of /2 returns /2
--- a/tests/platform/steps/http_client_steps.py
+++ b/tests/platform/steps/http_client_steps.py
@@ -339,6 +339,22 @@
     reactor_thread.call(lambda: _call(context, "/1", 1.0, new_connection=True))
 
 
+@when("/1 gets no answer, /2 waits for its end and it is cancelled")
+def step_cancel(context):
+    context.peer.answer = raw_peer.answer_all_but("/1")
+
+    async def call_both():
+        first, second = (
+            defer.ensureDeferred(_call(context, path, 30.0, max_parallel=1))
+            for path in ("/1", "/2")
+        )
+        _reactor().callLater(0.2, first.cancel)
+        second.addTimeout(10.0, _reactor())
+        await defer.gatherResults([first, second])
+
+    reactor_thread.call(call_both)
+
+
 @then("the call of /1 fails and that of /2 returns /2")
 def step_second_call_works(context):
     (_, first), (_, second) = context.results
