Call the advisor at its pace, about what can start

Cause: a call was given up 3 s after it was sent, but the advisor works on one call at a time, so the timeout measured the length of this host's own queue of calls. Each planning pass asked for all steps that waited. Above 3 s of queued calls none was answered in time, and each was made again 0.2 s later. Ruled out: the advisor's limit of 32 calls alone, as an advisor that drops the calls of callers that left loses the jobs as well.

Change: one queue of calls for all terms of an entry host, one call at a time. What to ask is decided when a call is sent: the next step that would start now if it were allowed, or one that waits for room. An overdue call stays open, others are sent beside it at growing pauses, eight at most. Answers are kept for each runner while the step waits, so that the next call names other runners. Calls to the advisor are logged (6093) and counted by outcome. No row and no message of our own changes.

--- a/src/azurevane/_internal/events/scheduler_events.py
+++ b/src/azurevane/_internal/events/scheduler_events.py
@@ -510,6 +510,26 @@
     rate: float
 
 
+@catalogue.event(6093)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceCallEnded(catalogue.Event):
+    """Call to the advisor ended.
+
+    Attributes:
+        step: job, occurrence and index of the step.
+        expected_s: time that the advisor should have worked on it.
+        open_calls: other calls of this host that are still open.
+    """
+
+    step: str
+    runners: int
+    allowed: int
+    outcome: str
+    took_s: float
+    expected_s: float
+    open_calls: int
+
+
 @catalogue.event(6090, logging.ERROR)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepFailed(catalogue.Event):
--- a/src/azurevane/_internal/metrics/site_instruments.py
+++ b/src/azurevane/_internal/metrics/site_instruments.py
@@ -250,3 +250,15 @@
 def _starts_put_off_duration(event: events.StartsResumed) -> float:
     """Time for which starts waited for others to be answered."""
     return event.put_off_s
+
+
+@instruments.instrument(
+    "azurevane.advice.call.duration",
+    "histogram",
+    "s",
+    events.AdviceCallEnded,
+    ("outcome",),
+)
+def _advice_call_duration(event: events.AdviceCallEnded) -> float:
+    """Time of a call to the advisor, until its response or its end."""
+    return event.took_s
--- a/src/azurevane/_internal/models/job.py
+++ b/src/azurevane/_internal/models/job.py
@@ -160,6 +160,11 @@
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
+    @property
+    def step_name(self) -> str:
+        """Name of the task's step, as the advisor knows it."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}"
+
     @classmethod
     def parse(cls, text: str) -> "TaskName | None":
         """Return the name that a runner reported, or None if malformed."""
--- a/src/azurevane/_internal/models/site.py
+++ b/src/azurevane/_internal/models/site.py
@@ -6,6 +6,25 @@
 from azurevane._internal.models import job as job_models
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdvisorTimes:
+    """How long the advisor takes for a queue, in seconds; 0 is unknown.
+
+    Attributes:
+        decision_s: part of each call that doesn't depend on the runners.
+        per_runner_s: further time for each runner named in a call.
+        ticket_validity_s: time from an answer until its tickets expire.
+    """
+
+    decision_s: float = 0.0
+    per_runner_s: float = 0.0
+    ticket_validity_s: float = 0.0
+
+    def call_s(self, runner_count: int) -> float:
+        """Return how long the advisor works on a call, in seconds."""
+        return self.decision_s + self.per_runner_s * runner_count
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of jobs: its address for callers and its policy.
@@ -19,6 +38,7 @@
         objective_extra_s: time that is added to that multiple.
         open: whether jobs are accepted without an API key.
         advised: whether placements need the advisor's permission.
+        advisor_times: how long the advisor takes, if it is needed.
         timeout_s: timeout that the operators set for its route.
     """
 
@@ -32,6 +52,7 @@
     objective_extra_s: float = 0.0
     open: bool = False
     advised: bool = False
+    advisor_times: AdvisorTimes = AdvisorTimes()
     timeout_s: float = 0.0
 
 
--- a/src/azurevane/_internal/platform/advice_calls.py
+++ b/src/azurevane/_internal/platform/advice_calls.py
@@ -11,9 +11,6 @@
 
 # Limit of the platform's protocol for one request.
 MAX_RUNNERS_PER_REQUEST = 100
-# The advisor handles each host's requests one at a time, so a response may
-# wait for those before it.
-CALL_TIMEOUT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,7 +19,8 @@
 
     Attributes:
         ticket_by_runner: ticket that a start on the runner must carry.
-        valid_s: time from the response until the tickets expire.
+        valid_s: time from the response until the tickets expire, in seconds;
+            0 if the response doesn't say.
     """
 
     ticket_by_runner: dict[str, str]
@@ -47,11 +45,20 @@
         self._address = address
 
     async def request_advice(
-        self, step_name: str, runners: Sequence[str]
+        self,
+        step_name: str,
+        runners: Sequence[str],
+        *,
+        timeout_s: float,
+        new_connection: bool = False,
     ) -> Advice:
         """Return which of the runners may run a step.
 
-        Only the first ``MAX_RUNNERS_PER_REQUEST`` runners are considered.
+        Args:
+            runners: ids of at most ``MAX_RUNNERS_PER_REQUEST`` runners.
+            timeout_s: time from the call to the end of the response. The
+                advisor handles each host's requests one at a time.
+            new_connection: whether to use no connection that is open.
 
         Raises:
             CallFailed: no usable response.
@@ -62,9 +69,10 @@
             "/azurevane/advise",
             {
                 "step": step_name,
-                "workers": list(runners[:MAX_RUNNERS_PER_REQUEST]),
+                "workers": list(runners),
             },
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=timeout_s,
+            new_connection=new_connection,
         )
         decoded = http_client.decode_response(
             response, _Answer, f"advice on {step_name}"
--- a/src/azurevane/_internal/platform/operator_rows.py
+++ b/src/azurevane/_internal/platform/operator_rows.py
@@ -41,10 +41,17 @@
     extra_ms: float = msgspec.field(name="targetLatencyMs", default=0.0)
     timeout_ms: float = msgspec.field(name="timeoutMs", default=0.0)
     public: bool = False
-    # Set if the queue's placements need advice.
+    # Set if the queue's placements need advice, also where its times can't
+    # be decoded.
     advisor: Any = None
 
 
+class _Advisor(msgspec.Struct):
+    decide_ms: float = msgspec.field(name="decideMs", default=0.0)
+    per_runner_ms: float = msgspec.field(name="perItemMs", default=0.0)
+    valid_ms: float = msgspec.field(name="validMs", default=0.0)
+
+
 class _Service(msgspec.Struct):
     name: str
     standby: bool = False
@@ -154,10 +161,24 @@
         objective_extra_s=_bounded(route.extra_ms) / 1000,
         open=route.public,
         advised=bool(route.advisor),
+        advisor_times=_decode_advisor_times(route.advisor),
         timeout_s=_bounded(route.timeout_ms) / 1000,
     )
 
 
+def _decode_advisor_times(advisor: Any) -> site.AdvisorTimes:
+    try:
+        times = msgspec.convert(advisor or {}, _Advisor)
+    except msgspec.ValidationError as error:
+        logger.warning("Malformed advisor of a queue: %s", error)
+        return site.AdvisorTimes()
+    return site.AdvisorTimes(
+        decision_s=max(_bounded(times.decide_ms), 0.0) / 1000,
+        per_runner_s=max(_bounded(times.per_runner_ms), 0.0) / 1000,
+        ticket_validity_s=max(_bounded(times.valid_ms), 0.0) / 1000,
+    )
+
+
 def _bounded(number: _NumberT) -> _NumberT:
     """Return the nearest number that jobs can be stored with."""
     return min(max(number, -_MAX_NUMBER), _MAX_NUMBER)
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -14,8 +14,10 @@
 from azurevane._internal.models import admission
 from azurevane._internal.models import host_settings
 from azurevane._internal.peers import leader_query
+from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import store
+from azurevane._internal.scheduler import advice_queue
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import leader as leader_module
 from azurevane._internal.scheduler import leadership
@@ -94,6 +96,12 @@
             jitter_s=random.uniform(0.0, MAX_TAKEOVER_JITTER_S),
             address=settings.hosts_listen,
         )
+        self._advice: advice_queue.AdviceQueue | None = None
+        if settings.advisor_address is not None:
+            self._advice = advice_queue.AdviceQueue(
+                reactor,
+                advice_calls.AdviceCalls(client, settings.advisor_address),
+            )
         self._leader_client = leader_query.LeaderQueryClient(
             client, settings.host_name
         )
@@ -308,6 +316,7 @@
             previous=takeover.previous,
             unix_time=self._unix_time,
             process_lag=self._process_lag,
+            advice=self._advice,
             on_ended=self._handle_term_ended,
         )
         if self._resigned:
--- a/src/azurevane/_internal/scheduler/command_sender.py
+++ b/src/azurevane/_internal/scheduler/command_sender.py
@@ -1,36 +1,31 @@
-"""Sends commands to runners, and requests for advice to the advisor."""
+"""Sends commands to runners, and names the advice that they need."""
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import logging
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import task as twisted_task
 
-from azurevane import exceptions
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import runner_calls
+from azurevane._internal.scheduler import advice_book
+from azurevane._internal.scheduler import advice_queue
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import runner_link
-from azurevane._internal.scheduler import scheduler_state as state_module
 from azurevane._internal.scheduler import start_limiter
 
 logger = logging.getLogger(__name__)
 
-_ADVICE_RETRY_DELAY_S = 0.2
-# Share of a ticket's validity that is used; the rest covers the time until
-# the runner has received it.
-TICKET_VALIDITY_SHARE = 0.8
-
 
 class CommandSender:
     """Keeps a link to each known runner and sends commands over it.
 
     Args:
-        advice: calls to the advisor, or None if there is no advisor.
+        advice: queue of this host's calls to the advisor, or None if there
+            is no advisor.
         lease_s: length of the runners' leases.
     """
 
@@ -39,7 +34,7 @@
         reactor: Any,
         leader: runner_link.Leader,
         calls: runner_calls.RunnerCalls,
-        advice: advice_calls.AdviceCalls | None,
+        advice: advice_queue.AdviceQueue | None,
         limiter: start_limiter.StartLimiter,
         lease_s: float,
     ) -> None:
@@ -58,6 +53,8 @@
 
     def stop(self) -> None:
         """Stop all links; nothing is sent any more."""
+        if self._advice is not None:
+            self._advice.release(self)
         for link in self._link_by_id.values():
             link.stop()
 
@@ -115,7 +112,7 @@
         link = self._link_by_id.get(command.runner_id)
         began_at = self._leader.now()
         try:
-            if self._runner_closed(command):
+            if self._runner_closed(command) or self._ticket_expired(command):
                 self._give_up_start(command)
             elif link is not None:
                 await link.send_start(command)
@@ -131,6 +128,11 @@
             return False
         return not self._scheduler_state.is_open_for_tasks(runner)
 
+    def _ticket_expired(self, command: commands.StartCommand) -> bool:
+        """Whether its ticket expired while a start waited for the store."""
+        expired = self._leader.now() >= command.ticket_valid_until
+        return expired and not command.run.sent_at
+
     def _give_up_start(self, command: commands.StartCommand) -> None:
         """Release a run; its gang's other members are stopped."""
         self._leader.runner_events.handle_start_outcome(
@@ -144,9 +146,6 @@
 
     def send_command(self, command: commands.Command) -> None:
         """Send a command that doesn't wait for anything to be stored."""
-        if isinstance(command, commands.AdviceRequest):
-            background.spawn(self._request_advice(command), "advice")
-            return
         link = self._link_by_id.get(command.runner_id)
         if link is None:
             return
@@ -155,32 +154,30 @@
         elif isinstance(command, commands.PaceCommand):
             background.spawn(link.send_pace(command), "pace")
 
-    async def _request_advice(self, command: commands.AdviceRequest) -> None:
-        try:
-            if self._advice is None or not command.runner_ids:
-                return
-            advice = await self._advice.request_advice(
-                command.step_name, command.runner_ids
-            )
-        except exceptions.CallFailed as error:
-            logger.info(
-                "Requesting advice on step %s failed: %s",
-                command.step_name,
-                error,
-            )
-            await twisted_task.deferLater(
-                self._reactor, _ADVICE_RETRY_DELAY_S, lambda: None
-            )
-            return
-        finally:
-            self._scheduler_state.pending_advice_steps.discard(
-                command.step_name
-            )
-        valid_until = (
-            self._leader.now() + advice.valid_s * TICKET_VALIDITY_SHARE
-        )
-        self._scheduler_state.advice_by_step[command.step_name] = (
-            state_module.StepAdvice(advice.ticket_by_runner, valid_until)
+    # Called by the queue of calls to the advisor.
+
+    def request_advice(self) -> None:
+        """Send the next request for advice as soon as one may be sent."""
+        if self._advice is not None:
+            self._advice.serve(self)
+
+    def next_advice_request(
+        self, excluded_steps: Collection[str]
+    ) -> advice_book.AdviceRequest | None:
+        """Return the request for advice to send next, if there is any."""
+        return self._scheduler_state.advice.next_request(excluded_steps)
+
+    def handle_advice(
+        self,
+        request: advice_book.AdviceRequest,
+        advice: advice_calls.Advice,
+    ) -> None:
+        """Use the advisor's answer to a request."""
+        self._scheduler_state.advice.record_answer(
+            request,
+            advice.ticket_by_runner,
+            advice.valid_s or request.times.ticket_validity_s,
+            self._leader.now(),
         )
-        self._scheduler_state.request_full_plan()
+        self._scheduler_state.request_service_plan(request.service)
         self._leader.request_planning()
--- a/src/azurevane/_internal/scheduler/commands.py
+++ b/src/azurevane/_internal/scheduler/commands.py
@@ -1,4 +1,4 @@
-"""Commands and requests that the leader queues for sending."""
+"""Commands that the leader queues for sending."""
 
 import dataclasses
 
@@ -12,12 +12,14 @@
 
     Attributes:
         first_attempt: whether no attempt of the task was assigned before.
+        ticket_valid_until: monotonic time from which its ticket isn't used.
     """
 
     runner_id: str
     run: runs.Run
     message: messages.StartTask
     first_attempt: bool
+    ticket_valid_until: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,14 +30,6 @@
     message: messages.StartTask
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdviceRequest:
-    """Asks the advisor which runners may run a step."""
-
-    step_name: str
-    runner_ids: tuple[str, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PaceCommand:
     """Sets the speed of a run, in percent of its full speed."""
@@ -46,4 +40,4 @@
     percent: int
 
 
-Command = StartCommand | StopCommand | AdviceRequest | PaceCommand
+Command = StartCommand | StopCommand | PaceCommand
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -14,13 +14,13 @@
 from azurevane._internal.events import scheduler_events as events
 from azurevane._internal.models import host_settings
 from azurevane._internal.models import site
-from azurevane._internal.platform import advice_calls
 from azurevane._internal.platform import host_calls
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import operator_rows
 from azurevane._internal.platform import runner_calls
 from azurevane._internal.platform import store
 from azurevane._internal.scheduler import admission_estimate
+from azurevane._internal.scheduler import advice_queue
 from azurevane._internal.scheduler import background
 from azurevane._internal.scheduler import command_sender
 from azurevane._internal.scheduler import commands
@@ -70,6 +70,7 @@
         takeover_commit: the store's response to the takeover.
         previous: what is known of the previous leader's leases.
         process_lag: how late this process is.
+        advice: queue of this host's calls to the advisor, if there is one.
         on_ended: called once with a reason when the term ends.
     """
 
@@ -86,6 +87,7 @@
         previous: leadership.PreviousLeader,
         unix_time: Callable[[], float],
         process_lag: process_lag_module.ProcessLag,
+        advice: advice_queue.AdviceQueue | None,
         on_ended: Callable[[str], None],
     ) -> None:
         self._reactor = reactor
@@ -125,9 +127,6 @@
             self.scheduler_state,
             settings.bounds.runner_stop_s,
         )
-        advice: advice_calls.AdviceCalls | None = None
-        if settings.advisor_address is not None:
-            advice = advice_calls.AdviceCalls(client, settings.advisor_address)
         self._row_writer = row_writer_module.RowWriter(
             store_client,
             (LEADER_ROW_KEY, takeover_commit.version),
@@ -495,6 +494,7 @@
         if self.scheduler_state.restart_noticed:
             # The next leader is to know of the runner's lease.
             self._renew()
+        self._command_sender.request_advice()
         job_failed = self._write_changed_jobs()
         starts: list[commands.StartCommand] = []
         for command in self.scheduler_state.take_commands():
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -9,6 +9,7 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.policy import job_order
 from azurevane._internal.policy import task_placement
+from azurevane._internal.scheduler import advice_planner
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import isolation
 from azurevane._internal.scheduler import runner_state
@@ -47,6 +48,7 @@
     ) -> None:
         self._scheduler_state = scheduler_state
         self._runner_stop_s = runner_stop_s
+        self._advice_planner = advice_planner.AdvicePlanner(scheduler_state)
         self._passes = 0
         self._set_aside_until: dict[str, float] = {}
         # Attempt number and checkpoint shared by the members of a gang.
@@ -85,6 +87,7 @@
                 self._scheduler_state.request_service_plan(service)
                 continue
             started = self._plan_service(
+                service,
                 waiting_by_service[service],
                 runners_by_service.get(service, []),
                 max_starts,
@@ -142,10 +145,13 @@
             service = self._scheduler_state.service_of(job.job)
             if services is None or service in services:
                 jobs_by_service.setdefault(service, []).append(job)
+        if services is None:
+            self._scheduler_state.advice.keep_services(jobs_by_service)
         return jobs_by_service
 
     def _plan_service(
         self,
+        service: str,
         jobs: list[runs.JobState],
         runners: list[runner_state.RunnerState],
         max_starts: int,
@@ -154,6 +160,7 @@
     ) -> int:
         """Start runs of one service; return how many."""
         if not runners:
+            self._scheduler_state.advice.set_requests(service, ())
             return 0
         capacities = [capacity_of(runner, now) for runner in runners]
         requests = self._step_requests(jobs, capacities, now, unix_now)
@@ -184,6 +191,14 @@
                 runners,
                 now,
             )
+        if any(job.job.advised for job in jobs):
+            self._advice_planner.plan_requests(
+                service,
+                _without_placed(requests, placements),
+                runners,
+                [capacity_of(runner, now) for runner in runners],
+                now,
+            )
         return len(placements)
 
     def _stop_draining_runs(self, now: float) -> None:
@@ -261,6 +276,8 @@
                 ):
                     continue
                 request = self._step_request(job, occurrence, index, now)
+                if request is not None and job.job.advised:
+                    request = self._with_advice(request, now)
                 if request is not None:
                     requests += isolation.split_request(job, request, now)
         waiting = [job for job in jobs if requests_by_job[job.job.id]]
@@ -301,9 +318,6 @@
             count_by_runner = self._scheduler_state.task_count_by_runner(
                 job, (occurrence, index)
             )
-        allowed = None
-        if job.job.advised:
-            allowed = self._allowed_runners(job, occurrence, index, now)
         return task_placement.StepRequest(
             job_id=job.job.id,
             occurrence=occurrence,
@@ -312,7 +326,6 @@
             step=step,
             waiting_indexes=waiting,
             task_count_by_runner=count_by_runner,
-            allowed_runners=allowed,
             avoided_runners_by_index={
                 index: avoided
                 for index in waiting
@@ -338,28 +351,20 @@
             }
         return avoided
 
-    def _allowed_runners(
-        self, job: runs.JobState, occurrence: int, index: int, now: float
-    ) -> frozenset[str]:
-        """Return the runners that the advisor allows for a step.
-
-        Without valid advice there are none, and advice is requested.
-        """
-        name = f"{job.job.id}.{occurrence}.{index}"
-        advice = self._scheduler_state.advice_by_step.get(name)
-        if advice is not None and now < advice.valid_until:
-            return frozenset(advice.ticket_by_runner)
-        if name not in self._scheduler_state.pending_advice_steps:
-            self._scheduler_state.pending_advice_steps.add(name)
-            service = self._scheduler_state.service_of(job.job)
-            runners = self.accepting_runners((service,), now)
-            runner_ids = tuple(
-                runner.id for runner in runners.get(service, ())
-            )
-            self._scheduler_state.queue_command(
-                commands.AdviceRequest(name, runner_ids)
-            )
-        return frozenset()
+    def _with_advice(
+        self,
+        request: task_placement.StepRequest,
+        now: float,
+    ) -> task_placement.StepRequest:
+        """Limit a step to the runners for which it has valid tickets."""
+        service = self._service_of(request)
+        name = advice_planner.step_name_of(request)
+        allowed = self._advice_planner.allowed_runners(service, name, now)
+        return dataclasses.replace(request, allowed_runners=allowed)
+
+    def _service_of(self, request: task_placement.StepRequest) -> str:
+        job = self._scheduler_state.live_job_by_id[request.job_id]
+        return self._scheduler_state.service_of(job.job)
 
     def _assign_task(
         self, placement: task_placement.TaskPlacement, now: float
@@ -377,12 +382,14 @@
             checkpoint = ""
         free_cpu = runner.free_capacity().cpu
         self._scheduler_state.assign_run(run, runner, attempt)
-        ticket = self.advice_ticket(request, placement.runner_id)
+        ticket, ticket_valid_until = self._ticket(request, runner, now)
         message = messages.StartTask(
             run.name, attempt, job.job.spec, checkpoint, ticket
         )
         self._scheduler_state.queue_command(
-            commands.StartCommand(runner.id, run, message, first_attempt)
+            commands.StartCommand(
+                runner.id, run, message, first_attempt, ticket_valid_until
+            )
         )
         catalogue.emit(
             logger,
@@ -408,16 +415,44 @@
             )
         return self._gang_attempt_by_step[name]
 
-    def advice_ticket(
-        self, request: task_placement.StepRequest, runner_id: str
-    ) -> str:
-        """Return the advisor's ticket for a placement, or empty."""
+    def _ticket(
+        self,
+        request: task_placement.StepRequest,
+        runner: runner_state.RunnerState,
+        now: float,
+    ) -> tuple[str, float]:
+        """Return the advisor's ticket for a placement, and its last use."""
         if request.allowed_runners is None:
-            return ""
-        name = f"{request.job_id}.{request.occurrence}.{request.step_index}"
-        return self._scheduler_state.advice_by_step[name].ticket_by_runner[
-            runner_id
-        ]
+            return "", float("inf")
+        advice = self._scheduler_state.advice.find(
+            self._service_of(request),
+            advice_planner.step_name_of(request),
+            runner,
+            now,
+        )
+        if advice is None:
+            raise LookupError(f"no advice on a placement on {runner.id}")
+        return advice.ticket, advice.valid_until
+
+
+def _without_placed(
+    requests: Sequence[task_placement.StepRequest],
+    placements: Sequence[task_placement.TaskPlacement],
+) -> list[task_placement.StepRequest]:
+    """Return the requests with the tasks that weren't placed."""
+    placed = {(each.request.step_key, each.index) for each in placements}
+    waiting = []
+    for request in requests:
+        indexes = tuple(
+            index
+            for index in request.waiting_indexes
+            if (request.step_key, index) not in placed
+        )
+        if indexes:
+            waiting.append(
+                dataclasses.replace(request, waiting_indexes=indexes)
+            )
+    return waiting
 
 
 def capacity_of(
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -313,6 +313,8 @@
             runner = self._scheduler_state.runner_by_id.get(runner_id)
             if runner is not None and outcome in _RUNNER_FAULT_OUTCOMES:
                 runner.record_rejection(now)
+            if outcome is _Outcome.BAD_TICKET:
+                self._scheduler_state.drop_ticket(run)
             self._scheduler_state.release_run(run, now)
         if run.step.gang:
             self._stop_gang_members(run, now)
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -1,7 +1,6 @@
 """State of a site's jobs, runners and runs, and its transitions."""
 
 from collections.abc import Iterable
-import dataclasses
 import logging
 import operator
 
@@ -11,6 +10,7 @@
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
 from azurevane._internal.policy import job_order
+from azurevane._internal.scheduler import advice_book
 from azurevane._internal.scheduler import commands
 from azurevane._internal.scheduler import late_starts
 from azurevane._internal.scheduler import records
@@ -24,14 +24,6 @@
 STOP_RESEND_INTERVAL_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StepAdvice:
-    """Runners that the advisor allows for a step, with their tickets."""
-
-    ticket_by_runner: dict[str, str]
-    valid_until: float
-
-
 class SchedulerState:
     """State shared by the leader's components; times are monotonic seconds.
 
@@ -62,9 +54,7 @@
         awaited_runners: ids of the runners that may have runs of previous
             leaders of which no job's state tells, and haven't listed them.
         late_starts: starts without a response that may still arrive.
-        advice_by_step: advisor's latest response for each step name.
-        pending_advice_steps: names of steps whose advice was requested and
-            has not arrived.
+        advice: what the advisor answered about steps that wait.
     """
 
     def __init__(
@@ -92,8 +82,7 @@
         self.write_overdue_since: float | None = None
         self.awaited_runners: set[str] = set()
         self.late_starts = late_starts.LateStarts()
-        self.advice_by_step: dict[str, StepAdvice] = {}
-        self.pending_advice_steps: set[str] = set()
+        self.advice = advice_book.AdviceBook()
         self._team_rate_meter = job_order.TeamRateMeter()
         self._used_by_team: dict[str, list[int]] = {}
         self._changed_job_by_id: dict[str, runs.JobState] = {}
@@ -282,6 +271,18 @@
         queue = self.config.queue_by_name.get(job.queue)
         return job.service if queue is None else queue.service
 
+    def advisor_times_of(self, job: job_models.Job) -> site.AdvisorTimes:
+        """Return how long the advisor takes for a job's queue."""
+        if self.config is None or job.queue not in self.config.queue_by_name:
+            return site.AdvisorTimes()
+        return self.config.queue_by_name[job.queue].advisor_times
+
+    def drop_ticket(self, run: runs.Run) -> None:
+        """Forget the advisor's ticket of a start that was rejected for it."""
+        self.advice.drop_ticket(
+            self.service_of(run.job.job), run.name.step_name, run.runner_id
+        )
+
     def forget_job(self, job_id: str) -> None:
         """Remove a job whose rows were deleted."""
         self.job_by_id.pop(job_id, None)
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -15,6 +15,7 @@
 from azurevane._internal.models import verdict
 from azurevane._internal.platform import http_client
 from azurevane._internal.platform import http_connections
+from azurevane._internal.standins import advisor as advisor_module
 from azurevane._internal.standins import site_runner
 from azurevane._internal.standins import site_store
 
@@ -22,6 +23,7 @@
 
 STORE_ADDRESS = host_settings.Address("10.200.1.7", 8344)
 HOSTS_ADDRESS = host_settings.Address("10.200.0.82", 8344)
+ADVISOR_ADDRESS = host_settings.Address("10.200.1.9", 8344)
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +62,7 @@
             late and without an answer.
         host_commands: (time, command, host, holder, token) of all hosts.
         crash_by_task: what happens to a runner that a task crashes.
+        advisor: answers calls for advice; without one no start needs it.
         most_in_maintenance: highest number of hosts in maintenance at once.
         entry_host_by_address: answers leadership queries of other entry
             hosts; None if the process has ended, so that connections are
@@ -103,6 +106,7 @@
             f"10.9.0.{self._incarnations}:8000"
         )
         self.most_in_maintenance = 0
+        self.advisor: advisor_module.Advisor | None = None
         self.entry_host_by_address: dict[
             str, Callable[[bytes], bytes | None] | None
         ] = {}
@@ -136,6 +140,7 @@
             record=self._record_event,
             crash_by_task=self.crash_by_task,
             started_at_ms=1_000_000 + self._incarnations,
+            accepts_ticket=self._accepts_ticket,
             **options,
         )
         host.runner = runner
@@ -143,6 +148,11 @@
         self.register(runner)
         return runner
 
+    def _accepts_ticket(self, task: str, runner: str, ticket: str) -> bool:
+        return self.advisor is None or self.advisor.accepts(
+            task, runner, ticket
+        )
+
     def restart_runner(
         self,
         runner: site_runner.SiteRunner,
@@ -244,37 +254,44 @@
     ) -> "Response | defer.Deferred[Response] | None":
         """Execute a call; return None if it gets no answer."""
         if request.address == STORE_ADDRESS:
-            if self.store_is_silent_to(entry_host):
-                return None
-            if self.store_down or entry_host in self.store_down_for:
-                return Response(503)
-            if self.submission_delay_s and _writes_jobs(request):
-                self.reactor.callLater(
-                    self.submission_delay_s,
-                    self.store.handle_request,
-                    request.method,
-                    request.path,
-                    request.query,
-                    request.body,
-                )
-                return None
-            answer = self.store.handle_request(
-                request.method, request.path, request.query, request.body
-            )
-            if not request.path.endswith("rows-tx"):
-                return answer
-            if entry_host in self.store_answers_lost_for:
-                return None
-            if self.store_answers_to_lose:
-                self.store_answers_to_lose -= 1
-                return None
-            return answer
+            return self._handle_store_call(entry_host, request)
         if request.address == HOSTS_ADDRESS:
             return self._handle_hosts_call(request)
+        if request.address == ADVISOR_ADDRESS and self.advisor is not None:
+            return self.advisor.handle_request(entry_host, request.body)
         if str(request.address) in self.entry_host_by_address:
             return self._handle_entry_host_call(request)
         return self._handle_runner_call(entry_host, request)
 
+    def _handle_store_call(
+        self, entry_host: str, request: "PlatformRequest"
+    ) -> "Response | defer.Deferred[Response] | None":
+        if self.store_is_silent_to(entry_host):
+            return None
+        if self.store_down or entry_host in self.store_down_for:
+            return Response(503)
+        if self.submission_delay_s and _writes_jobs(request):
+            self.reactor.callLater(
+                self.submission_delay_s,
+                self.store.handle_request,
+                request.method,
+                request.path,
+                request.query,
+                request.body,
+            )
+            return None
+        answer = self.store.handle_request(
+            request.method, request.path, request.query, request.body
+        )
+        if not request.path.endswith("rows-tx"):
+            return answer
+        if entry_host in self.store_answers_lost_for:
+            return None
+        if self.store_answers_to_lose:
+            self.store_answers_to_lose -= 1
+            return None
+        return answer
+
     def store_is_silent_to(self, entry_host: str) -> bool:
         """Whether the store doesn't answer an entry host."""
         return self.store_silent or entry_host in self.store_silent_for
@@ -476,10 +493,22 @@
 
 
 @dataclasses.dataclass(eq=False, slots=True)
-class _StoreConnection:
-    """A connection of an entry host; a silent one loses all that is sent."""
+class _Connection:
+    """A connection of an entry host; a silent one loses all that is sent.
+
+    Attributes:
+        advice: response of the advisor that is on its way.
+    """
 
     silent: bool = False
+    advice: "defer.Deferred[Response] | None" = None
+
+    def record_answer(
+        self, address: host_settings.Address, answer: Any
+    ) -> None:
+        """Note a response of the advisor, which a caller may not wait for."""
+        if address == ADVISOR_ADDRESS and isinstance(answer, defer.Deferred):
+            self.advice = answer
 
 
 class SiteClient:
@@ -502,8 +531,8 @@
         # Set when the entry host is isolated or killed.
         self.silent = False
         # Connections to the store.
-        self._idle_connections: list[_StoreConnection] = []
-        self._connections_in_use: set[_StoreConnection] = set()
+        self._idle_connections: list[_Connection] = []
+        self._connections_in_use: set[_Connection] = set()
         self.hosts_connect_delay_s = 0.0
 
     def silence_store_connections(self, *, idle: bool = True) -> None:
@@ -517,15 +546,15 @@
         for connection in self._idle_connections if idle else ():
             connection.silent = True
 
-    def _connect_to_store(self, new_connection: bool) -> "_StoreConnection":
+    def _connect_to_store(self, new_connection: bool) -> "_Connection":
         """Return the connection that a call to the store uses."""
-        connection = _StoreConnection()
+        connection = _Connection()
         if self._idle_connections and not new_connection:
             connection = self._idle_connections.pop()
         self._connections_in_use.add(connection)
         return connection
 
-    def _keep_store_connection(self, connection: "_StoreConnection") -> None:
+    def _keep_store_connection(self, connection: "_Connection") -> None:
         """Keep a connection on which a response arrived."""
         self._connections_in_use.discard(connection)
         if (
@@ -534,7 +563,7 @@
         ):
             self._idle_connections.append(connection)
 
-    def _close_store_connections(self, connection: "_StoreConnection") -> None:
+    def _close_store_connections(self, connection: "_Connection") -> None:
         """Close a connection without a response, and all that are idle."""
         self._connections_in_use.discard(connection)
         self._idle_connections.clear()
@@ -560,7 +589,7 @@
         request: PlatformRequest,
         send_before: float | None,
         response_wait: "defer.Deferred[Response]",
-        connection: "_StoreConnection",
+        connection: "_Connection",
     ) -> None:
         reactor = self._reactor
 
@@ -587,6 +616,7 @@
         answer = self._platform.handle_request(self._entry_host, request)
         if answer is None:
             return
+        connection.record_answer(request.address, answer)
         delay_s = self._response_delay_s(request.address)
         defer.maybeDeferred(lambda: answer).addCallbacks(
             lambda response: reactor.callLater(delay_s, deliver, response),
@@ -634,7 +664,7 @@
         connection = (
             self._connect_to_store(new_connection)
             if address == STORE_ADDRESS
-            else _StoreConnection()
+            else _Connection()
         )
         sender.callLater(
             delay_s,
@@ -656,6 +686,8 @@
         ) as error:
             if address == STORE_ADDRESS:
                 self._close_store_connections(connection)
+            if connection.advice is not None:
+                connection.advice.cancel()
             raise _call_failure(request, error) from error
         if address == STORE_ADDRESS:
             self._keep_store_connection(connection)
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -59,6 +59,8 @@
             it; ``crash`` if None.
         clock_rate: seconds of the runner's clock in one second.
         guards_capacity: whether a start beyond the capacity is rejected.
+        accepts_ticket: called with the names of a task and this runner and
+            the start's ticket; whether the start is allowed.
 
     Attributes:
         reachable: whether calls reach the runner.
@@ -98,6 +100,7 @@
         started_at_ms: int = 1_000,
         clock_rate: float = 1.0,
         guards_capacity: bool = True,
+        accepts_ticket: Any = lambda task, runner, ticket: True,
     ) -> None:
         self._reactor = reactor
         self.id = runner_id
@@ -116,6 +119,7 @@
         self.started_at_ms = started_at_ms
         self._clock_rate = clock_rate
         self._guards_capacity = guards_capacity
+        self._accepts_ticket = accepts_ticket
         self._clock_zero = reactor.seconds() - 100.0
         self.task_by_name: dict[str, _Task] = {}
         self._unseen_ends: list[list[Any]] = []
@@ -218,6 +222,8 @@
             return self._answer(409, reason="old")
         if body["expiresMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
+        if not self._accepts_ticket(name, self.id, body.get("ticket", "")):
+            return self._answer(409, reason="ticket")
         plan: TaskPlan = self._plan(name, attempt)
         if self.fails_all_tasks:
             plan = TaskPlan(0.05, "failed", plan.need)
@@ -410,6 +416,7 @@
             started_at_ms=started_at_ms,
             clock_rate=self._clock_rate,
             guards_capacity=self._guards_capacity,
+            accepts_ticket=self._accepts_ticket,
         )
 
     def crash(self) -> None:
--- a/tests/support/site_world.py
+++ b/tests/support/site_world.py
@@ -137,7 +137,11 @@
             hosts_api_address=site_platform.HOSTS_ADDRESS,
             host_orders_per_s=64.0,
             host_lists_per_s=64.0,
-            advisor_address=None,
+            advisor_address=(
+                site_platform.ADVISOR_ADDRESS
+                if self.platform.advisor is not None
+                else None
+            ),
             store_row_bytes=self.platform.store.max_row_bytes,
             bounds=BOUNDS,
             hosts_listen=address,
