Give slow runners more time and fewer starts

Callers saw jobs that never ended on runners that carry out one call at a time: at 0.5 s a call a burst of 80 tasks on four runners, at 1.2 s none of ten jobs after 120 s.

Cause: polls and starts were given up after 1 s. Up to eight starts at a time waited before each poll, so that it was given up before its answer; a runner without an answer gets no extension of its lease, its runs lapsed, their ends were read too late, and they started again.

Change: the time after which calls to a runner are given up follows its response times, from 1 s to 3 s. A slow runner's poll waits less for an end. After overdue starts the planner places fewer tasks on the runner at a time; a poll that is answered at once lifts that. Gangs are exempt, as their tasks start together.

--- a/src/azurevane/_internal/platform/runner_calls.py
+++ b/src/azurevane/_internal/platform/runner_calls.py
@@ -13,9 +13,6 @@
 from azurevane._internal.platform import http_client
 from azurevane._internal.utils import json_decoding
 
-# A runner answers within a round trip, which takes at most a few
-# milliseconds. After this time the command's outcome is unknown.
-CALL_TIMEOUT_S = 1.0
 # Commands that a runner gets at a time, beside the poll that waits for an
 # end. Each needs a connection, and many tasks may start on it at once; those
 # that a runner leaves unanswered must not hold up the others.
@@ -83,12 +80,14 @@
         command: messages.StartTask,
         lease_until_s: float,
         *,
+        timeout_s: float,
         send_before: float,
     ) -> StartResult:
         """Start a run; the outcome says whether it may have begun.
 
         Args:
             lease_until_s: end of the lease, on the runner's clock.
+            timeout_s: time after which the outcome is unknown.
             send_before: monotonic time from which the command isn't sent.
         """
         body = {
@@ -108,6 +107,7 @@
                 address,
                 "run-start",
                 body,
+                timeout_s=timeout_s,
                 send_before=send_before,
             )
         except exceptions.CallFailed as failure:
@@ -125,11 +125,13 @@
         task: job_models.TaskName,
         attempt: int,
         *,
+        timeout_s: float,
         send_before: float,
     ) -> bool:
         """Stop a run, or keep it from starting if it hasn't begun.
 
         Args:
+            timeout_s: time from the call to the end of the response.
             send_before: monotonic time from which the command isn't sent.
 
         Returns:
@@ -150,6 +152,7 @@
             address,
             "run-stop",
             body,
+            timeout_s=timeout_s,
             send_before=send_before,
         )
         if answer.reason == "fence":
@@ -166,6 +169,7 @@
         last_seen: int,
         lease_until_s: float | None,
         wait_s: float,
+        timeout_s: float,
     ) -> messages.RunnerReport:
         """Renew the lease, acknowledge ended runs and return the report.
 
@@ -177,6 +181,7 @@
             lease_until_s: new end of the lease, on the runner's clock;
                 None to leave the lease as it is.
             wait_s: longest time to wait for a run to end.
+            timeout_s: time that the response may take beyond that.
 
         Raises:
             CallFailed: no usable response.
@@ -195,7 +200,7 @@
             address,
             "hold",
             body,
-            timeout_s=CALL_TIMEOUT_S + wait_s,
+            timeout_s=timeout_s + wait_s,
             max_parallel=0,
         )
         if answer.reason == "fence":
@@ -217,11 +222,13 @@
         attempt: int,
         percent: int,
         *,
+        timeout_s: float,
         send_before: float,
     ) -> bool:
         """Limit a run to a percentage of its full speed.
 
         Args:
+            timeout_s: time from the call to the end of the response.
             send_before: monotonic time from which the command isn't sent.
 
         Returns:
@@ -238,7 +245,12 @@
             "fencingToken": self._fencing_token,
         }
         status, _ = await self._send_request(
-            runner_id, address, "pace", body, send_before=send_before
+            runner_id,
+            address,
+            "pace",
+            body,
+            timeout_s=timeout_s,
+            send_before=send_before,
         )
         return status == 200
 
@@ -249,7 +261,7 @@
         name: str,
         body: dict[str, Any],
         *,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float,
         max_parallel: int = MAX_PARALLEL_COMMANDS,
         send_before: float | None = None,
     ) -> tuple[int, _Answer]:
--- a/src/azurevane/_internal/policy/command_window.py
+++ b/src/azurevane/_internal/policy/command_window.py
@@ -56,6 +56,12 @@
         """Record that the peer answered a call of a time promptly."""
         self._newest_prompt_at = max(self._newest_prompt_at, sent_at)
 
+    def lift(self, sent_at: float) -> None:
+        """Lift the limit after a call that was answered at once."""
+        self.record_prompt_response(sent_at)
+        if sent_at >= self._shrunk_at:
+            self._limit = None
+
     def end(self, sent_at: float, now: float, *, answered: bool) -> None:
         """Count a command's outcome and adapt the limit."""
         if answered and now - sent_at <= self.prompt_s:
--- a/src/azurevane/_internal/policy/task_placement.py
+++ b/src/azurevane/_internal/policy/task_placement.py
@@ -15,18 +15,24 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.policy import isolated_starts
 
+# Stands for no limit on a number of placements.
+NO_LIMIT = 1 << 30
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunnerCapacity:
     """Free capacity of a runner that may start tasks.
 
     Attributes:
+        max_starts: number of tasks that may start on it now, but for those of
+            gangs, which start together.
     """
 
     runner_id: str
     rack: str
     labels: frozenset[str]
     free: job_models.Capacity
+    max_starts: int = NO_LIMIT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +92,6 @@
     runner_id: str
 
 
-# Stands for no limit on the number of placements.
-NO_LIMIT = 1 << 30
 # Minimum number of runners over which a long-running step is spread.
 MIN_SPREAD_RUNNERS = 2
 
@@ -95,13 +99,18 @@
 class _RunnerBalance:
     """Capacity of a runner that is left while tasks are placed."""
 
-    __slots__ = ("cpu", "gpu", "memory", "runner")
+    __slots__ = ("cpu", "gpu", "memory", "runner", "starts")
 
     def __init__(self, runner: RunnerCapacity) -> None:
         self.runner = runner
         self.cpu = runner.free.cpu
         self.memory = runner.free.memory
         self.gpu = runner.free.gpu
+        self.starts = runner.max_starts
+
+    def admits(self, step: job_models.Step, cpu: int) -> bool:
+        may_start = self.starts > 0 or step.gang
+        return may_start and self.fits(step.need, cpu)
 
     def fits(self, need: job_models.Capacity, cpu: int) -> bool:
         return (
@@ -114,6 +123,7 @@
         self.cpu -= cpu
         self.memory -= need.memory
         self.gpu -= need.gpu
+        self.starts -= 1
 
 
 class _TeamAllowance:
@@ -402,7 +412,7 @@
             runner = balance.runner
             here = count_by_runner.get(runner.runner_id, 0)
             full = step.max_per_runner and here >= step.max_per_runner
-            if full or not balance.fits(need, cpu):
+            if full or not balance.admits(step, cpu):
                 continue
             if runner.runner_id in avoided:
                 continue
@@ -468,3 +478,4 @@
         balance.cpu += cpu
         balance.memory += step.need.memory
         balance.gpu += step.need.gpu
+        balance.starts += 1
--- a/src/azurevane/_internal/scheduler/planner.py
+++ b/src/azurevane/_internal/scheduler/planner.py
@@ -464,4 +464,17 @@
         runner.entry.rack,
         runner.entry.labels,
         runner.free_capacity(),
+        _max_starts(runner, now),
     )
+
+
+def _max_starts(runner: runner_state.RunnerState, now: float) -> int:
+    """Return how many starts a runner may get beside those not sent yet."""
+    limit = runner.command_window.available(task_placement.NO_LIMIT, now)
+    if limit == task_placement.NO_LIMIT:
+        return limit
+    unsent = sum(
+        run.phase is runs.Phase.ASSIGNED and not run.sent_at
+        for run in runner.run_by_task.values()
+    )
+    return max(limit - unsent, 0)
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -214,11 +214,16 @@
             self._acknowledge_ends(runner, runner.processed_end_number)
 
     def _poll_wait_s(self, runner: runner_state.RunnerState) -> float:
-        """Return for how long a poll may wait for the end of a run."""
+        """Return for how long a poll may wait for the end of a run.
+
+        A slow runner takes its time besides, and its lease is extended by the
+        next poll only.
+        """
         report_needed = runner.unreachable or not runner.fenced
         if report_needed or self._awaits_store(runner):
             return 0.0
-        return MAX_POLL_WAIT_S
+        slow_s = runner.call_timeout_s() - runner_state.CALL_TIMEOUT_S
+        return max(MAX_POLL_WAIT_S - slow_s, 0.0)
 
     @staticmethod
     def _end_number_to_acknowledge(runner: runner_state.RunnerState) -> int:
@@ -254,13 +259,26 @@
             is of its previous incarnation.
         """
         incarnation = runner.started_at
-        report = await self._calls.poll(
-            self._runner_id,
-            runner.entry.address,
-            last_seen=last_seen,
-            lease_until_s=lease_until_s,
-            wait_s=wait_s,
-        )
+        timeout_s = runner.call_timeout_s()
+        try:
+            report = await self._calls.poll(
+                self._runner_id,
+                runner.entry.address,
+                last_seen=last_seen,
+                lease_until_s=lease_until_s,
+                wait_s=wait_s,
+                timeout_s=timeout_s,
+            )
+        except exceptions.CallFailed as failure:
+            if failure.timed_out:
+                runner.response_time.record_timeout(timeout_s)
+            raise
+        took_s = self._leader.now() - sent_at
+        if took_s >= wait_s:
+            # Otherwise a run has ended during the wait.
+            runner.response_time.record_response(took_s - wait_s)
+        if took_s <= runner_state.FAST_RESPONSE_S:
+            runner.command_window.lift(sent_at)
         if self._runner() is not runner:
             return False
         applied = self._leader.runner_events.handle_report(
@@ -362,12 +380,14 @@
         run.sent_at = leader.now()
         incarnation = runner.started_at
         lease_until_s = runner.extend_lease(run.sent_at, self._lease_s)
+        runner.command_window.begin()
         try:
             result = await self._calls.start_task(
                 self._runner_id,
                 runner.entry.address,
                 command.message,
                 lease_until_s,
+                timeout_s=runner.call_timeout_s(),
                 send_before=leader.commands_valid_until(),
             )
         except Exception as error:
@@ -375,6 +395,7 @@
             background.log_step_failure("start", error)
             result = runner_calls.StartResult(messages.StartOutcome.UNKNOWN)
         now = leader.now()
+        self._record_start_time(runner, run.sent_at, result.outcome)
         if (
             result.clock_s is not None
             and self._runner() is runner
@@ -398,6 +419,22 @@
                 f"report of runner {self._runner_id}",
             )
 
+    def _record_start_time(
+        self,
+        runner: runner_state.RunnerState,
+        sent_at: float,
+        outcome: messages.StartOutcome,
+    ) -> None:
+        """Record how long the runner took for a start."""
+        window, now = runner.command_window, self._leader.now()
+        if outcome is messages.StartOutcome.NOT_SENT:
+            window.cancel()
+            return
+        answered = outcome is not messages.StartOutcome.UNKNOWN
+        if answered:
+            runner.response_time.record_response(now - sent_at)
+        window.end(sent_at, now, answered=answered)
+
     async def _request_report_when_settled(
         self, runner: runner_state.RunnerState
     ) -> None:
@@ -420,6 +457,7 @@
                 runner.entry.address,
                 task,
                 attempt,
+                timeout_s=runner.call_timeout_s(),
                 send_before=self._leader.commands_valid_until(),
             )
         except runner_calls.RunnerFenced as failure:
@@ -451,6 +489,7 @@
                 run.name,
                 command.attempt,
                 command.percent,
+                timeout_s=runner.call_timeout_s(),
                 send_before=self._leader.commands_valid_until(),
             )
         except (exceptions.CallFailed, runner_calls.RunnerMismatch) as failure:
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -6,8 +6,10 @@
 from azurevane._internal.models import job as job_models
 from azurevane._internal.models import runner_messages as messages
 from azurevane._internal.models import site
+from azurevane._internal.policy import command_window
 from azurevane._internal.policy import runner_health
 from azurevane._internal.scheduler import runs as runs_module
+from azurevane._internal.utils import latency
 
 # Length of the lease that covers all runs on a runner. A shorter lease
 # releases the runs of a silent runner sooner, but it must outlast a change of
@@ -23,6 +25,14 @@
 # Time without new tasks after a runner rejected a start. It doubles with each
 # rejection up to the maximum.
 INITIAL_BACKOFF_S = 0.25
+# A runner answers within a round trip, which takes at most a few milliseconds.
+TYPICAL_RESPONSE_S = 0.01
+# A runner that answers a poll within this time has turned fast again.
+FAST_RESPONSE_S = 0.1
+# Least time after which a call without a response is given up, and the longest
+# for a runner that has turned slow. Its lease outlasts that.
+CALL_TIMEOUT_S = 1.0
+MAX_CALL_TIMEOUT_S = 3.0
 # A broken connection is noticed within this time.
 RESET_DELAY_S = 0.02
 MAX_BACKOFF_S = 4.0
@@ -87,6 +97,8 @@
         kept_lease_until: until when a lease may last that was granted before
             the runner's restart was known, or published.
         drain_deadline: when the draining runner leaves, or None.
+        response_time: how long its responses take.
+        command_window: commands in progress; few if it has turned slow.
     """
 
     def __init__(
@@ -124,6 +136,8 @@
         self._previous_lease_until = previous_lease_until
         self.kept_lease_until = 0.0
         self._lease_max_s = lease_max_s
+        self.response_time = latency.LatencyEstimate(TYPICAL_RESPONSE_S)
+        self.command_window = command_window.CommandWindow(CALL_TIMEOUT_S)
         self._used_cpu = 0
         self._used_memory = 0
         self._used_gpu = 0
@@ -189,6 +203,11 @@
         self._clock_read_at = at
         self.last_contact_at = at
 
+    def call_timeout_s(self) -> float:
+        """Return after which time a call without a response is given up."""
+        timeout_s = self.response_time.timeout_s(MAX_CALL_TIMEOUT_S)
+        return max(CALL_TIMEOUT_S, timeout_s)
+
     def record_call_failure(self, now: float, *, reset: bool) -> bool:
         """Record that a call failed; return whether the last one hadn't.
 
--- a/tests/scheduler/slow_peers.feature
+++ b/tests/scheduler/slow_peers.feature
@@ -37,6 +37,24 @@
       | loses calls          | 20      |
       | answers 503          | 10      |
 
+  Scenario Outline: A burst of tasks at runners of <seconds> s a call
+    Given a site with service "press" on 4 hosts and queue "fit"
+    And hosts stay in their pools
+    And runners that carry out one call at a time, <seconds> s each
+    And tasks that run 1.0 s
+    When 10 jobs are submitted over 4.0 s
+    And 240 s pass
+    Then all of the jobs are completed
+    And no task ran twice but for ends that came too late
+    And at most 20 calls waited at any runner
+
+    Examples:
+      | seconds |
+      | 0.1     |
+      | 0.27    |
+      | 0.5     |
+      | 1.2     |
+
   Scenario Outline: A burst of submissions at a store of <seconds> s a write
     Given a site with service "press" on 8 hosts and queue "fit"
     And hosts stay in their pools
