Count a leader that refuses connections as alive

Cause: a refused connection counted as proof that the leader's process had ended. The next leader took over without allowing for the leases that the former one extends without the store, and before its commands had expired. Ruled out: silent cuts, as without an answer the leases are allowed for.

--- a/src/azurevane/_internal/peers/leader_query.py
+++ b/src/azurevane/_internal/peers/leader_query.py
@@ -37,8 +37,8 @@
     Attributes:
         LEADS: the host still leads under the token.
         NOT_LEADING: the host responded that it doesn't lead under it.
-        NOT_LISTENING: the connection was refused, so the process that
-            led has ended.
+        NOT_LISTENING: the connection was refused: the process that led has
+            ended, or can't be reached from here.
         NO_ANSWER: the query failed in another way; nothing is known.
     """
 
@@ -58,11 +58,7 @@
     async def query_leader(
         self, address: host_settings.Address, token: int
     ) -> LeaderStatus:
-        """Ask the host at an address whether it leads under a token.
-
-        A process listens for as long as it may lead. So a refused
-        connection shows that the process has ended.
-        """
+        """Ask the host at an address whether it leads under a token."""
         try:
             response = await self._client.call(
                 address,
--- a/src/azurevane/_internal/scheduler/candidate.py
+++ b/src/azurevane/_internal/scheduler/candidate.py
@@ -243,7 +243,14 @@
                 ),
             )
             if leader_status in _ENDED_LEADER_STATUSES:
-                self._view.record_term_ended(silent.token, leader_status.value)
+                # A refused connection says nothing of others, over which a
+                # leader without the store still reaches runners.
+                self._view.record_term_ended(
+                    silent.token,
+                    leader_status.value,
+                    may_be_alive=leader_status
+                    is leader_query.LeaderStatus.NOT_LISTENING,
+                )
                 self._tick()
         finally:
             self._reactor.callLater(
@@ -314,6 +321,7 @@
             taken_over_at=sent_at,
             takeover_commit=outcome,
             previous=takeover.previous,
+            commands_from=takeover.commands_from,
             unix_time=self._unix_time,
             process_lag=self._process_lag,
             advice=self._advice,
--- a/src/azurevane/_internal/scheduler/leader.py
+++ b/src/azurevane/_internal/scheduler/leader.py
@@ -69,6 +69,8 @@
         taken_over_at: when the takeover was sent to the store.
         takeover_commit: the store's response to the takeover.
         previous: what is known of the previous leader's leases.
+        commands_from: monotonic time before which no command is sent, as the
+            previous leader may still send some.
         process_lag: how late this process is.
         advice: queue of this host's calls to the advisor, if there is one.
         on_ended: called once with a reason when the term ends.
@@ -85,6 +87,7 @@
         taken_over_at: float,
         takeover_commit: store.Committed,
         previous: leadership.PreviousLeader,
+        commands_from: float,
         unix_time: Callable[[], float],
         process_lag: process_lag_module.ProcessLag,
         advice: advice_queue.AdviceQueue | None,
@@ -101,6 +104,7 @@
         self._unix_time = unix_time
         self._confirmed_at = taken_over_at
         self._taken_over_at = taken_over_at
+        self._commands_from = commands_from
         self.lease_s = min(
             runner_state.RUNNER_LEASE_S, settings.bounds.runner_lease_max_s
         )
@@ -254,7 +258,11 @@
         """Whether this host certainly leads and may send commands."""
         released = self._released_extend_until is not None
         ended = self.stopped or released
-        return not ended and self.now() < self.commands_valid_until()
+        now = self.now()
+        return (
+            not ended
+            and self._commands_from <= now < self.commands_valid_until()
+        )
 
     def commands_valid_until(self) -> float:
         """Return until when this host certainly leads, in monotonic time."""
@@ -314,6 +322,9 @@
 
     async def run(self) -> None:
         """Read the stored states, and follow the tables until stopped."""
+        wait_s = self._commands_from - self.now()
+        if wait_s > 0:
+            self._reactor.callLater(wait_s, self.request_planning)
         # Begun first, as the other tables can't be applied before it.
         reading = defer.ensureDeferred(self._read_states())
         self._site_tables.start()
--- a/src/azurevane/_internal/scheduler/leadership.py
+++ b/src/azurevane/_internal/scheduler/leadership.py
@@ -73,6 +73,9 @@
         renewal_row_value: new value of the renewal row; keeps what it says
             of leases and commands of previous leaders.
         reason: why the previous term is considered over, for the log.
+        previous: what is known of the leases of previous leaders.
+        commands_from: monotonic time until which the previous leader may
+            still send commands.
     """
 
     leader_row_version: int
@@ -82,6 +85,7 @@
     renewal_row_value: bytes
     reason: str
     previous: "PreviousLeader"
+    commands_from: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,6 +200,15 @@
     address: host_settings.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EndedTerm:
+    """A term from which another host may take over without its release."""
+
+    token: int
+    reason: str
+    may_be_alive: bool
+
+
 class LeaderView:
     """The leader's rows as this host sees them; times are monotonic seconds.
 
@@ -218,8 +231,7 @@
         self._delay_s = delay_s
         self._delay_with_jitter_s = delay_s + jitter_s
         self._address = address
-        # Token of a term that has certainly ended, and how that is known.
-        self._ended_term: tuple[int, str] = (0, "")
+        self._ended_term = _EndedTerm(0, "", may_be_alive=False)
         self._leader_row = _LeaderRow("", 0)
         self._leader_row_version = 0
         self._renewal_row_version = 0
@@ -307,14 +319,22 @@
         row = self._leader_row
         if row.holder in ("", self._host_name) or not row.port:
             return None
-        if row.token == self._ended_term[0]:
+        if row.token == self._ended_term.token:
             return None
         address = host_settings.Address(row.ip, row.port)
         return SilentLeader(row.holder, row.token, silent_s, address)
 
-    def record_term_ended(self, token: int, reason: str) -> None:
-        """Record that the term of a token has certainly ended."""
-        self._ended_term = token, reason
+    def record_term_ended(
+        self, token: int, reason: str, *, may_be_alive: bool
+    ) -> None:
+        """Record that another host may take over from the term of a token.
+
+        Args:
+            reason: how that is known, for the log.
+            may_be_alive: whether its leader may still send commands and
+                extend leases, as long as a leader does without the store.
+        """
+        self._ended_term = _EndedTerm(token, reason, may_be_alive=may_be_alive)
 
     def takeover_due(self, now: float) -> Takeover | None:
         """Return the takeover to attempt now, if any."""
@@ -330,14 +350,21 @@
             if now - self._changed_at < self._delay_with_jitter_s:
                 return None
             reason, may_extend = "no holder", False
-        elif self._leader_row.token == self._ended_term[0]:
-            reason = f"{self._leader_row.holder} {self._ended_term[1]}"
-            may_extend = False
+        elif self._leader_row.token == self._ended_term.token:
+            reason = f"{self._leader_row.holder} {self._ended_term.reason}"
+            may_extend = self._ended_term.may_be_alive
         elif silent_s > LEADER_LEASE_S + self._delay_with_jitter_s:
             reason, may_extend = f"{self._leader_row.holder} silent", True
         else:
             return None
-        return self._make_takeover(reason, may_extend)
+        takeover = self._make_takeover(reason, may_extend)
+        if not may_extend:
+            return takeover
+        # Every renewal was sent before this host saw it.
+        return dataclasses.replace(
+            takeover,
+            commands_from=self._changed_at + CONFIRMATION_VALIDITY_S,
+        )
 
     def _make_takeover(self, reason: str, may_extend: bool) -> Takeover:
         token = self._leader_row.token + 1
--- a/tests/scheduler/leadership.feature
+++ b/tests/scheduler/leadership.feature
@@ -140,6 +140,30 @@
     And 14.0 s pass
     Then no task ran twice
 
+  Scenario: A leader that refuses connections may still extend leases
+    Guards against tasks that are started again while their runner, which only
+    the previous leader reaches, goes on with them (review/11).
+    Given hosts stay in their pools
+    And tasks that run 20.0 s
+    When job "00000000000000ad" of 20 tasks is submitted
+    And 2.0 s pass
+    And the leader reaches only the runners, and one of them only it
+    And connections to its host are refused
+    And 14.0 s pass
+    Then no task ran twice
+    And every task of job "00000000000000ad" runs
+
+  Scenario: A refused connection delays no start beside a runner that responds
+    Guards against waiting for the leases of a leader that was killed.
+    Given hosts stay in their pools
+    And tasks that run 4.0 s
+    When job "00000000000000ae" of 20 tasks is submitted
+    And 1.0 s pass
+    And the leader is killed
+    And job "00000000000000af" of 1 task is submitted within 3 s
+    And 1.5 s pass
+    Then a task of job "00000000000000af" has started
+
   Scenario: A lease that a released leader extended last isn't cut short
     Guards against counting leases only from the takeover of its successor.
     Given hosts stay in their pools
--- a/tests/scheduler/steps/large_fleet_steps.py
+++ b/tests/scheduler/steps/large_fleet_steps.py
@@ -91,7 +91,7 @@
     view.update_row(leadership.LEADER_KEY, row, 1, NOW)
     view.update_row(leadership.RENEWAL_KEY, context.row, 2, NOW)
     view.record_view(NOW)
-    view.record_term_ended(1, "has ended")
+    view.record_term_ended(1, "gave up", may_be_alive=False)
     context.previous = previous = view.takeover_due(NOW).previous
     context.next_state = renewals.make_scheduler_state(
         previous,
--- a/tests/scheduler/steps/site_steps.py
+++ b/tests/scheduler/steps/site_steps.py
@@ -470,6 +470,18 @@
     runner.unreachable_from = set(world.host_by_name) - {name}
 
 
+@when("connections to its host are refused")
+def step_refuse_connections(context):
+    world = context.world
+    address = str(world._address(context.previous_leader))
+    world.platform.entry_host_by_address[address] = None
+
+
+@then('a task of job "{job_id}" has started')
+def step_any_started(context, job_id):
+    assert context.world.task_starts(job_id), job_id
+
+
 @given("the leader writes no more renewals")
 def step_no_renewals(context):
     world = context.world
--- a/tests/scheduler/steps/view_steps.py
+++ b/tests/scheduler/steps/view_steps.py
@@ -59,7 +59,7 @@
 @when('the process of host "{host}" ends before its first renewal')
 def step_process_ends(context, host):
     for view in context.view_by_host.values():
-        view.record_term_ended(context.token, "gone")
+        view.record_term_ended(context.token, "gave up", may_be_alive=False)
 
 
 @when(
