--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -377,9 +377,9 @@
             leader.scheduler_state.release_run(run, leader.now())
             leader.request_planning()
             return
-        run.sent_at = leader.now()
+        run.sent_at = sent_at = leader.now()
         incarnation = runner.started_at
-        lease_until_s = runner.extend_lease(run.sent_at, self._lease_s)
+        lease_until_s = runner.extend_lease(sent_at, self._lease_s)
         runner.command_window.begin()
         try:
             result = await self._calls.start_task(
@@ -395,7 +395,7 @@
             background.log_step_failure("start", error)
             result = runner_calls.StartResult(messages.StartOutcome.UNKNOWN)
         now = leader.now()
-        self._record_start_time(runner, run.sent_at, result.outcome)
+        self._record_start_time(runner, sent_at, result.outcome)
         if (
             result.clock_s is not None
             and self._runner() is runner
