Remember starts on their way when their runner is given up

Cause: the platform's list showed the host as down before the start's call had timed out. The run was released, but only starts whose call had ended without a response were remembered to be stopped at the runner's next life.

Change: a start that was sent and isn't answered when its run is released is remembered. An answer that rejects it clears the time of its sending.

--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -284,6 +284,8 @@
         if run.phase is _Phase.RUNNING:
             # A report already showed that the run is running.
             return
+        # The runner has answered, so the start won't arrive later.
+        run.sent_at = 0.0
         self._handle_start_rejected(run, runner_id, outcome, now)
 
     def _note_begun(self, run: runs.Run) -> None:
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -418,7 +418,8 @@
         if not run.occupies_capacity:
             # Its job ended as another run of the same runner was released.
             return
-        if run.unconfirmed_since:
+        if run.sent_at and not run.acknowledged_at:
+            # Its call may be without a response yet.
             self.late_starts.record_released(
                 run.runner_id,
                 late_starts.LateStart(run.name, run.attempt),
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -245,6 +245,26 @@
       | 1.8  |
       | 0.1  |
 
+  Scenario Outline: A start on its way does nothing after its host lost power
+    Guards against a second run of a task whose runner was given up before its
+    start counted as unanswered (review/7).
+    Given tasks that run 20.0 s
+    And the first start of job "00000000000000d8" is carried out 4.0 s late
+    When job "00000000000000d7" of 1 tasks of 4000 millicores is submitted
+    And 0.2 s pass
+    And job "00000000000000d8" of 1 tasks of 2000 millicores is submitted
+    And 0.1 s pass
+    And its host loses power, and runs it again <down> s later
+    And 12.0 s pass
+    Then the late start was carried out
+    And every task of job "00000000000000d8" runs
+    And no task ran twice
+
+    Examples:
+      | down |
+      | 1.5  |
+      | 2.5  |
+
   Scenario: A stop is repeated for no longer than its start may come
     Guards against a runner that is polled for ever, as it rejects the stop.
     Given a start at a runner that restarted, 5.0 s ago
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -203,6 +203,55 @@
     _restart(context, context.late_start_runner, restart_s=pause)
 
 
+@when("its host loses power, and runs it again {pause:g} s later")
+def step_power_lost(context, pause):
+    world = context.world
+    runner = context.late_start_runner
+    host = next(
+        host
+        for host in world.platform.host_by_name.values()
+        if host.runner is runner
+    )
+    host.state = "down"
+    world.clock.callLater(pause, setattr, host, "state", "up")
+    _restart(context, runner, restart_s=pause)
+
+
+@when(
+    "the next extension at a runner with tasks is carried out {late:g} s late"
+)
+def step_late_extension(context, late):
+    platform = context.world.platform
+    call_runner = platform._handle_runner_call
+    runner = context.slow_runner = _runner(context, idle=False)
+    context.late_answers = []
+
+    def carry_out(request):
+        runner = platform.runner_by_address[str(request.address)]
+        answer = runner.handle_request(request.path, request.body)
+        context.late_answers.append(answer)
+
+    def handle(entry_host, request):
+        extends = request.path.endswith("hold") and "expiresMs" in request.body
+        if not extends or str(request.address) != runner.address:
+            return call_runner(entry_host, request)
+        platform._handle_runner_call = call_runner
+        context.world.clock.callLater(late, carry_out, request)
+        context.held_up = True
+        return None
+
+    platform._handle_runner_call = handle
+    context.held_up = False
+    while not context.held_up:
+        context.world.advance_time(site_world.STEP_S)
+
+
+@when("that runner restarts after {pause:g} s, and its entry follows at once")
+def step_restarts_after(context, pause):
+    _restart(context, context.slow_runner, restart_s=pause)
+
+
+@then("the late extension was carried out")
 @then("the late start was carried out")
 def step_late_start_done(context):
     assert context.late_answers, "it wasn't"
