Count extensions that a restarted runner may get late

Cause: the leader allowed for such an extension only until it knew of the restart. Change: the last lease granted before a restart may arrive for 15 s from its sending and last as long as the runner allows from then; also where the runner was given up before it came back.

--- a/src/azurevane/_internal/scheduler/renewals.py
+++ b/src/azurevane/_internal/scheduler/renewals.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection, Mapping
 
 from azurevane._internal.scheduler import admission_estimate
+from azurevane._internal.scheduler import late_starts
 from azurevane._internal.scheduler import leadership
 from azurevane._internal.scheduler import recent_commands
 from azurevane._internal.scheduler import runner_state
@@ -75,12 +76,15 @@
         state.unreached_until_by_runner[runner_id] = min(
             clock.certainly_passed_at(expiry_s), latest
         )
+    # An extension of before a restart may arrive late.
+    latest_restarted = latest + late_starts.MAX_LATENESS_S
     for runner_id, until_s in previous.restart_lease_by_runner.items():
         state.restart_lease_by_runner[runner_id] = min(
-            clock.certainly_passed_at(until_s), latest
+            clock.certainly_passed_at(until_s), latest_restarted
         )
     state.restart_leases_until = min(
-        clock.certainly_passed_at(previous.restart_leases_until), latest
+        clock.certainly_passed_at(previous.restart_leases_until),
+        latest_restarted,
     )
     # The takeover has kept them in the renewal row.
     state.publish_expiries(previous.expiry_by_runner)
--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -172,6 +172,12 @@
             now,
         )
         for runner_id, reason in reason_by_runner.items():
+            runner = self._scheduler_state.runner_by_id.get(runner_id)
+            if runner is not None:
+                # It may start again under its id.
+                self._scheduler_state.note_late_lease(
+                    runner_id, runner.late_lease_end()
+                )
             self.handle_runner_gone(runner_id, reason, now)
 
     def handle_runner_silent(self, runner_id: str, now: float) -> None:
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -8,6 +8,7 @@
 from azurevane._internal.models import site
 from azurevane._internal.policy import command_window
 from azurevane._internal.policy import runner_health
+from azurevane._internal.scheduler import late_starts
 from azurevane._internal.scheduler import runs as runs_module
 from azurevane._internal.utils import latency
 
@@ -308,6 +309,17 @@
             ends.insert(0, LeaseEnd(own_end, LeaseGrantor.THIS_LEADER))
         return max(ends, key=lambda end: end.at)
 
+    def late_lease_end(self) -> float:
+        """Return until when a lease granted to this incarnation may last.
+
+        The next incarnation may get the last extension late, and by its clock
+        only the runner's own maximum bounds it. 0 if none was sent.
+        """
+        if not self._lease_until_s:
+            return 0.0
+        arrives_until = self._lease_granted_at + late_starts.MAX_LATENESS_S
+        return arrives_until + longest_lease_s(self._lease_max_s)
+
     def keep_lease_until(self, at: float) -> None:
         """Assume that a lease lasts until a time, whoever is fenced."""
         self.kept_lease_until = max(self.kept_lease_until, at)
@@ -372,6 +384,7 @@
         came with such a start has expired. That lease was computed by
         another clock, so only the runner's own maximum bounds it.
         """
+        self.keep_lease_until(self.late_lease_end())
         self.started_at = started_at
         self.fenced = False
         self.stored_end_number = 0
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -100,6 +100,11 @@
             self.restart_leases_until,
         )
 
+    def note_late_lease(self, runner_id: str, until: float) -> None:
+        """Note until when a runner may hold a lease of before its crash."""
+        leases = self.restart_lease_by_runner
+        leases[runner_id] = max(leases.get(runner_id, 0.0), until)
+
     def lease_ends_to_publish(
         self, now: float, *, all_read: bool
     ) -> dict[str, float]:
@@ -130,11 +135,19 @@
 
         Only leases that may last longer than until now are included.
         """
+        self.restart_lease_by_runner = {
+            runner_id: until
+            for runner_id, until in self.restart_lease_by_runner.items()
+            if until > now
+        }
         until_by_runner = {
             # Of runners that aren't registered with this leader as well.
             **self.restart_lease_by_runner,
             **{
-                runner_id: runner.kept_lease_until
+                runner_id: max(
+                    runner.kept_lease_until,
+                    self.restart_lease_by_runner.get(runner_id, 0.0),
+                )
                 for runner_id, runner in self.runner_by_id.items()
             },
         }
