Give a task up only after crashes of several hosts

Cause: three crashes right after a start give a task up. Earlier only the third one had to be on another host, and only while there was any. Crashes of one host say nothing of the task, as it may be the host.

Change: at least two hosts must be known to have crashed under the task; otherwise it is tried again after 1 s.

--- a/src/azurevane/_internal/scheduler/records.py
+++ b/src/azurevane/_internal/scheduler/records.py
@@ -32,6 +32,9 @@
 MIN_TASK_BYTES = 32
 # Fast, as a large state is written each time one of its tasks changes.
 _COMPRESSION_LEVEL = 1
+# Addresses of crashed runners that are stored with a task; a job may have
+# many tasks.
+MAX_STORED_ADDRESSES = 2
 # About 1 KB for each of the tasks that a job may have.
 _MAX_RECORD_BYTES = 1 << 21
 
@@ -61,6 +64,9 @@
     unused_runner_id: str = ""
     crashed_attempts: list[int] = []
     uncertain_attempts: list[int] = []
+    # Addresses of some of the runners that crashed; earlier versions ignore
+    # them.
+    crashed_at: list[str] = []
 
 
 class _Record(msgspec.Struct, array_like=True):
@@ -224,6 +230,7 @@
         "",
         sorted(history.attempts),
         sorted(history.uncertain_attempts),
+        sorted(run.crashed_at)[:MAX_STORED_ADDRESSES],
     )
 
 
@@ -268,6 +275,7 @@
         )
         if history.suspected:
             state.set_crash_history(run, history)
+            run.crashed_at = set(task.crashed_at)
         phase = runs_module.Phase(task.phase)
         if phase is runs_module.Phase.DONE:
             run.finish()
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -22,6 +22,11 @@
 
 # Least time between two stop commands for the same run.
 STOP_RESEND_INTERVAL_S = 0.5
+# A task is given up for crashes of at least this many hosts; a single one may
+# be at fault itself.
+MIN_CRASHED_HOSTS = 2
+# Pause of a task that would be given up if its crashes weren't of one host.
+ONE_HOST_PAUSE_S = 1.0
 
 
 class SchedulerState:
@@ -447,7 +452,9 @@
     def _end_job_if_exhausted(self, run: runs.Run, now: float) -> None:
         """End the job of a task that may not start again."""
         history = run.job.crash_history(run)
-        if history.exhausted and not run.job.status.ended:
+        if history.exhausted and not self._crashed_hosts_differ(run):
+            run.not_before = max(run.not_before, now + ONE_HOST_PAUSE_S)
+        elif history.exhausted and not run.job.status.ended:
             crash_count = len(history.all_attempts)
             self.end_job(
                 run.job,
@@ -467,6 +474,16 @@
                 now,
             )
 
+    @staticmethod
+    def _crashed_hosts_differ(run: runs.Run) -> bool:
+        """Whether several hosts are known to have crashed under a task."""
+        members = [run]
+        if run.step.gang:
+            key = run.name.occurrence, run.name.step
+            members = run.job.runs_by_step[key]
+        hosts = set().union(*(member.crashed_at for member in members))
+        return len(hosts) >= MIN_CRASHED_HOSTS
+
     def task_count_by_runner(
         self, job: runs.JobState, key: tuple[int, int]
     ) -> dict[str, int]:
--- a/tests/scheduler/crash_loop.feature
+++ b/tests/scheduler/crash_loop.feature
@@ -239,3 +239,18 @@
       | 7      | 0.6  | 0.94 |
       | 10     | 0.4  | 0.6  |
       | 6      | 0.9  | 1.1  |
+
+  Scenario Outline: The only host for a task convicts it never
+    Guards against a job that is shown as failed though no run of it ended so
+    (review/8).
+    Given tasks that run 3.0 s
+    And host "m-003" is the only one with label "press-3"
+    When job "00000000000000c9" of 1 tasks with label "press-3" is submitted
+    And host "m-003" crashes <rounds> times for <down> s, <gap> s apart
+    And 15.0 s pass
+    Then job "00000000000000c9" is "completed"
+
+    Examples:
+      | rounds | down | gap |
+      | 5      | 1.05 | 1.3 |
+      | 12     | 0.6  | 0.9 |
--- a/tests/scheduler/steps/crash_steps.py
+++ b/tests/scheduler/steps/crash_steps.py
@@ -354,3 +354,19 @@
         for job_id in context.wide_job_ids
     ]
     assert states == [state] * count, states
+
+
+@given('host "{name}" is the only one with label "{label}"')
+def step_only_host(context, name, label):
+    platform = context.world.platform
+    host = platform.host_by_name[name]
+    host.rack = host.runner.rack = label
+    platform.register(host.runner)
+
+
+@when('job "{job_id}" of {count:d} tasks with label "{label}" is submitted')
+def step_submit_labelled(context, job_id, count, label):
+    phase = {"count": count, "cpu": 2000, "memMb": 64, "requirements": label}
+    response = context.world.submit_job(context.queue, job_id, [phase])
+    assert response.status == 200, response
+    context.world.advance_time(0.2)
