--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -484,6 +484,10 @@
         run.load = running.load
         if running.checkpoint:
             run.checkpoint = running.checkpoint
+        if run.withdrawn and not run.stop_acknowledged_at:
+            # It has begun after all, and nothing else speaks against it.
+            run.withdrawn = False
+            run.phase = _Phase.ASSIGNED
         if run.phase is _Phase.ASSIGNED:
             run.phase = _Phase.RUNNING
             if run.inherited:
@@ -542,6 +546,7 @@
             self._scheduler_state.resend_stop_if_due(run, now)
         elif run.unconfirmed_since and sent_at >= run.unconfirmed_since:
             self._scheduler_state.stop_run(run, "start not confirmed", now)
+            run.withdrawn = True
 
     def _stop_orphaned_run(
         self, runner: runner_state.RunnerState, running: messages.RunningTask
--- a/src/azurevane/_internal/scheduler/runs.py
+++ b/src/azurevane/_internal/scheduler/runs.py
@@ -82,6 +82,8 @@
             sent may still end the run.
         not_before: earliest time of the next start.
         waiting_since: when the task began to wait for a run.
+        withdrawn: whether it is being stopped only because its start got no
+            response.
         not_serving_since: since when a long-running task isn't serving.
     """
 
@@ -113,6 +115,7 @@
         "stop_sent_at",
         "unconfirmed_since",
         "waiting_since",
+        "withdrawn",
     )
 
     def __init__(
@@ -153,6 +156,7 @@
         self.stop_acknowledged_at = 0.0
         self.stop_sent_at = 0.0
         self.earlier_stop_until = 0.0
+        self.withdrawn = False
 
     @property
     def occupies_capacity(self) -> bool:
--- a/src/azurevane/_internal/scheduler/scheduler_state.py
+++ b/src/azurevane/_internal/scheduler/scheduler_state.py
@@ -556,6 +556,7 @@
             return
         if run.serving:
             run.not_serving_since = now
+        run.withdrawn = False
         run.phase = runs.Phase.STOPPING
         self._send_stop(run, reason, now)
 
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -192,6 +192,38 @@
     platform._handle_runner_call = handle
 
 
+@given(
+    "a start is carried out {late:g} s late, and stops of its run after"
+    " {stop_late:g} s"
+)
+def step_late_run(context, late, stop_late):
+    step_late_start(context, "", late)
+    platform = context.world.platform
+    lose_start = platform._handle_runner_call
+    context.stops_after_start = []
+
+    def carry_out(request):
+        runner = platform.runner_by_address[str(request.address)]
+        runner.handle_request(request.path, request.body)
+
+    def handle(entry_host, request):
+        runner = context.late_start_runner
+        is_stop = request.path.endswith("run-stop")
+        if not is_stop or str(request.address) != runner.address:
+            return lose_start(entry_host, request)
+        if context.late_answers:
+            context.stops_after_start.append(request.body)
+        context.world.clock.callLater(stop_late, carry_out, request)
+        return None
+
+    platform._handle_runner_call = handle
+
+
+@then("no stop of its run was sent after it")
+def step_no_stop_after(context):
+    assert not context.stops_after_start, context.stops_after_start
+
+
 @when("its runner restarts, and its entry follows {lag:g} s later")
 def step_late_runner_restarts(context, lag):
     _restart(context, context.late_start_runner, entry_lag_s=lag)
