Order a runner's incarnations by its answers

Cause: a start time smaller than the last one counted as that of an earlier incarnation, so all entries and reports were ignored, and polls of the runner followed each other without a pause.

Change: a report to a call that was sent after another incarnation was known is of a later one, whatever its start time. An entry that seems earlier leads to a poll at once, whose report decides. After a report that isn't applied the next poll waits 0.1 s.

--- a/src/azurevane/_internal/scheduler/runner_events.py
+++ b/src/azurevane/_internal/scheduler/runner_events.py
@@ -59,7 +59,9 @@
             self._add_runner(entry, now)
             return
         if runner_state.is_later_start(runner.started_at, entry.started_at):
-            # A late write of a previous incarnation.
+            # A late write of a previous incarnation, or the host's time of
+            # day was set back. The runner is asked.
+            runner.contradicting_entry = entry
             return
         if runner_state.is_later_start(entry.started_at, runner.started_at):
             self._start_incarnation(runner, entry.started_at, "entry", now)
@@ -113,6 +115,13 @@
         if not runner.run_by_task and not runner.need_by_orphan:
             del self._scheduler_state.runner_by_id[runner_id]
 
+    @staticmethod
+    def _settle_entry(runner: runner_state.RunnerState, now: float) -> None:
+        """Apply or drop an entry once a report shows what runs."""
+        entry, runner.contradicting_entry = runner.contradicting_entry, None
+        if entry is not None and entry.started_at == runner.started_at:
+            runner.update_entry(entry, now)
+
     def _start_incarnation(
         self,
         runner: runner_state.RunnerState,
@@ -376,14 +385,14 @@
         if runner is None:
             return False
         started_at = report.started_at
-        if runner_state.is_later_start(runner.started_at, started_at):
-            return False
-        if started_at and runner_state.is_later_start(
-            started_at, runner.started_at
-        ):
+        if started_at and runner.is_later_incarnation(started_at, sent_at):
             # The entry of the new incarnation follows within a heartbeat, or
             # later if the store is down.
             self._start_incarnation(runner, started_at, "report", now)
+        elif runner_state.starts_differ(started_at, runner.started_at):
+            return False
+        if sent_at >= runner.shown_at:
+            self._settle_entry(runner, now)
         runner.record_clock(report.clock_s, now)
         if not runner.fenced:
             runner.confirm_fenced(now, self._scheduler_state.lease_s)
--- a/src/azurevane/_internal/scheduler/runner_link.py
+++ b/src/azurevane/_internal/scheduler/runner_link.py
@@ -111,7 +111,15 @@
             if runner is None or not self._is_idle(runner):
                 self.wake()
             return
-        if runner is None or runner.fenced:
+        if runner is None:
+            return
+        if runner.contradicting_entry is not None:
+            background.spawn(
+                self._request_report_now(runner),
+                f"report of runner {self._runner_id}",
+            )
+            return
+        if runner.fenced:
             return
         if self._polled_incarnation not in (None, runner.started_at):
             # The poll in progress may wait for the previous incarnation
@@ -152,6 +160,7 @@
         late_starts = self._leader.scheduler_state.late_starts
         return (
             runner.fenced
+            and runner.contradicting_entry is None
             and not late_starts.awaits_stops(runner.id)
             and not runner.unreachable
             and not runner.run_by_task
@@ -204,6 +213,9 @@
                 await self._handle_call_failure(runner, failure)
             return
         if not applied:
+            # An answer of an incarnation before, or of a runner that was
+            # removed; the next poll mustn't follow without a pause.
+            await self._wait_for_wakeup(RETRY_DELAY_S)
             return
         runner.unreachable = False
         if runner.awaits_withdrawal:
--- a/src/azurevane/_internal/scheduler/runner_state.py
+++ b/src/azurevane/_internal/scheduler/runner_state.py
@@ -76,7 +76,12 @@
     Attributes:
         entry: newest entry of the runner in the store.
         started_at: Unix time in seconds of the start of the newest
-            incarnation that an entry or a report has shown, or 0.
+            incarnation that an entry or a report has shown, or 0. It tells
+            incarnations apart, but the host's time of day may be set back
+            from one to the next.
+        shown_at: when an entry or a report first showed that incarnation.
+        contradicting_entry: newest entry that seems to be of an earlier
+            incarnation, until a report has shown which one runs.
         listed: whether the store has an entry of the runner.
         fenced: whether the runner has confirmed this leader's fencing token.
         stored_end_number: highest number of a run's end whose effect is
@@ -111,6 +116,8 @@
     ) -> None:
         self.entry = entry
         self.started_at = entry.started_at
+        self.shown_at = now
+        self.contradicting_entry: site.Runner | None = None
         self.listed = True
         self.fenced = False
         self.stored_end_number = 0
@@ -152,7 +159,25 @@
     @property
     def entry_current(self) -> bool:
         """Whether the entry describes the incarnation that runs now."""
-        return not is_later_start(self.started_at, self.entry.started_at)
+        return not starts_differ(self.started_at, self.entry.started_at)
+
+    def is_later_incarnation(
+        self, started_at: float | None, sent_at: float
+    ) -> bool:
+        """Whether a report is of an incarnation after the newest known one.
+
+        A runner has one incarnation at a time. So another one than was known
+        when the call was sent has started since.
+
+        Args:
+            started_at: Unix time in seconds of its start that it reports.
+            sent_at: when the call was sent.
+        """
+        if not starts_differ(started_at, self.started_at):
+            return False
+        return sent_at >= self.shown_at or is_later_start(
+            started_at, self.started_at
+        )
 
     def update_entry(self, entry: site.Runner, now: float) -> None:
         """Apply a newer entry of the same incarnation."""
@@ -385,6 +410,7 @@
         another clock, so only the runner's own maximum bounds it.
         """
         self.keep_lease_until(self.late_lease_end())
+        self.shown_at = now
         self.started_at = started_at
         self.fenced = False
         self.stored_end_number = 0
@@ -401,14 +427,28 @@
         self.drain_deadline = None
 
 
+def starts_differ(
+    started_at: float | None, other_started_at: float | None
+) -> bool:
+    """Whether two start times are of different incarnations of a runner.
+
+    Args:
+        started_at: Unix time in seconds of a start; None or 0 is unknown.
+    """
+    if not started_at or not other_started_at:
+        return False
+    return started_at != other_started_at
+
+
 def is_later_start(
     started_at: float | None, known_started_at: float | None
 ) -> bool:
-    """Whether the first start time is of a later incarnation of a runner.
+    """Whether the first start time is later than that of another incarnation.
+
+    Where the host's time of day was set back, the incarnation isn't.
 
     Args:
-        started_at: Unix time in seconds of a start. It only grows from one
-            incarnation under an id to the next; None or 0 is unknown.
+        started_at: Unix time in seconds of a start; None or 0 is unknown.
     """
     if not started_at or not known_started_at:
         return False
--- a/src/azurevane/_internal/standins/site_platform.py
+++ b/src/azurevane/_internal/standins/site_platform.py
@@ -170,6 +170,7 @@
         *,
         restart_s: float = 0.0,
         entry_lag_s: float = 0.0,
+        clock_set_back_s: float = 0.0,
     ) -> site_runner.SiteRunner:
         """Crash a runner and start its next incarnation under the same id.
 
@@ -178,10 +179,16 @@
             entry_lag_s: time between the new start and the store's new
                 entry. It is about a heartbeat, and more while the runner
                 doesn't reach the store.
+            clock_set_back_s: by how much its host's time of day at the new
+                start is before that of the last one.
         """
         runner.crash()
         self._incarnations += 1
         started_at_ms = 1_000_000 + self._incarnations
+        if clock_set_back_s:
+            started_at_ms = runner.started_at_ms - round(
+                clock_set_back_s * 1000
+            )
 
         def start() -> site_runner.SiteRunner:
             successor = runner.next_incarnation(started_at_ms)
--- a/src/azurevane/_internal/standins/site_runner.py
+++ b/src/azurevane/_internal/standins/site_runner.py
@@ -80,6 +80,7 @@
         fails_all_tasks: whether every task that starts fails after 0.05 s.
         resets_connections: whether connections are reset and refused once
             the process has ended, as on a host that has power.
+        poll_count: number of polls that it carried out.
         peer: queues the calls, each of which then takes ``call_s``; None if
             they are carried out at once.
     """
@@ -146,6 +147,7 @@
         self.turns_starts_away = False
         self.fails_all_tasks = False
         self.resets_connections = False
+        self.poll_count = 0
         self.peer: Any = None
         self.call_s = 0.0
         self._stalled_since: float | None = None
@@ -332,6 +334,7 @@
         return self._answer(200)
 
     def _hold_leases(self, body: Any) -> "Response | defer.Deferred[Response]":
+        self.poll_count += 1
         seen = body["lastSeen"]
         for row in self._unseen_ends:
             if row[0] <= seen:
--- a/tests/scheduler/restarted_runner.feature
+++ b/tests/scheduler/restarted_runner.feature
@@ -283,6 +283,44 @@
     Then the late extension was carried out
     And no task ran twice
 
+  Scenario Outline: A runner that restarts at an earlier time of day is used
+    Guards against a runner that is ignored, and polled without a pause, as its
+    new start seems to be before the last one (review/14).
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And job "00000000000000db" of 40 tasks is submitted
+    And 0.5 s pass
+    And <which> runner restarts <back> s earlier, and its entry follows <lag> s later
+    And 4.0 s pass
+    And job "00000000000000dc" of 80 tasks is submitted
+    And 2.0 s pass
+    Then the restarted runner has started tasks
+    And the restarted runner was polled at most 10 times a second
+    And every task of job "00000000000000db" runs
+    And no task ran twice
+
+    Examples:
+      | which   | back  | lag |
+      | an idle | 2.0   | 0.0 |
+      | an idle | 2.0   | 1.5 |
+      | a busy  | 2.0   | 0.0 |
+      | a busy  | 2.0   | 1.5 |
+      | a busy  | 0.5   | 0.5 |
+
+  Scenario: A late entry of the incarnation before leads to a question only
+    Guards against taking an entry of before for that of a new start.
+    Given tasks that run 20.0 s
+    When 12.0 s pass
+    And an idle runner restarts, and its entry follows 0.0 s later
+    And job "00000000000000dd" of 120 tasks is submitted
+    And 1.0 s pass
+    And the previous incarnation's entry arrives again
+    And 3.0 s pass
+    Then 1 restart was noticed
+    And every task of job "00000000000000dd" runs
+    And no task was stopped
+    And no task ran twice
+
   Scenario: A stop is repeated for no longer than its start may come
     Guards against a runner that is polled for ever, as it rejects the stop.
     Given a start at a runner that restarted, 5.0 s ago
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -47,6 +47,23 @@
     _restart(context, _runner(context, idle=False), entry_lag_s=lag)
 
 
+@when(
+    "{which} runner restarts {back:g} s earlier, and its entry follows"
+    " {lag:g} s later"
+)
+def step_restarts_earlier(context, which, back, lag):
+    runner = _runner(context, idle=which == "an idle")
+    context.restarted_at = context.world.clock.seconds()
+    _restart(context, runner, entry_lag_s=lag, clock_set_back_s=back)
+
+
+@then("the restarted runner was polled at most {rate:d} times a second")
+def step_poll_rate(context, rate):
+    seconds = context.world.clock.seconds() - context.restarted_at
+    polls = _restarted(context).poll_count
+    assert polls <= rate * seconds, (polls, seconds)
+
+
 @then("the restarted runner has started tasks")
 def step_has_started(context):
     assert _restarted(context).task_by_name, "no task runs there"
