--- a/src/azurevane/_internal/scheduler/job_rows.py
+++ b/src/azurevane/_internal/scheduler/job_rows.py
@@ -63,6 +63,9 @@
         self._cancel_read_at_by_unknown_job: dict[str, float] = {}
         # When refusals of jobs that aren't stored were read, by row.
         self._refusal_read_at: dict[store.RowKey, float] = {}
+        # When the deletion of jobs was answered, until the table has been
+        # read again, in whole or by its changes.
+        self._deleted_at_by_job: dict[str, float] = {}
         self._stopped = False
 
     def stop(self) -> None:
@@ -73,8 +76,35 @@
         """Keep a job's stored state until its submission is read."""
         self._stored_state_by_job[job_id] = value
 
+    def handle_snapshot(
+        self, rows: Sequence[store.Row], began_at: float
+    ) -> None:
+        """Apply all rows of the table, which was read page by page.
+
+        A page may show a job whose rows were deleted before the last page
+        arrived.
+
+        Args:
+            began_at: monotonic time at which the read began.
+        """
+        deleted = {
+            job_id
+            for job_id, at in self._deleted_at_by_job.items()
+            if at >= began_at
+        }
+        self.handle_changed_rows(
+            [
+                row
+                for row in rows
+                if row.row_key.key.removesuffix(records.CANCEL_SUFFIX)
+                not in deleted
+            ]
+        )
+
     def handle_changed_rows(self, rows: Sequence[store.Row]) -> None:
         """Apply new or changed rows of submissions and cancellations."""
+        # A read of the whole table that begins later shows no deleted rows.
+        self._deleted_at_by_job.clear()
         now, unix_now = self._reactor.seconds(), self._unix_time()
         cancelled: list[str] = []
         jobs: list[job_models.Job] = []
@@ -212,6 +242,7 @@
                 failure,
             )
             return
+        self._deleted_at_by_job[job_id] = self._reactor.seconds()
         self._scheduler_state.forget_job(job_id)
         row_key = store.RowKey(
             records.STATE_TABLE, records.LEADER_PARTITION, job_id
--- a/src/azurevane/_internal/scheduler/site_tables.py
+++ b/src/azurevane/_internal/scheduler/site_tables.py
@@ -65,9 +65,11 @@
 
     def start(self) -> None:
         """Begin to read all tables side by side."""
-        self._follow(
+        job_follower = self._follow(
             records.JOBS_TABLE,
-            self._handle_job_snapshot,
+            lambda rows: self._handle_job_snapshot(
+                rows, job_follower.snapshot_began_at
+            ),
             self._handle_job_changes,
             deliver_after=self._states_known,
             partitions=records.JOB_PARTITIONS,
@@ -101,7 +103,7 @@
         deliver_after: "defer.Deferred[None]",
         partitions: Sequence[str] = ("",),
         pause_s: float = 0.0,
-    ) -> None:
+    ) -> table_follower.TableFollower:
         follower = table_follower.TableFollower(
             self._reactor,
             self._client,
@@ -115,13 +117,17 @@
         )
         self._followers.append(follower)
         background.spawn(follower.run(), f"follow {table}")
+        return follower
 
     def _handle_job_changes(self, rows: Sequence[store.Row]) -> None:
         self._job_rows.handle_changed_rows(rows)
         self._on_jobs_changed()
 
-    def _handle_job_snapshot(self, rows: Sequence[store.Row]) -> None:
-        self._handle_job_changes(rows)
+    def _handle_job_snapshot(
+        self, rows: Sequence[store.Row], began_at: float
+    ) -> None:
+        self._job_rows.handle_snapshot(rows, began_at)
+        self._on_jobs_changed()
         if not self._jobs_known.called:
             self._on_jobs_loaded()
             self._jobs_known.callback(None)
--- a/src/azurevane/_internal/scheduler/table_follower.py
+++ b/src/azurevane/_internal/scheduler/table_follower.py
@@ -43,6 +43,7 @@
 
     Attributes:
         wait_s: how long the store may hold a request until a row changes.
+        snapshot_began_at: when the latest read of the whole table began.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
             store.RowRange(table, partition) for partition in partitions
         ]
         self._pause_s = pause_s
+        self.snapshot_began_at = float("-inf")
         self._version: int | None = None
         self._failing_since: float | None = None
         self._stopped = False
@@ -160,6 +162,7 @@
         catalogue.emit(
             logger, events.TableReadAnew(self._table, len(rows), version)
         )
+        self.snapshot_began_at = sent_at
         self._on_snapshot(rows)
         self._on_confirmed(sent_at)
 
--- a/tests/scheduler/store_outage.feature
+++ b/tests/scheduler/store_outage.feature
@@ -60,3 +60,14 @@
     And 3.0 s pass
     Then job "00000000000000b9" is "completed"
     And every host has the newest configuration
+
+  Scenario: Jobs that are deleted while the tables are read again stay ended
+    Guards against a job that runs again because a page of the table showed it
+    before its rows were deleted (review/6).
+    Given hosts stay in their pools
+    And tasks that run 0.05 s
+    When 150 jobs of one partition are done, and their time to be kept is over
+    And the store answers 0.3 s later and drops its history 24 times, 0.5 s apart
+    And 5.0 s pass
+    Then rows of jobs were deleted
+    And no job ran again
