--- a/tests/scheduler/builds.feature
+++ b/tests/scheduler/builds.feature
@@ -12,6 +12,7 @@
       | bd1b0fb |
       | edb4b4f |
       | 220b006 |
+      | 5f1c11c |
 
   Scenario Outline: The build <build> goes on with the rows that this one stores
     Guards against a new field where an earlier build expects another one.
@@ -25,3 +26,4 @@
       | bd1b0fb |
       | edb4b4f |
       | 220b006 |
+      | 5f1c11c |
