--- a/tests/scheduler/steps/advice_steps.py
+++ b/tests/scheduler/steps/advice_steps.py
@@ -6,6 +6,7 @@
 
 from azurevane._internal.standins import advisor
 from azurevane._internal.standins import site_runner
+from support import peer_troubles
 from support import site_world
 
 _QUEUE = "advised"
@@ -113,22 +114,9 @@
 def step_trouble(context, trouble, seconds):
     world = context.world
     peer = world.platform.advisor.peer(world.leader_name)
-    calls_before = len(world.platform.advisor.calls)
-    if trouble == "takes calls silently":
-        peer.mute = True
-    elif trouble.startswith("answers "):
-        peer.reject_status = int(trouble.split()[1])
-    elif trouble == "loses answers":
-        peer.answers_to_lose = 1 << 30
-    else:
-        peer.slowness = float(trouble.split()[1])
-    world.advance_time(seconds)
-    context.calls_meanwhile = len(world.platform.advisor.calls) - calls_before
-    peer.reject_status = None
-    peer.mute = False
-    peer.answers_to_lose = 0
-    peer.slowness = 1.0
-    peer.work()
+    calls_before = peer.call_count
+    peer_troubles.play(world, peer, trouble, seconds)
+    context.calls_meanwhile = peer.call_count - calls_before
 
 
 @when("every runner restarts under its id, one each second")
--- a/tests/scheduler/steps/restart_steps.py
+++ b/tests/scheduler/steps/restart_steps.py
@@ -181,6 +181,12 @@
     assert context.job_ids, "no job was accepted"
 
 
+def _carry_out(context, request):
+    runner = context.world.platform.runner_by_address[str(request.address)]
+    answer = runner.handle_request(request.path, request.body)
+    context.late_answers.append(answer)
+
+
 @given('the first start of job "{job_id}" is carried out {late:g} s late')
 def step_late_start(context, job_id, late):
     platform = context.world.platform
@@ -189,11 +195,6 @@
     context.cpu_by_job = {}
     context.late_answers = []
 
-    def carry_out(request):
-        runner = platform.runner_by_address[str(request.address)]
-        answer = runner.handle_request(request.path, request.body)
-        context.late_answers.append(answer)
-
     def handle(entry_host, request):
         task = (request.body or {}).get("task", "")
         is_start = request.path.endswith("run-start")
@@ -203,7 +204,7 @@
             return call_runner(entry_host, request)
         runner = platform.runner_by_address[str(request.address)]
         context.late_start_runner = runner
-        context.world.clock.callLater(late, carry_out, request)
+        context.world.clock.callLater(late, _carry_out, context, request)
         return None
 
     platform._handle_runner_call = handle
@@ -219,10 +220,6 @@
     lose_start = platform._handle_runner_call
     context.stops_after_start = []
 
-    def carry_out(request):
-        runner = platform.runner_by_address[str(request.address)]
-        runner.handle_request(request.path, request.body)
-
     def handle(entry_host, request):
         runner = context.late_start_runner
         is_stop = request.path.endswith("run-stop")
@@ -230,7 +227,9 @@
             return lose_start(entry_host, request)
         if context.late_answers:
             context.stops_after_start.append(request.body)
-        context.world.clock.callLater(stop_late, carry_out, request)
+        context.world.clock.callLater(
+            stop_late, runner.handle_request, request.path, request.body
+        )
         return None
 
     platform._handle_runner_call = handle
@@ -275,17 +274,12 @@
     runner = context.slow_runner = _runner(context, idle=False)
     context.late_answers = []
 
-    def carry_out(request):
-        runner = platform.runner_by_address[str(request.address)]
-        answer = runner.handle_request(request.path, request.body)
-        context.late_answers.append(answer)
-
     def handle(entry_host, request):
         extends = request.path.endswith("hold") and "expiresMs" in request.body
         if not extends or str(request.address) != runner.address:
             return call_runner(entry_host, request)
         platform._handle_runner_call = call_runner
-        context.world.clock.callLater(late, carry_out, request)
+        context.world.clock.callLater(late, _carry_out, context, request)
         context.held_up = True
         return None
 
--- a/tests/scheduler/steps/slow_peer_steps.py
+++ b/tests/scheduler/steps/slow_peer_steps.py
@@ -12,6 +12,7 @@
 
 from azurevane._internal.callers import job_handler
 from azurevane._internal.standins import serial_peer
+from support import peer_troubles
 from support import site_world
 
 
@@ -36,15 +37,8 @@
     peer = world.platform.hosts_peer
     calls_before = peer.call_count
     context.trouble_s = seconds
-    peer.mute = trouble == "takes calls silently"
-    peer.loses_calls = trouble == "loses calls"
-    if trouble.startswith("answers "):
-        peer.reject_status = int(trouble.split()[1])
-    world.advance_time(seconds)
+    peer_troubles.play(world, peer, trouble, seconds)
     context.calls_meanwhile = peer.call_count - calls_before
-    peer.mute = peer.loses_calls = False
-    peer.reject_status = None
-    peer.work()
 
 
 @then("it got at most {calls:d} calls and one more each second meanwhile")
