Read a long list of hosts once at a time from the start

Read as a newcomer: the first read of the list counted as overdue after 0.7 s. A list of 20,000 hosts takes about 6 s over a link of 5 Mbit/s, so three more reads would have begun beside it and made all of them slower.

The first read now has 1.5 s; later ones follow how long reads take.

--- a/src/azurevane/_internal/scheduler/host_list_reader.py
+++ b/src/azurevane/_internal/scheduler/host_list_reader.py
@@ -19,6 +19,10 @@
 # a maximum, as the platform may be slow rather than the link.
 HOST_LIST_TIME_SHARE = 0.1
 MAX_HOST_LIST_PAUSE_S = 5.0
+# A read that takes twice as long, and a little more, is overdue, until the
+# first one has shown how long they take. A long list mustn't be read several
+# times at once over a narrow link.
+EXPECTED_READ_S = 0.5
 # Longest pause between two reads while the platform doesn't answer.
 MAX_RETRY_PAUSE_S = 2.5
 
@@ -58,7 +62,7 @@
             return
         self._give_up(self._pacer.take_surplus())
         repeated = self._pacer.open_count > 0
-        number = self._pacer.begin(asked_at, 0.0)
+        number = self._pacer.begin(asked_at, EXPECTED_READ_S)
         read = defer.ensureDeferred(
             self._calls.list_hosts(new_connection=repeated)
         )
