Call the hosts API and the advisor as they are in the tests of decoding

The steps pass the new arguments; what they check is unchanged. New: a page of the list of hosts that is rejected is read again alone, and a malformed advisor leaves its queue advised, with unknown times.

--- a/tests/platform/decoding.feature
+++ b/tests/platform/decoding.feature
@@ -33,6 +33,21 @@
   Scenario: A host on two pages of the list is listed once, as it was read last
     Then a host that is up on page 1 and moving on page 2 is listed as moving
 
+  Scenario: A rejected page of a long list is read again alone
+    Guards against a list that begins anew at each limit on the rate of calls.
+    Then a page that is rejected with 429 is read again after a pause
+
+  Scenario Outline: A queue's advisor may be malformed
+    Guards against a queue that starts tasks without the advisor's permission.
+    Then a queue with advisor <advisor> has the times <times>
+
+    Examples:
+      | advisor                                              | times            |
+      | {"decideMs": 150, "perItemMs": 15, "validMs": 3000}  | [0.15, 0.015, 3] |
+      | {"decideMs": -5}                                     | [0, 0, 0]        |
+      | {"decideMs": "fast", "validMs": 3000}                | [0, 0, 0]        |
+      | true                                                 | [0, 0, 0]        |
+
   Scenario: A runner's row that isn't valid JSON is rejected
     Given the row of a runner
     When it is truncated
--- a/tests/platform/steps/decoding_steps.py
+++ b/tests/platform/steps/decoding_steps.py
@@ -10,6 +10,9 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+from twisted.internet import defer
+from twisted.internet import task as twisted_task
+from twisted.python import failure
 
 from azurevane import exceptions
 from azurevane._internal.models import host_settings
@@ -330,32 +333,41 @@
 
 
 class _Pages:
-    """Client that answers each call with the next body."""
+    """Client that answers each call with the next body or status."""
 
     def __init__(self, *bodies):
         self._bodies = list(bodies)
+        self.paths = []
 
-    async def call(self, *arguments, **options):
-        body = json.dumps(self._bodies.pop(0)).encode()
-        return http_client.Response(200, body)
+    async def call(self, address, method, path, **options):
+        self.paths.append(path)
+        body = self._bodies.pop(0)
+        if isinstance(body, int):
+            return http_client.Response(body, b"")
+        return http_client.Response(200, json.dumps(body).encode())
 
 
-def _list_hosts(*bodies):
+def _list_hosts(*bodies, waits_s=0.0):
+    clock = twisted_task.Clock()
+    pages = _Pages(*bodies)
     calls = host_calls.HostCalls(
-        _Pages(*bodies), host_settings.Address("10.0.0.1", 80), "entry-1", 1
+        pages, host_settings.Address("10.0.0.1", 80), "entry-1", 1, clock
     )
-    try:
-        calls.list_hosts().send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("the call waits")
+    listing = defer.ensureDeferred(calls.list_hosts())
+    clock.advance(waits_s)
+    assert listing.called, "the call waits"
+    results = []
+    listing.addBoth(results.append)
+    if isinstance(results[0], failure.Failure):
+        results[0].raiseException()
+    return results[0], pages.paths
 
 
 @then("a list of hosts whose second page names the first one fails")
 def step_list_loop(context):
     pages = [{"machines": [], "nextToken": name} for name in ("b", "a", "b")]
     try:
-        hosts = _list_hosts(*pages)
+        hosts, _ = _list_hosts(*pages)
     except exceptions.CallFailed:
         return
     raise AssertionError(hosts)
@@ -365,19 +377,48 @@
 def step_host_on_two_pages(context):
     row = {"machine": "m-1", "pool": "press", "state": "up", "id": "i-1"}
     moving = {**row, "state": "moving", "id": None}
-    (host,) = _list_hosts(
+    (host,), _ = _list_hosts(
         {"machines": [row], "nextToken": "b"}, {"machines": [moving]}
     )
     assert host.state is site.HostState.MOVING, host
 
 
+@then("a page that is rejected with {status:d} is read again after a pause")
+def step_rejected_page(context, status):
+    row = {"machine": "m-1", "pool": "press", "state": "up", "id": "i-1"}
+    hosts, paths = _list_hosts(
+        {"machines": [row], "nextToken": "b"},
+        status,
+        {"machines": [{**row, "machine": "m-2"}]},
+        waits_s=host_calls.PAGE_RETRY_DELAY_S,
+    )
+    assert [host.name for host in hosts] == ["m-1", "m-2"], hosts
+    assert len(paths) == 3 and paths[1] == paths[2] != paths[0], paths
+
+
+@then("a queue with advisor {advisor} has the times {times}")
+def step_advisor_times(context, advisor, times):
+    route = {
+        "name": "fit",
+        "host": "jobs.example",
+        "pathPrefix": "/fit/",
+        "service": "press",
+        "advisor": json.loads(advisor),
+    }
+    config = {"version": 1, "routes": [route]}
+    value = json.dumps(config).encode()
+    queue = operator_rows.decode_config(value).queue_by_name["fit"]
+    assert queue.advised
+    assert queue.advisor_times == site.AdvisorTimes(*json.loads(times)), queue
+
+
 @then("advice {rows} allows i-1 and i-4")
 def step_advice(context, rows):
     client = _OneResponse({"good": json.loads(rows), "validMs": 5})
     calls = advice_calls.AdviceCalls(
         client, host_settings.Address("10.0.0.1", 80)
     )
-    request = calls.request_advice("step", ["i-1"])
+    request = calls.request_advice("step", ["i-1"], timeout_s=1.0)
     try:
         request.send(None)
     except StopIteration as stop:
